--- /dev/null
+++ b/base/boot/boot.go
@@ -0,0 +1,155 @@
+// Package boot reads and checks the boot file: what a process is told of its
+// machine, its bounds and its neighbours before it starts.
+package boot
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"onyxwell/base/ids"
+)
+
+// Variable names the environment variable that holds the boot file's path.
+const Variable = "ONYXWELL_NODE_FILE"
+
+// Fallback is the path used where the variable is not set.
+const Fallback = "/etc/onyxwell/boot.toml"
+
+// Boot is the boot file as read. Fields that are not known are ignored.
+type Boot struct {
+	NodeName    string                  `toml:"node_name"`
+	Role        string                  `toml:"role"`
+	Class       string                  `toml:"machine_class"`
+	Serves      []string                `toml:"serves"`
+	IP          string                  `toml:"ip"`
+	Zone        ids.Zone                `toml:"zone"`
+	Region      ids.Region              `toml:"region"`
+	PortRange   []int                   `toml:"port_range"`
+	Seeds       []ids.Address           `toml:"seed_nodes"`
+	FirstStart  bool                    `toml:"first_start"`
+	Counted     bool                    `toml:"counted"`
+	DataFolder  string                  `toml:"data_dir"`
+	BeatEveryMS int                     `toml:"beat_every_ms"`
+	Rules       []string                `toml:"rules_in_force"`
+	Zones       map[ids.Zone]ids.Region `toml:"zones"`
+	Listen      map[string]ids.Address  `toml:"listen"`
+	Limits      Limits                  `toml:"limits"`
+	Tolerate    Tolerate                `toml:"tolerate"`
+	Bounds      Bounds                  `toml:"bounds"`
+	Platform    Platform                `toml:"cloud_api"`
+}
+
+// Limits are what the machine allows the process.
+type Limits struct {
+	ProcessorShare float64 `toml:"cpu_share"`
+	Cores          float64 `toml:"cores"`
+	MemoryMB       int64   `toml:"memory_mb"`
+	OpenFiles      int     `toml:"open_files"`
+	LinkMbps       float64 `toml:"link_mbps"`
+	DiskMB         int64   `toml:"disk_mb"`
+}
+
+// Tolerate is how much may be lost at one time.
+type Tolerate struct {
+	Machines int `toml:"machines"`
+	Zones    int `toml:"zones"`
+	Regions  int `toml:"regions"`
+}
+
+// Bounds are the figures of the rules in force.
+type Bounds struct {
+	SeedLagS      float64 `toml:"seed_lag_s"`
+	ReuseAfterS   float64 `toml:"reuse_after_s"`
+	InTouchMS     float64 `toml:"in_touch_ms"`
+	AckWithinMS   float64 `toml:"ack_within_ms"`
+	CatchUpS      float64 `toml:"catch_up_s"`
+	DrainMS       float64 `toml:"drain_ms"`
+	GraceS        float64 `toml:"grace_s"`
+	LostSlackMS   float64 `toml:"lost_slack_ms"`
+	ApplyWithinMS float64 `toml:"apply_within_ms"`
+	DowngradeMS   float64 `toml:"downgrade_ms"`
+	StretchMS     float64 `toml:"stretch_ms"`
+	RetryRatio    float64 `toml:"retry_ratio"`
+	RetryWindowS  float64 `toml:"retry_window_s"`
+	RetryExtra    float64 `toml:"retry_extra"`
+	ColdExcess    float64 `toml:"cold_excess"`
+	ColdSlack     float64 `toml:"cold_slack"`
+	EvacuateMS    float64 `toml:"evacuate_ms"`
+	RecoveryS     float64 `toml:"recovery_s"`
+	StepMS        float64 `toml:"step_ms"`
+	TTLMaxS       float64 `toml:"ttl_max_s"`
+}
+
+// Platform is where the list of runners is kept.
+type Platform struct {
+	Address  ids.Address `toml:"address"`
+	RatePerS float64     `toml:"rate_per_s"`
+	MaxLagMS float64     `toml:"max_lag_ms"`
+}
+
+// Path tells where the boot file is.
+//
+// Example:
+//
+//	settings, fault := boot.Read(boot.Path())
+func Path() string {
+	if path := os.Getenv(Variable); path != "" {
+		return path
+	}
+	return Fallback
+}
+
+// Read reads and checks a boot file.
+//
+// Example:
+//
+//	settings, fault := boot.Read("/etc/onyxwell/boot.toml")
+func Read(path string) (*Boot, error) {
+	text, fault := os.ReadFile(path)
+	if fault != nil {
+		return nil, fmt.Errorf("boot file: %w", fault)
+	}
+	return Parse(string(text))
+}
+
+// Parse checks the text of a boot file.
+//
+// Example:
+//
+//	settings, fault := boot.Parse(text)
+func Parse(text string) (*Boot, error) {
+	settings := &Boot{}
+	if _, fault := toml.Decode(text, settings); fault != nil {
+		return nil, fmt.Errorf("boot file: %w", fault)
+	}
+	if fault := errors.Join(settings.problems()...); fault != nil {
+		return nil, fmt.Errorf("boot file: %w", fault)
+	}
+	return settings, nil
+}
+
+// Milliseconds turns a figure of the boot file into a span.
+//
+// Example:
+//
+//	drain := boot.Milliseconds(settings.Bounds.DrainMS)
+func Milliseconds(figure float64) time.Duration {
+	return time.Duration(figure * float64(time.Millisecond))
+}
+
+// Seconds turns a figure of the boot file into a span.
+//
+// Example:
+//
+//	grace := boot.Seconds(settings.Bounds.GraceS)
+func Seconds(figure float64) time.Duration { return time.Duration(figure * float64(time.Second)) }
+
+func validAddress(address ids.Address) bool {
+	_, fault := netip.ParseAddrPort(string(address))
+	return fault == nil
+}
--- /dev/null
+++ b/base/breakdown/breakdown.go
@@ -0,0 +1,142 @@
+// Package breakdown is the closed list of the kinds of errors that onyxwell
+// knows, with the table that says how each is answered.
+package breakdown
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind is one of the kinds of errors below; there are no others.
+type Kind int
+
+// The kinds. A kind whose answer is 503, 429 or 408 is a promise that the
+// request has not run and never will.
+const (
+	None Kind = iota
+	BadRequest
+	HeadTooLarge
+	BodyTooLarge
+	TooSlow
+	NoRoute
+	UnknownCall
+	Unready
+	Leaving
+	NoRunner
+	Crowded
+	BudgetSpent
+	RunnerLost
+	RunnerGarbled
+	LimitReached
+	LimitBeforeRun
+	BadSpec
+	StaleSpec
+	UnknownZone
+	Unsettled
+	Internal
+	kinds
+)
+
+// Answer is how a kind is told to a caller.
+type Answer struct {
+	Status  int
+	Name    string
+	Text    string
+	NotRun  bool
+	Closing bool
+}
+
+var answers = [kinds]Answer{
+	None:           {Status: 200, Name: "none"},
+	BadRequest:     {Status: 400, Name: "bad-request", Text: "the request can't be read", NotRun: true, Closing: true},
+	HeadTooLarge:   {Status: 431, Name: "head-too-large", Text: "the head is longer than the spec allows", NotRun: true, Closing: true},
+	BodyTooLarge:   {Status: 413, Name: "body-too-large", Text: "the body is longer than the spec allows", NotRun: true, Closing: true},
+	TooSlow:        {Status: 408, Name: "too-slow", Text: "the request did not arrive whole in time", NotRun: true, Closing: true},
+	NoRoute:        {Status: 404, Name: "no-route", Text: "no route has this host and path", NotRun: true},
+	UnknownCall:    {Status: 404, Name: "unknown-call", Text: "there is no such call here", NotRun: true},
+	Unready:        {Status: 503, Name: "unready", Text: "no spec is known here yet", NotRun: true},
+	Leaving:        {Status: 503, Name: "leaving", Text: "this router is leaving", NotRun: true, Closing: true},
+	NoRunner:       {Status: 503, Name: "no-runner", Text: "no runner can take the request now", NotRun: true},
+	Crowded:        {Status: 503, Name: "crowded", Text: "the runners can't serve the request in time", NotRun: true},
+	BudgetSpent:    {Status: 503, Name: "budget-spent", Text: "no further try is left in the budget", NotRun: true},
+	RunnerLost:     {Status: 502, Name: "runner-lost", Text: "the runner was lost while it may have worked"},
+	RunnerGarbled:  {Status: 502, Name: "runner-garbled", Text: "the runner's answer can't be trusted"},
+	LimitReached:   {Status: 504, Name: "limit-reached", Text: "the time for the request is over"},
+	LimitBeforeRun: {Status: 503, Name: "limit-before-run", Text: "the time was over before any runner began", NotRun: true},
+	BadSpec:        {Status: 400, Name: "bad-spec", Text: "the spec is invalid"},
+	StaleSpec:      {Status: 412, Name: "stale-spec", Text: "another version is in place"},
+	UnknownZone:    {Status: 404, Name: "unknown-zone", Text: "there is no such zone"},
+	Unsettled:      {Status: 503, Name: "unsettled", Text: "no majority of the voters answered in time"},
+	Internal:       {Status: 500, Name: "internal", Text: "a part of the program failed"},
+}
+
+// Answer looks the kind up in the table.
+//
+// Example:
+//
+//	status := breakdown.NoRoute.Answer().Status // 404
+func (kind Kind) Answer() Answer {
+	if kind < 0 || kind >= kinds {
+		return answers[Internal]
+	}
+	return answers[kind]
+}
+
+// String gives the kind's name as logs and answers carry it.
+//
+// Example:
+//
+//	breakdown.NoRoute.String() // "no-route"
+func (kind Kind) String() string { return kind.Answer().Name }
+
+// Breakdown is an error of a known kind.
+type Breakdown struct {
+	Kind   Kind
+	Detail string
+}
+
+// Error tells the kind and the detail.
+func (breakdown *Breakdown) Error() string {
+	if breakdown.Detail == "" {
+		return breakdown.Kind.String()
+	}
+	return breakdown.Kind.String() + ": " + breakdown.Detail
+}
+
+// Of makes an error of the kind with a detail in the manner of fmt.
+//
+// Example:
+//
+//	return breakdown.Of(breakdown.BadSpec, "routes[%d].service: unknown %q", index, name)
+func Of(kind Kind, format string, values ...any) error {
+	return &Breakdown{Kind: kind, Detail: fmt.Sprintf(format, values...)}
+}
+
+// KindOf finds the kind of an error; an error of no known kind is Internal.
+//
+// Example:
+//
+//	if breakdown.KindOf(fault) == breakdown.StaleSpec { ... }
+func KindOf(fault error) Kind {
+	if fault == nil {
+		return None
+	}
+	var known *Breakdown
+	if errors.As(fault, &known) {
+		return known.Kind
+	}
+	return Internal
+}
+
+// DetailOf gives what is said beyond the kind.
+//
+// Example:
+//
+//	body.Detail = breakdown.DetailOf(fault)
+func DetailOf(fault error) string {
+	var known *Breakdown
+	if errors.As(fault, &known) {
+		return known.Detail
+	}
+	return ""
+}
--- /dev/null
+++ b/base/call/ask.go
@@ -0,0 +1,66 @@
+package call
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+)
+
+// Outgoing is what a question looks like on the wire.
+type Outgoing struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Asking is a question that can be sent.
+type Asking interface{ Outgoing() Outgoing }
+
+// Heard is the raw answer to a question.
+type Heard struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Hearing is an answer that can be read.
+type Hearing interface{ Hear(heard Heard) error }
+
+// answerLimit bounds what is read of an answer to one of our own questions.
+const answerLimit = 64 << 20
+
+// Ask sends a question and reads its answer: the client's side of the one
+// generic handler.
+//
+// Example:
+//
+//	page, fault := call.Ask[census.Page](short, client, platform, census.PageQuestion{Zone: zone})
+func Ask[Told any, Pointer interface {
+	*Told
+	Hearing
+}](inner scope.Scope, client *http.Client, address ids.Address, asking Asking) (Told, error) {
+	var told Told
+	outgoing := asking.Outgoing()
+	request, fault := http.NewRequestWithContext(inner, outgoing.Method, "http://"+string(address)+outgoing.Path, bytes.NewReader(outgoing.Body))
+	if fault != nil {
+		return told, fault
+	}
+	for name, values := range outgoing.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set("User-Agent", "")
+	response, fault := client.Do(request)
+	if fault != nil {
+		return told, fault
+	}
+	defer response.Body.Close()
+	body, fault := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if fault != nil {
+		return told, fault
+	}
+	return told, Pointer(&told).Hear(Heard{Status: response.StatusCode, Header: response.Header, Body: body})
+}
--- /dev/null
+++ b/base/call/dial.go
@@ -0,0 +1,71 @@
+// Package call holds what is common to calls over HTTP: one generic handler
+// for pairs of question and answer, on both sides, and connections that
+// notice a silent machine.
+package call
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+
+	"onyxwell/base/clock"
+)
+
+// userTimeout is the number of TCP_USER_TIMEOUT on Linux.
+const userTimeout = 18
+
+// Dialing is how connections are made.
+type Dialing struct {
+	// Limit is how long a connection may take to come up.
+	Limit clock.Span
+	// Silence is how long sent bytes may stay unconfirmed.
+	Silence clock.Span
+}
+
+// Dial opens a connection that a dead or cut-off machine can't hold for ever.
+//
+// Example:
+//
+//	connection, fault := call.Dialing{Limit: limit, Silence: silence}.Dial(ctx, "tcp", address)
+func (dialing Dialing) Dial(ctx context.Context, network string, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialing.Limit,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: max(dialing.Silence/2, clock.Second), Interval: clock.Second, Count: 3,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(descriptor uintptr) {
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, userTimeout, int(dialing.Silence.Milliseconds()))
+			})
+		},
+	}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Pooling says how many connections a client keeps.
+type Pooling struct {
+	Dialing Dialing
+	Idle    clock.Span
+	PerHost int
+}
+
+// Client makes an HTTP client with a pool of its own that adds nothing to what
+// is sent.
+//
+// Example:
+//
+//	client := call.Client(call.Pooling{Dialing: dialing, Idle: 10 * clock.Second, PerHost: 2})
+func Client(pooling Pooling) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         pooling.Dialing.Dial,
+			DisableCompression:  true,
+			IdleConnTimeout:     pooling.Idle,
+			MaxIdleConnsPerHost: pooling.PerHost,
+			ReadBufferSize:      4096,
+			WriteBufferSize:     4096,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/base/call/serve.go
@@ -0,0 +1,104 @@
+package call
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/clock"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+)
+
+// Incoming is a call as it arrived: its tail is what follows a path that ends
+// with a slash in the table.
+type Incoming struct {
+	Request *http.Request
+	Tail    string
+	Body    []byte
+}
+
+// Question is read from a call.
+type Question interface{ Read(incoming Incoming) error }
+
+// Answer makes the reply to a call.
+type Answer interface{ Reply() reply.Reply }
+
+// Table holds the calls that a daemon serves.
+type Table struct {
+	Scope     scope.Scope
+	BodyLimit int64
+	exact     map[string]func(scope.Scope, Incoming) reply.Reply
+}
+
+// NewTable makes an empty table.
+//
+// Example:
+//
+//	table := call.NewTable(top, 4<<20)
+func NewTable(top scope.Scope, bodyLimit int64) *Table {
+	return &Table{Scope: top, BodyLimit: bodyLimit, exact: map[string]func(scope.Scope, Incoming) reply.Reply{}}
+}
+
+// Handle adds a pair of question and answer to the table. A path that ends
+// with a slash takes all that begins with it.
+//
+// Example:
+//
+//	call.Handle(table, "GET", "/lookup", directory.Lookup)
+func Handle[Asked any, Pointer interface {
+	*Asked
+	Question
+}, Told Answer](table *Table, method string, path string, serve func(scope.Scope, Asked) (Told, error)) {
+	table.exact[method+" "+path] = func(inner scope.Scope, incoming Incoming) reply.Reply {
+		var asked Asked
+		if fault := Pointer(&asked).Read(incoming); fault != nil {
+			return reply.Failure(fault)
+		}
+		told, fault := serve(inner, asked)
+		if fault != nil {
+			return reply.Failure(fault)
+		}
+		return told.Reply()
+	}
+}
+
+// ServeHTTP finds the call in the table and answers it.
+func (table *Table) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	path := request.URL.Path
+	serve, tail := table.exact[request.Method+" "+path], ""
+	if serve == nil {
+		cut := strings.LastIndexByte(path, '/') + 1
+		serve, tail = table.exact[request.Method+" "+path[:cut]], path[cut:]
+	}
+	if serve == nil {
+		reply.Of(breakdown.UnknownCall, request.Method+" "+path).Send(writer)
+		return
+	}
+	body, fault := io.ReadAll(http.MaxBytesReader(writer, request.Body, table.BodyLimit))
+	if fault != nil {
+		reply.Failure(bodyFault(fault)).Send(writer)
+		return
+	}
+	inner := table.Scope.Under(request.Context())
+	serve(inner, Incoming{Request: request, Tail: tail, Body: body}).Send(writer)
+}
+
+func bodyFault(fault error) error {
+	var large *http.MaxBytesError
+	if errors.As(fault, &large) {
+		return breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", large.Limit)
+	}
+	return breakdown.Of(breakdown.BadRequest, "the body is not whole")
+}
+
+// Server makes an HTTP server for a handler with bounds on slow callers.
+//
+// Example:
+//
+//	server := call.Server(table, 5*clock.Second, 30*clock.Second)
+func Server(handler http.Handler, headWait clock.Span, idle clock.Span) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headWait, IdleTimeout: idle}
+}
--- /dev/null
+++ b/base/clock/clock.go
@@ -0,0 +1,103 @@
+// Package clock is the project's only door to time. Everything that waits or
+// measures asks a Clock, so tests run on a Fake and never sleep.
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Span is a length of time.
+type Span = time.Duration
+
+// Lengths of time in common use.
+const (
+	Millisecond = time.Millisecond
+	Second      = time.Second
+)
+
+// Instant is a moment on the steady clock of one process. Instants of two
+// processes can't be compared, and the time of day plays no part in them.
+type Instant int64
+
+// Add moves an instant by a span.
+//
+// Example:
+//
+//	limit := clock.Now().Add(200 * clock.Millisecond)
+func (instant Instant) Add(span Span) Instant { return instant + Instant(span) }
+
+// Since tells how much later this instant is than the earlier one.
+//
+// Example:
+//
+//	spent := clock.Now().Since(begin)
+func (instant Instant) Since(earlier Instant) Span { return Span(instant - earlier) }
+
+// Before tells whether this instant comes before the other.
+//
+// Example:
+//
+//	if clock.Now().Before(limit) { ... }
+func (instant Instant) Before(other Instant) bool { return instant < other }
+
+// Clock tells the steady time and wakes its callers.
+type Clock interface {
+	// Now gives the present instant.
+	Now() Instant
+	// After gives a channel that is closed once the span has passed.
+	After(span Span) <-chan struct{}
+	// WithLimit gives a context that ends when the span has passed.
+	WithLimit(parent context.Context, span Span) (context.Context, context.CancelFunc)
+}
+
+type steady struct{ begin time.Time }
+
+// Steady gives the clock of the machine.
+//
+// Example:
+//
+//	machine := clock.Steady()
+//	begin := machine.Now()
+func Steady() Clock { return steady{begin: time.Now().Add(-time.Second)} }
+
+func (machine steady) Now() Instant { return Instant(time.Since(machine.begin)) }
+
+func (machine steady) After(span Span) <-chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(span, func() { close(done) })
+	return done
+}
+
+func (machine steady) WithLimit(parent context.Context, span Span) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(parent, span)
+}
+
+// Wait blocks for the span or until the context ends; it tells whether the
+// span passed whole.
+//
+// Example:
+//
+//	for clock.Wait(ctx, machine, 300*clock.Millisecond) { tick() }
+func Wait(ctx context.Context, source Clock, span Span) bool {
+	if machine, real := source.(steady); real {
+		return machine.wait(ctx, span)
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-source.After(span):
+		return true
+	}
+}
+
+func (machine steady) wait(ctx context.Context, span Span) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/base/program/program.go
@@ -0,0 +1,140 @@
+// Package program is the common command line of the daemons: run (the
+// default), check for the boot file, and the version.
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/scope"
+)
+
+// Version is the version of all programs.
+const Version = "0.1.0"
+
+// Daemon is what a program runs.
+type Daemon struct {
+	Name string
+	Text string
+	// Needs names the listening addresses that the boot file must hold.
+	Needs []string
+	// Serve runs until the context ends, then leaves in order. Reread is told
+	// each new boot file.
+	Serve func(top scope.Scope, reread <-chan *boot.Boot) error
+}
+
+type commandLine struct {
+	Boot     string           `help:"Path of the boot file; by default what ${variable} holds." placeholder:"FILE"`
+	LogLevel string           `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
+	Version  kong.VersionFlag `help:"Print the version and stop."`
+	Run      struct{}         `cmd:"" default:"1" help:"Run the daemon (the default)."`
+	Check    struct{}         `cmd:"" help:"Read and check the boot file, then stop."`
+}
+
+// Main parses the command line and runs a command; it gives the exit status.
+//
+// Example:
+//
+//	func main() { os.Exit(program.Main(program.Daemon{Name: "router", Serve: serve}, os.Args[1:])) }
+func Main(daemon Daemon, arguments []string) int {
+	var line commandLine
+	parser, fault := kong.New(&line, kong.Name(daemon.Name), kong.Description(daemon.Text),
+		kong.Vars{"version": daemon.Name + " " + Version, "variable": boot.Variable})
+	if fault != nil {
+		return complain(daemon, fault)
+	}
+	parsed, fault := parser.Parse(arguments)
+	if fault != nil {
+		return complain(daemon, fault)
+	}
+	if line.Boot == "" {
+		line.Boot = boot.Path()
+	}
+	settings, fault := boot.Read(line.Boot)
+	if fault == nil {
+		fault = settings.Require(daemon.Needs...)
+	}
+	if fault != nil {
+		return complain(daemon, fault)
+	}
+	commands := map[string]func() error{
+		"check": func() error {
+			_, fault := fmt.Printf("%s: boot file %s is good: %s in %s\n", daemon.Name, line.Boot, settings.NodeName, settings.Zone)
+			return fault
+		},
+		"run": func() error { return run(daemon, line, settings) },
+	}
+	if fault := commands[parsed.Command()](); fault != nil {
+		return complain(daemon, fault)
+	}
+	return 0
+}
+
+func complain(daemon Daemon, fault error) int {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", daemon.Name, fault)
+	return 1
+}
+
+func run(daemon Daemon, line commandLine, settings *boot.Boot) error {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(settings.Limits.MemoryMB << 20 * 6 / 10)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGPIPE)
+	top := scope.New(scope.Options{Boot: settings, Log: scope.Logger(line.LogLevel, os.Stderr)}).Under(ctx)
+	reread := make(chan *boot.Boot, 1)
+	go watch(top, line.Boot, reread)
+	return daemon.Serve(top, reread)
+}
+
+// watch rereads the boot file on SIGHUP, and when the file changes without
+// any signal.
+func watch(top scope.Scope, path string, reread chan<- *boot.Boot) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	pause := max(boot.Seconds(top.Boot.Bounds.SeedLagS), boot.Milliseconds(top.Boot.Bounds.ApplyWithinMS))
+	last := stampOf(path)
+	for {
+		select {
+		case <-top.Done():
+			return
+		case <-hangup:
+		case <-top.Clock.After(pause):
+		}
+		stamp := stampOf(path)
+		if stamp == last {
+			continue
+		}
+		fresh, fault := boot.Read(path)
+		if fault != nil {
+			top.Log.Error().Str("part", "boot").Err(fault).Msg("the changed boot file is not taken")
+			continue
+		}
+		last = stamp
+		select {
+		case reread <- fresh:
+		case <-top.Done():
+		}
+	}
+}
+
+type stamp struct {
+	size  int64
+	moved int64
+}
+
+func stampOf(path string) stamp {
+	found, fault := os.Stat(path)
+	if fault != nil {
+		return stamp{}
+	}
+	return stamp{size: found.Size(), moved: found.ModTime().UnixNano()}
+}
--- /dev/null
+++ b/base/reply/reply.go
@@ -0,0 +1,176 @@
+// Package reply is the one builder of answers: every answer that a daemon
+// gives, its own or a runner's, is made here.
+package reply
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/clock"
+)
+
+// Wire names of the heads that answers carry.
+const (
+	KindHeader   = "Onyxwell-Breakdown"
+	NotRunHeader = "Onyxwell-Not-Run"
+)
+
+// Reply is an answer ready to be sent.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Closing bool
+}
+
+type trouble struct {
+	Error  string `json:"error"`
+	Text   string `json:"text"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Of makes the answer for a kind of breakdown.
+//
+// Example:
+//
+//	reply.Of(breakdown.NoRoute, "").Send(writer)
+func Of(kind breakdown.Kind, detail string) Reply {
+	told := kind.Answer()
+	made := JSON(told.Status, trouble{Error: told.Name, Text: told.Text, Detail: detail})
+	made.Header.Set(KindHeader, strconv.Itoa(int(kind)))
+	made.Closing = told.Closing
+	return made
+}
+
+// Failure makes the answer for an error.
+//
+// Example:
+//
+//	if fault != nil { reply.Failure(fault).Send(writer) }
+func Failure(fault error) Reply {
+	return Of(breakdown.KindOf(fault), breakdown.DetailOf(fault))
+}
+
+// JSON makes an answer with a JSON body.
+//
+// Example:
+//
+//	reply.JSON(200, map[string]int{"ttl_s": 1}).Send(writer)
+func JSON(status int, value any) Reply {
+	body, fault := json.Marshal(value)
+	if fault != nil {
+		return Of(breakdown.Internal, "")
+	}
+	return Raw(status, "application/json", body)
+}
+
+// Raw makes an answer from bytes as they are.
+//
+// Example:
+//
+//	reply.Raw(200, "application/json", document).Send(writer)
+func Raw(status int, contentType string, body []byte) Reply {
+	header := http.Header{}
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	return Reply{Status: status, Header: header, Body: body}
+}
+
+// Empty makes an answer without a body.
+//
+// Example:
+//
+//	reply.Empty(200).Send(writer)
+func Empty(status int) Reply { return Reply{Status: status, Header: http.Header{}} }
+
+// After asks the caller to come back no sooner than the span from now.
+//
+// Example:
+//
+//	reply.Of(breakdown.Crowded, "").After(400 * clock.Millisecond).Send(writer)
+func (made Reply) After(span clock.Span) Reply {
+	made.Header.Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
+	return made
+}
+
+// Close asks that the connection end with this answer.
+//
+// Example:
+//
+//	reply.Of(breakdown.Leaving, "").Close().Send(writer)
+func (made Reply) Close() Reply {
+	made.Closing = true
+	return made
+}
+
+// Send writes the answer.
+//
+// Example:
+//
+//	reply.Empty(200).Send(writer)
+func (made Reply) Send(writer http.ResponseWriter) {
+	header := writer.Header()
+	for name, values := range made.Header {
+		header[name] = values
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(made.Body)))
+	if made.Closing {
+		header.Set("Connection", "close")
+	}
+	writer.WriteHeader(made.Status)
+	_, _ = writer.Write(made.Body)
+}
+
+// Begin writes the head of an answer whose body follows piece by piece; the
+// head's values are passed on as they are. A length below 0 is unknown.
+//
+// Example:
+//
+//	reply.Begin(writer, 200, heads, -1, leaving)
+func Begin(writer http.ResponseWriter, status int, heads http.Header, length int64, closing bool) {
+	header := writer.Header()
+	for name, values := range heads {
+		header[name] = values
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		header["Content-Type"] = nil
+	}
+	if _, dated := header["Date"]; !dated {
+		header["Date"] = nil
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if closing {
+		header.Set("Connection", "close")
+	}
+	writer.WriteHeader(status)
+}
+
+// ReadWithin bounds how long the rest of a request may take to arrive; 0 is no
+// bound.
+//
+// Example:
+//
+//	reply.ReadWithin(writer, 15*clock.Second)
+func ReadWithin(writer http.ResponseWriter, span clock.Span) {
+	until := time.Time{}
+	if span > 0 {
+		until = time.Now().Add(span)
+	}
+	_ = http.NewResponseController(writer).SetReadDeadline(until)
+}
+
+// Abort ends a begun answer so that it looks broken, never complete.
+//
+// Example:
+//
+//	if broken { reply.Abort() }
+func Abort() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/cmd/fleet-controller/serve.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/call"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/daemon"
+	"onyxwell/control/desk"
+	"onyxwell/control/directory"
+	"onyxwell/control/hold"
+	"onyxwell/control/journal"
+	"onyxwell/control/operator"
+	"onyxwell/control/register"
+	"onyxwell/control/seat"
+	"onyxwell/control/spread"
+)
+
+const role = "fleet-controller"
+
+// controller is the daemon put together.
+type controller struct {
+	common *daemon.Daemon
+	pace   daemon.Pace
+	own    *seat.Seat
+	keeper *register.Keeper
+	front  *desk.Desk
+}
+
+func serve(top scope.Scope, reread <-chan *boot.Boot) error {
+	made, fault := build(top)
+	if fault != nil {
+		return fault
+	}
+	defer made.own.Close()
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	ended := make(chan error, 1)
+	go func() { ended <- made.common.Run(running) }()
+	made.common.Table.Announce(readyNow)
+	for {
+		select {
+		case fresh := <-reread:
+			made.common.Reread(fresh)
+		case fault := <-ended:
+			return fault
+		case <-top.Done():
+			// Calls that run are answered; others find another controller.
+			leaving := top.Detached()
+			made.common.Leave(leaving)
+			leaving.Wait(made.pace.Order)
+			return nil
+		}
+	}
+}
+
+func build(top scope.Scope) (*controller, error) {
+	made := &controller{pace: daemon.PaceOf(top.Boot)}
+	var fault error
+	made.common, fault = daemon.New(top, role, func(spread.Item) {})
+	if fault != nil {
+		return nil, fault
+	}
+	made.own, fault = seat.Open(top, seat.Options{
+		Address: made.common.Address, Disk: journal.Folder(top.Boot.DataFolder), First: top.Boot.FirstStart,
+		Seeds: top.Boot.SeedAddresses(), Table: made.common.Table, Messenger: made.common.Messenger,
+		Patience: made.pace.Hold, Limit: 2 * made.pace.Order, HoldSpan: made.pace.Hold,
+	})
+	if fault != nil {
+		return nil, fault
+	}
+	made.own.Serve(made.common.Calls)
+	made.keeper = register.NewKeeper(register.Options{
+		Address: made.common.Address, Line: made.own, Voters: made.own.Acceptor.Voters,
+		Seen:         func(key string) int64 { return made.own.Acceptor.Slot(key).Promised.Number },
+		Chosen:       func(key string, accepted register.Accepted) { made.front.Chosen(key, accepted) },
+		MessageLimit: made.pace.Silence,
+	})
+	made.front = desk.New(desk.Options{
+		Address: made.common.Address, Keeper: made.keeper, Acceptor: made.own.Acceptor,
+		Table: made.common.Table, News: made.common.News, Messenger: made.common.Messenger,
+		Pass: made.pace.Pass, Limit: made.pace.Order,
+	})
+	made.front.Serve(made.common.Calls)
+	made.parts(top)
+	return made, nil
+}
+
+func (made *controller) parts(top scope.Scope) {
+	common, pace := made.common, made.pace
+	common.Part("seat", func(inner scope.Scope) error {
+		made.own.Run(inner, made.keeper, pace.Exchange)
+		return nil
+	})
+	common.Part("sweep", func(inner scope.Scope) error { made.front.Run(inner, pace.Sweep); return nil })
+	made.duty("census", func(holder *hold.Holder) func(inner scope.Scope) {
+		taker := &census.Taker{
+			Client: platformClient(pace), News: common.News, Held: holder.Held,
+			Every: pace.Census, Beat: 3 * pace.Census,
+		}
+		return taker.Run
+	})
+	orders := call.NewTable(top, top.Boot.Limits.MemoryMB<<20/16)
+	operator.Serve(orders, made.front)
+	common.Part("control", func(inner scope.Scope) error {
+		return common.ServeHTTP(inner, top.Boot.Listen["control"], orders)
+	})
+	lookups := call.NewTable(top, 1<<16)
+	directory.Directory{Table: common.Table, Fewest: 1}.Serve(lookups)
+	common.Part("directory", func(inner scope.Scope) error {
+		return common.ServeHTTP(inner, top.Boot.Listen["directory"], lookups)
+	})
+}
+
+// duty adds what one controller does at a time.
+func (made *controller) duty(name string, work func(holder *hold.Holder) func(inner scope.Scope)) {
+	holder := hold.NewHolder(hold.Options{
+		Duty: name, Address: made.common.Address, Span: made.pace.Hold,
+		Ask: made.own.AskHold, Epoch: made.front.Epoch,
+	})
+	run := work(holder)
+	made.common.Part("hold "+name, func(inner scope.Scope) error { holder.Run(inner); return nil })
+	made.common.Part(name, func(inner scope.Scope) error { run(inner); return nil })
+}
--- /dev/null
+++ b/cmd/router/leave.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+)
+
+func chance() float64 { return rand.Float64() }
+
+var open atomic.Pointer[http.Server]
+
+// door remembers the server that visitors come through.
+func (made *router) door(server *http.Server) { open.Store(server) }
+
+// leave goes in order: out of the directory at once, the door open until
+// visitors have moved, then closed, and what runs is finished.
+func (made *router) leave(top scope.Scope) {
+	grace := boot.Seconds(top.Boot.Bounds.GraceS)
+	begin := top.Now()
+	made.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
+	made.common.Tell(top)
+	made.front.Leave()
+	server := open.Load()
+	if server != nil {
+		server.SetKeepAlivesEnabled(false)
+	}
+	// Visitors hold an answer of the directory for up to three times its time.
+	moving := min(4*boot.Seconds(min(1, top.Boot.Bounds.TTLMaxS)), grace*45/100)
+	top.Wait(moving)
+	if server != nil {
+		closing, release := top.WithLimit(grace*9/10 - top.Now().Since(begin))
+		_ = server.Shutdown(closing)
+		release()
+		_ = server.Close()
+	}
+	made.common.Leave(top)
+	top.Wait(made.pace.Probe.Answer)
+}
--- /dev/null
+++ b/cmd/router/serve.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/control/daemon"
+	"onyxwell/data/answer"
+	"onyxwell/data/budget"
+	"onyxwell/data/letin"
+	"onyxwell/data/metrics"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+	"onyxwell/data/warmth"
+)
+
+const role = "router"
+
+// router is the daemon put together.
+type router struct {
+	common *daemon.Daemon
+	pace   daemon.Pace
+	frame  *picture.Frame
+	board  *metrics.Board
+	warmth *warmth.Warmth
+	front  *answer.Front
+}
+
+func serve(top scope.Scope, reread <-chan *boot.Boot) error {
+	made, fault := build(top)
+	if fault != nil {
+		return fault
+	}
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	ended := make(chan error, 1)
+	go func() { ended <- made.common.Run(running) }()
+	for {
+		select {
+		case fresh := <-reread:
+			made.common.Reread(fresh)
+		case fault := <-ended:
+			return fault
+		case <-top.Done():
+			made.leave(top.Detached())
+			return nil
+		}
+	}
+}
+
+func build(top scope.Scope) (*router, error) {
+	made := &router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New()}
+	made.frame = picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones, Listed: made.listed(top)})
+	var fault error
+	made.common, fault = daemon.New(top, role, made.frame.Absorb)
+	if fault != nil {
+		return nil, fault
+	}
+	bounds := top.Boot.Bounds
+	tries := budget.New(budget.Options{
+		Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: boot.Seconds(bounds.RetryWindowS), Sharers: made.sharers,
+	})
+	gate := letin.NewGate(letin.Options{
+		Scope: top, Frame: made.frame, Board: made.board, Budget: tries, Warmth: made.warmth,
+		Region: top.Boot.Region, Sharers: made.sharers, Chance: chance,
+	})
+	sender := relay.NewSender(relay.Options{
+		Clock: top.Clock, Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence},
+		Idle: 8 * made.pace.Silence, PerHost: top.Boot.Limits.OpenFiles / 64,
+	})
+	made.front = answer.NewFront(answer.Options{
+		Scope: top, Frame: made.frame, Gate: gate, Board: made.board, Warmth: made.warmth, Sender: sender,
+	})
+	made.parts(top)
+	return made, nil
+}
+
+// sharers is how many routers there could be: all that were ever heard of.
+func (made *router) sharers() int {
+	count := 0
+	for _, member := range made.common.Table.Members() {
+		if member.Role == role {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
+// listed keeps the warmth of runners up with each new list.
+func (made *router) listed(top scope.Scope) func(*picture.Picture) {
+	lag := boot.Milliseconds(top.Boot.Platform.MaxLagMS)
+	return func(seen *picture.Picture) {
+		var entries []warmth.Entry
+		for name, runners := range seen.Runners {
+			warmup := clock.Span(0)
+			if seen.Spec != nil && seen.Spec.Service(name) != nil {
+				warmup = boot.Seconds(seen.Spec.Service(name).WarmupS)
+			}
+			for _, runner := range runners {
+				entries = append(entries, warmth.Entry{
+					ID: runner.ID, ColdLeft: boot.Milliseconds(float64(runner.ColdLeftMS)), Warmup: warmup,
+				})
+			}
+		}
+		made.warmth.List(entries, lag, top.Now())
+	}
+}
+
+func (made *router) parts(top scope.Scope) {
+	common := made.common
+	common.Part("readiness", func(inner scope.Scope) error {
+		return common.ServeHTTP(inner, top.Boot.Listen["readiness"], http.HandlerFunc(made.readiness))
+	})
+	common.Part("front", made.serveFront)
+	common.Part("census", made.lookAfterCensus)
+	common.Part("report", made.report)
+}
+
+func (made *router) readiness(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != "/ready" {
+		reply.Of(breakdown.UnknownCall, request.URL.Path).Send(writer)
+		return
+	}
+	if !made.common.Table.Self().Ready {
+		reply.Of(breakdown.Unready, "").Send(writer)
+		return
+	}
+	reply.Empty(http.StatusOK).Send(writer)
+}
+
+// serveFront opens the door to visitors once the first spec is known.
+func (made *router) serveFront(inner scope.Scope) error {
+	select {
+	case <-inner.Done():
+		return nil
+	case <-made.frame.Ready():
+	}
+	listener, fault := net.Listen("tcp", string(inner.Boot.Listen["front"]))
+	if fault != nil {
+		return fault
+	}
+	limits := made.frame.Now().Spec.Limits
+	server := call.Server(made.front, boot.Milliseconds(limits.HeaderWaitMS), boot.Milliseconds(limits.IdleMS))
+	stop := context.AfterFunc(inner, func() { _ = server.Close() })
+	defer stop()
+	made.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
+	made.common.Tell(inner)
+	made.door(server)
+	if fault := server.Serve(listener); !errors.Is(fault, http.ErrServerClosed) {
+		return fault
+	}
+	<-inner.Done()
+	return nil
+}
--- /dev/null
+++ b/control/census/census.go
@@ -0,0 +1,184 @@
+// Package census asks the platform which runners there are and makes news of
+// the answer.
+package census
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+// Key is the news key of the list.
+const Key = "census"
+
+// Runner is one runner as the platform lists it.
+type Runner struct {
+	ID         ids.RunnerID
+	Service    ids.Service
+	Address    ids.Address
+	Zone       ids.Zone
+	Version    string
+	Capacity   int64
+	Draining   bool
+	ColdLeftMS int64
+	TimeLeftMS int64
+}
+
+// List is all runners at one moment.
+type List struct{ Runners []Runner }
+
+// PageAsk asks for one page of the list.
+type PageAsk struct{ Token string }
+
+// Outgoing makes the call.
+func (asked PageAsk) Outgoing() call.Outgoing {
+	path := "/servers"
+	if asked.Token != "" {
+		path += "?page_token=" + url.QueryEscape(asked.Token)
+	}
+	return call.Outgoing{Method: http.MethodGet, Path: path}
+}
+
+// Page is one page of the list.
+type Page struct {
+	Servers []entry `json:"servers"`
+	Next    *string `json:"next_token"`
+}
+
+type entry struct {
+	ID         ids.RunnerID    `json:"id"`
+	Service    ids.Service     `json:"service"`
+	Address    ids.Address     `json:"address"`
+	Zone       ids.Zone        `json:"zone"`
+	Version    json.RawMessage `json:"config_version"`
+	Capacity   int64           `json:"capacity"`
+	Condition  string          `json:"condition"`
+	ColdLeftMS float64         `json:"cold_left_ms"`
+	TimeLeftMS float64         `json:"time_left_ms"`
+}
+
+// Hear reads the page.
+func (page *Page) Hear(heard call.Heard) error {
+	if heard.Status != http.StatusOK {
+		return breakdown.Of(breakdown.Unready, "the platform answered %d", heard.Status)
+	}
+	return json.Unmarshal(heard.Body, page)
+}
+
+// pageLimit ends a list whose pages never end.
+const pageLimit = 200
+
+// Fetch reads the whole list.
+//
+// Example:
+//
+//	list, fault := census.Fetch(short, client, platform)
+func Fetch(inner scope.Scope, client *http.Client, platform ids.Address) (List, error) {
+	list, token := List{}, ""
+	for range pageLimit {
+		page, fault := call.Ask[Page](inner, client, platform, PageAsk{Token: token})
+		if fault != nil {
+			return List{}, fault
+		}
+		for _, read := range page.Servers {
+			list.Runners = append(list.Runners, Runner{
+				ID: read.ID, Service: read.Service, Address: read.Address, Zone: read.Zone,
+				Version: string(read.Version), Capacity: read.Capacity, Draining: read.Condition != "ready",
+				ColdLeftMS: int64(read.ColdLeftMS), TimeLeftMS: int64(read.TimeLeftMS),
+			})
+		}
+		if page.Next == nil || *page.Next == "" {
+			return list, nil
+		}
+		token = *page.Next
+	}
+	return List{}, breakdown.Of(breakdown.Internal, "the platform's list has no end")
+}
+
+// same tells whether two lists say the same but for times that run down.
+func (list List) same(other List) bool {
+	if len(list.Runners) != len(other.Runners) {
+		return false
+	}
+	for index, runner := range list.Runners {
+		old := other.Runners[index]
+		if (runner.ColdLeftMS > 0) != (old.ColdLeftMS > 0) || runner.ColdLeftMS > old.ColdLeftMS {
+			return false
+		}
+		runner.ColdLeftMS, old.ColdLeftMS = 0, 0
+		runner.TimeLeftMS, old.TimeLeftMS = 0, 0
+		if runner != old {
+			return false
+		}
+	}
+	return true
+}
+
+// Taker asks the platform while it holds the duty.
+type Taker struct {
+	Client *http.Client
+	News   *spread.News
+	Held   func(now clock.Instant) (int64, bool)
+	Every  clock.Span
+	// Beat is how often the list is told again though nothing changed, so that
+	// all know that it is fresh.
+	Beat clock.Span
+
+	counter int64
+	told    clock.Instant
+	last    List
+}
+
+// Run takes the census until the scope ends.
+//
+// Example:
+//
+//	taker.Run(top)
+func (taker *Taker) Run(inner scope.Scope) {
+	for inner.Wait(taker.Every) {
+		taker.Take(inner)
+	}
+}
+
+// Take asks once and makes news of what changed.
+//
+// Example:
+//
+//	taker.Take(top)
+func (taker *Taker) Take(inner scope.Scope) {
+	if _, held := taker.Held(inner.Now()); !held {
+		return
+	}
+	short, release := inner.WithLimit(2 * taker.Every)
+	defer release()
+	list, fault := Fetch(short, taker.Client, inner.Boot.Platform.Address)
+	if fault != nil {
+		inner.Log.Warn().Str("part", "census").Err(fault).Msg("the platform did not answer")
+		return
+	}
+	now := inner.Now()
+	epoch, held := taker.Held(now)
+	if !held || (list.same(taker.last) && now.Since(taker.told) < taker.Beat) {
+		return
+	}
+	taker.counter++
+	taker.last, taker.told = list, now
+	if body, fault := courier.Pack(list); fault == nil {
+		taker.News.Put(spread.Item{Key: Key, Serial: SerialOf(epoch, taker.counter), Body: body})
+	}
+}
+
+// SerialOf joins a duty's epoch and a count of its acts to one rising serial.
+//
+// Example:
+//
+//	serial := census.SerialOf(epoch, counter)
+func SerialOf(epoch int64, counter int64) ids.Serial { return ids.Serial(epoch<<32 | counter) }
--- /dev/null
+++ b/control/cohort/probe.go
@@ -0,0 +1,222 @@
+package cohort
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+)
+
+// Datagram is what daemons send each other to learn who is there.
+type Datagram struct {
+	Kind    int64
+	Number  int64
+	From    ids.Address
+	Target  ids.Address
+	Reports []Member
+}
+
+// The kinds of datagrams.
+const (
+	kindProbe int64 = iota
+	kindAnswer
+	kindSecond
+)
+
+// Pace is how often a daemon probes and how long it waits.
+type Pace struct {
+	Every     clock.Span
+	Answer    clock.Span
+	Suspicion clock.Span
+	Seconds   int
+}
+
+// Prober probes the members of a table in turn.
+type Prober struct {
+	Table *Table
+	Pace  Pace
+	// Send sends bytes to a member's address; what is lost is lost.
+	Send func(to ids.Address, body []byte)
+	// Shuffle orders the members of one turn; tests replace it.
+	Shuffle func(members []Member)
+
+	lock    sync.Mutex
+	number  int64
+	waiting map[int64]chan struct{}
+	turn    []Member
+}
+
+// Run probes until the scope ends.
+//
+// Example:
+//
+//	prober := &cohort.Prober{Table: table, Pace: pace, Send: send}
+//	prober.Run(top)
+func (prober *Prober) Run(inner scope.Scope) {
+	last := inner.Now()
+	for inner.Wait(prober.Pace.Every) {
+		now := inner.Now()
+		// A daemon whose own clock jumped was frozen: it doubts itself first.
+		frozen := now.Since(last) > 3*prober.Pace.Every
+		last = now
+		prober.expire(frozen)
+		if target, found := prober.next(); found && !frozen {
+			go prober.Probe(inner, target)
+		}
+	}
+}
+
+// Probe asks one member, then asks others to ask it, then suspects it.
+//
+// Example:
+//
+//	prober.Probe(inner, member)
+func (prober *Prober) Probe(inner scope.Scope, target Member) {
+	number, answered := prober.open()
+	defer prober.close(number)
+	begin := inner.Now()
+	prober.post(target.Address, Datagram{Kind: kindProbe, Number: number})
+	if waitFor(inner, answered, prober.Pace.Answer) {
+		return
+	}
+	for _, third := range prober.thirds(target.Address) {
+		prober.post(third.Address, Datagram{Kind: kindSecond, Number: number, Target: target.Address})
+	}
+	prober.post(target.Address, Datagram{Kind: kindProbe, Number: number})
+	if waitFor(inner, answered, 2*prober.Pace.Answer) || inner.Err() != nil {
+		return
+	}
+	if inner.Now().Since(begin) > 6*prober.Pace.Answer {
+		return
+	}
+	prober.Table.Judge(target.Address, Suspect)
+}
+
+// Take handles a datagram that arrived.
+//
+// Example:
+//
+//	prober.Take(inner, body)
+func (prober *Prober) Take(inner scope.Scope, body []byte) {
+	datagram, fault := courier.Unpack[Datagram](body)
+	if fault != nil {
+		return
+	}
+	prober.Table.Merge(datagram.Reports)
+	if handle := handlers[datagram.Kind]; handle != nil {
+		handle(prober, inner, datagram)
+	}
+}
+
+var handlers = map[int64]func(*Prober, scope.Scope, Datagram){
+	kindProbe: func(prober *Prober, _ scope.Scope, datagram Datagram) {
+		prober.post(datagram.From, Datagram{Kind: kindAnswer, Number: datagram.Number})
+	},
+	kindAnswer: func(prober *Prober, _ scope.Scope, datagram Datagram) { prober.wake(datagram.Number) },
+	kindSecond: func(prober *Prober, inner scope.Scope, datagram Datagram) {
+		go func() {
+			number, answered := prober.open()
+			defer prober.close(number)
+			prober.post(datagram.Target, Datagram{Kind: kindProbe, Number: number})
+			if waitFor(inner, answered, prober.Pace.Answer) {
+				prober.post(datagram.From, Datagram{Kind: kindAnswer, Number: datagram.Number})
+			}
+		}()
+	},
+}
+
+func waitFor(inner scope.Scope, answered chan struct{}, span clock.Span) bool {
+	select {
+	case <-answered:
+		return true
+	case <-inner.Done():
+		return false
+	case <-inner.Clock.After(span):
+		return false
+	}
+}
+
+func (prober *Prober) post(to ids.Address, datagram Datagram) {
+	datagram.From = prober.Table.Self().Address
+	datagram.Reports = prober.Table.untold(4)
+	if body, fault := courier.Pack(datagram); fault == nil {
+		prober.Send(to, body)
+	}
+}
+
+func (prober *Prober) open() (int64, chan struct{}) {
+	prober.lock.Lock()
+	defer prober.lock.Unlock()
+	if prober.waiting == nil {
+		prober.waiting = map[int64]chan struct{}{}
+	}
+	prober.number++
+	prober.waiting[prober.number] = make(chan struct{})
+	return prober.number, prober.waiting[prober.number]
+}
+
+func (prober *Prober) close(number int64) {
+	prober.lock.Lock()
+	defer prober.lock.Unlock()
+	delete(prober.waiting, number)
+}
+
+func (prober *Prober) wake(number int64) {
+	prober.lock.Lock()
+	defer prober.lock.Unlock()
+	if answered := prober.waiting[number]; answered != nil {
+		delete(prober.waiting, number)
+		close(answered)
+	}
+}
+
+// next gives the members one after another, in a new order each turn.
+func (prober *Prober) next() (Member, bool) {
+	prober.lock.Lock()
+	defer prober.lock.Unlock()
+	if len(prober.turn) == 0 {
+		prober.turn = prober.others("")
+		if prober.Shuffle != nil {
+			prober.Shuffle(prober.turn)
+		} else {
+			rand.Shuffle(len(prober.turn), func(left, right int) {
+				prober.turn[left], prober.turn[right] = prober.turn[right], prober.turn[left]
+			})
+		}
+	}
+	if len(prober.turn) == 0 {
+		return Member{}, false
+	}
+	target := prober.turn[0]
+	prober.turn = prober.turn[1:]
+	return target, true
+}
+
+func (prober *Prober) others(without ids.Address) []Member {
+	self := prober.Table.Self().Address
+	var found []Member
+	for _, member := range prober.Table.Members() {
+		if member.Present() && member.Address != self && member.Address != without {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+func (prober *Prober) thirds(target ids.Address) []Member {
+	found := prober.others(target)
+	rand.Shuffle(len(found), func(left, right int) { found[left], found[right] = found[right], found[left] })
+	return found[:min(prober.Pace.Seconds, len(found))]
+}
+
+// expire removes members whose suspicion was not refuted in time.
+func (prober *Prober) expire(frozen bool) {
+	for _, member := range prober.Table.Members() {
+		if member.State == Suspect && !frozen && prober.Table.Since(member.Address) > prober.Pace.Suspicion {
+			prober.Table.Judge(member.Address, Removed)
+		}
+	}
+}
--- /dev/null
+++ b/control/courier/courier.go
@@ -0,0 +1,108 @@
+package courier
+
+import (
+	"net/http"
+	"strconv"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+)
+
+// Courier sends messages to other daemons.
+type Courier struct{ client *http.Client }
+
+// New makes a courier; the limit is how long a connection may take to come up
+// and how long a silent one is kept.
+//
+// Example:
+//
+//	messenger := courier.New(500*clock.Millisecond, 2*clock.Second)
+func New(limit clock.Span, silence clock.Span) *Courier {
+	return &Courier{client: call.Client(call.Pooling{
+		Dialing: call.Dialing{Limit: limit, Silence: silence}, Idle: 10 * silence, PerHost: 4,
+	})}
+}
+
+type asked struct {
+	name string
+	body []byte
+}
+
+// Outgoing makes the call.
+func (question asked) Outgoing() call.Outgoing {
+	return call.Outgoing{Method: "POST", Path: "/" + question.name, Body: question.body,
+		Header: http.Header{"Content-Type": {"avro/binary"}}}
+}
+
+type told struct{ body []byte }
+
+// Hear reads the answer or the breakdown that the other daemon told.
+func (answer *told) Hear(heard call.Heard) error {
+	if heard.Status == http.StatusOK {
+		answer.body = heard.Body
+		return nil
+	}
+	number, _ := strconv.Atoi(heard.Header.Get(reply.KindHeader))
+	kind := breakdown.Kind(number)
+	if kind == breakdown.None {
+		kind = breakdown.Internal
+	}
+	return breakdown.Of(kind, "told by another daemon")
+}
+
+// Send asks another daemon and waits for its answer.
+//
+// Example:
+//
+//	promise, fault := courier.Send[register.PromiseAnswer](short, messenger, address, "promise", question)
+func Send[Told, Asked any](inner scope.Scope, messenger *Courier, address ids.Address, name string, question Asked) (Told, error) {
+	var nothing Told
+	body, fault := Pack(question)
+	if fault != nil {
+		return nothing, fault
+	}
+	answer, fault := call.Ask[told](inner, messenger.client, address, asked{name: name, body: body})
+	if fault != nil {
+		return nothing, fault
+	}
+	return Unpack[Told](answer.body)
+}
+
+type packet[Asked any] struct{ message Asked }
+
+// Read unpacks the question.
+func (question *packet[Asked]) Read(incoming call.Incoming) error {
+	message, fault := Unpack[Asked](incoming.Body)
+	if fault != nil {
+		return breakdown.Of(breakdown.BadRequest, "avro: %v", fault)
+	}
+	question.message = message
+	return nil
+}
+
+type packed[Told any] struct{ message Told }
+
+// Reply packs the answer.
+func (answer packed[Told]) Reply() reply.Reply {
+	body, fault := Pack(answer.message)
+	if fault != nil {
+		return reply.Of(breakdown.Internal, fault.Error())
+	}
+	return reply.Raw(http.StatusOK, "avro/binary", body)
+}
+
+// Handle serves a message of that name.
+//
+// Example:
+//
+//	courier.Handle(table, "promise", acceptor.Promise)
+func Handle[Asked, Told any](table *call.Table, name string, serve func(scope.Scope, Asked) (Told, error)) {
+	call.Handle(table, "POST", "/"+name, func(inner scope.Scope, question packet[Asked]) (packed[Told], error) {
+		answer, fault := serve(inner, question.message)
+		return packed[Told]{message: answer}, fault
+	})
+}
--- /dev/null
+++ b/control/daemon/daemon.go
@@ -0,0 +1,169 @@
+// Package daemon puts together what every onyxwell daemon has: the members it
+// knows, the news it passes on, and the calls between daemons.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/thejerf/suture/v4"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+// Daemon is the common part of a router and a fleet-controller.
+type Daemon struct {
+	Scope     scope.Scope
+	Address   ids.Address
+	Table     *cohort.Table
+	News      *spread.News
+	Messenger *courier.Courier
+	Calls     *call.Table
+	Spreader  *spread.Spreader
+	prober    *cohort.Prober
+	tree      *suture.Supervisor
+	socket    *net.UDPConn
+}
+
+// New makes the common part for a role. Fresh is told each item of news.
+//
+// Example:
+//
+//	common, fault := daemon.New(top, "router", picture.Absorb)
+func New(top scope.Scope, role string, fresh func(spread.Item)) (*Daemon, error) {
+	settings := top.Boot
+	pace := PaceOf(settings)
+	made := &Daemon{Scope: top, Address: settings.InnerAddress(settings.IP, role)}
+	made.Table = cohort.NewTable(top.Clock, cohort.Member{
+		Address: made.Address, Role: role, Zone: settings.Zone, Region: settings.Region,
+		Front: settings.Listen["front"],
+	})
+	made.News = spread.NewNews(fresh)
+	made.Messenger = courier.New(pace.Connect, pace.Silence)
+	made.Calls = call.NewTable(top, settings.Limits.MemoryMB<<20/8)
+	made.Spreader = &spread.Spreader{
+		News: made.News, Table: made.Table, Messenger: made.Messenger,
+		Seeds: settings.SeedAddresses(), Every: pace.Exchange, Limit: pace.Silence,
+	}
+	made.Spreader.Serve(made.Calls)
+	address, fault := net.ResolveUDPAddr("udp", string(made.Address))
+	if fault == nil {
+		made.socket, fault = net.ListenUDP("udp", address)
+	}
+	if fault != nil {
+		return nil, fault
+	}
+	made.prober = &cohort.Prober{Table: made.Table, Pace: pace.Probe, Send: made.send}
+	made.tree = suture.New(role, suture.Spec{
+		FailureBackoff: pace.Exchange, Timeout: pace.Connect,
+		EventHook: func(event suture.Event) { top.Log.Warn().Str("part", "tree").Msg(event.String()) },
+	})
+	made.Part("inner", func(inner scope.Scope) error { return made.ServeHTTP(inner, made.Address, made.Calls) })
+	made.Part("probe", func(inner scope.Scope) error { made.prober.Run(inner); return nil })
+	made.Part("datagrams", made.receive)
+	made.Part("spread", func(inner scope.Scope) error { made.Spreader.Run(inner); return nil })
+	return made, nil
+}
+
+type part struct {
+	name string
+	top  scope.Scope
+	run  func(inner scope.Scope) error
+}
+
+// Serve runs the part under suture.
+func (piece part) Serve(ctx context.Context) error { return piece.run(piece.top.Under(ctx)) }
+
+// String names the part in logs.
+func (piece part) String() string { return piece.name }
+
+// Part adds a part that the supervisor keeps running.
+//
+// Example:
+//
+//	common.Part("sweep", func(inner scope.Scope) error { front.Run(inner, every); return nil })
+func (daemon *Daemon) Part(name string, run func(inner scope.Scope) error) {
+	daemon.tree.Add(part{name: name, top: daemon.Scope, run: run})
+}
+
+// Run runs all parts until the context ends.
+//
+// Example:
+//
+//	fault := common.Run(ctx)
+func (daemon *Daemon) Run(ctx context.Context) error { return daemon.tree.Serve(ctx) }
+
+// ServeHTTP serves a handler at an address until the scope ends.
+//
+// Example:
+//
+//	common.Part("control", func(inner scope.Scope) error { return common.ServeHTTP(inner, address, calls) })
+func (daemon *Daemon) ServeHTTP(inner scope.Scope, address ids.Address, handler http.Handler) error {
+	listener, fault := net.Listen("tcp", string(address))
+	if fault != nil {
+		return fault
+	}
+	server := call.Server(handler, 5*clock.Second, 60*clock.Second)
+	stop := context.AfterFunc(inner, func() { _ = server.Close() })
+	defer stop()
+	if fault := server.Serve(listener); !errors.Is(fault, http.ErrServerClosed) {
+		return fault
+	}
+	return nil
+}
+
+func (daemon *Daemon) send(to ids.Address, body []byte) {
+	if address, fault := net.ResolveUDPAddr("udp", string(to)); fault == nil {
+		_, _ = daemon.socket.WriteToUDP(body, address)
+	}
+}
+
+func (daemon *Daemon) receive(inner scope.Scope) error {
+	stop := context.AfterFunc(inner, func() { _ = daemon.socket.Close() })
+	defer stop()
+	buffer := make([]byte, 64<<10)
+	for {
+		size, _, fault := daemon.socket.ReadFromUDP(buffer)
+		if fault != nil {
+			return fault
+		}
+		daemon.prober.Take(inner, buffer[:size])
+	}
+}
+
+// Leave tells a few others that this daemon goes.
+//
+// Example:
+//
+//	common.Leave(top)
+func (daemon *Daemon) Leave(inner scope.Scope) {
+	daemon.Table.Announce(func(self *cohort.Member) { self.State, self.Ready = cohort.Left, false })
+	daemon.Tell(inner)
+}
+
+// Tell exchanges with several others at once.
+//
+// Example:
+//
+//	common.Tell(top)
+func (daemon *Daemon) Tell(inner scope.Scope) {
+	for _, address := range daemon.Spreader.Several() {
+		go daemon.Spreader.Exchange(inner, address)
+	}
+}
+
+// Reread replaces the boot file's values after it changed.
+//
+// Example:
+//
+//	common.Reread(fresh)
+func (daemon *Daemon) Reread(fresh *boot.Boot) { daemon.Spreader.Reseed(fresh.SeedAddresses()) }
--- /dev/null
+++ b/control/daemon/pace.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"onyxwell/base/boot"
+	"onyxwell/base/clock"
+	"onyxwell/control/cohort"
+)
+
+// Pace holds how often a daemon does things; all of it follows from the
+// bounds of the boot file.
+type Pace struct {
+	// Connect is how long a connection to another daemon may take to come up.
+	Connect clock.Span
+	// Silence is how long a daemon may be silent before its connections go.
+	Silence clock.Span
+	// Exchange is the time between two comparisons of news.
+	Exchange clock.Span
+	// Census is the time between two questions to the platform.
+	Census clock.Span
+	// Hold is how long a duty is granted for.
+	Hold clock.Span
+	// Sweep is the time between two looks for values that never became news.
+	Sweep clock.Span
+	// Pass is how long the owner of a key may take to answer.
+	Pass clock.Span
+	// Order is how long an operator's order may take in all.
+	Order clock.Span
+	Probe cohort.Pace
+}
+
+// PaceOf works the paces out from the bounds: news must be everywhere well
+// inside the time for applying a spec, orders be answered well inside the time
+// for acknowledging them.
+//
+// Example:
+//
+//	pace := daemon.PaceOf(top.Boot)
+func PaceOf(settings *boot.Boot) Pace {
+	apply := boot.Milliseconds(settings.Bounds.ApplyWithinMS)
+	touch := boot.Milliseconds(settings.Bounds.InTouchMS)
+	drain := boot.Milliseconds(settings.Bounds.DrainMS)
+	if drain == 0 {
+		drain = apply
+	}
+	if touch == 0 {
+		touch = apply
+	}
+	return Pace{
+		Connect:  apply / 6,
+		Silence:  touch / 2,
+		Exchange: apply / 8,
+		Census:   drain / 6,
+		Hold:     touch / 2,
+		Sweep:    apply / 6,
+		Pass:     apply / 8,
+		Order:    apply * 3 / 10,
+		Probe:    cohort.Pace{Every: touch / 8, Answer: touch / 20, Suspicion: touch / 3, Seconds: 2},
+	}
+}
--- /dev/null
+++ b/control/desk/desk.go
@@ -0,0 +1,207 @@
+// Package desk takes the operator's orders: the owner of a key acts on them,
+// everybody else passes them on, and takes the key over when its owner is
+// silent.
+package desk
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/evacuation"
+	"onyxwell/control/register"
+	"onyxwell/control/spec"
+	"onyxwell/control/spread"
+)
+
+// Order is what is asked of the owner of a key.
+type Order struct {
+	Key    string
+	Verb   string
+	Change spec.Change
+}
+
+// Outcome is what came of it. A kind of None says that it was done.
+type Outcome struct {
+	Kind   int64
+	Detail string
+	Value  []byte
+}
+
+// The verbs of orders.
+const (
+	VerbRead   = "read"
+	VerbChange = "change"
+	VerbEmpty  = "empty"
+	VerbRefill = "refill"
+	VerbEpoch  = "epoch"
+)
+
+// Options are what a desk is made from.
+type Options struct {
+	Address   ids.Address
+	Keeper    *register.Keeper
+	Acceptor  *register.Acceptor
+	Table     *cohort.Table
+	News      *spread.News
+	Messenger *courier.Courier
+	// Pass is how long an owner may take before it counts as silent.
+	Pass clock.Span
+	// Limit is how long an order may take in all.
+	Limit clock.Span
+}
+
+// Desk acts on orders or passes them on.
+type Desk struct {
+	options Options
+	lock    sync.Mutex
+	silent  map[ids.Address]clock.Instant
+}
+
+// New makes a desk.
+//
+// Example:
+//
+//	front := desk.New(desk.Options{Address: address, Keeper: keeper, Acceptor: voter})
+func New(options Options) *Desk {
+	return &Desk{options: options, silent: map[ids.Address]clock.Instant{}}
+}
+
+// Serve adds the desk's message to a table of calls.
+//
+// Example:
+//
+//	front.Serve(calls)
+func (desk *Desk) Serve(calls *call.Table) {
+	courier.Handle(calls, "order", func(inner scope.Scope, order Order) (Outcome, error) {
+		short, release := inner.WithLimit(desk.options.Limit)
+		defer release()
+		return outcomeOf(desk.act(short, order)), nil
+	})
+}
+
+// Do brings an order to the owner of its key and gives the register's value.
+//
+// Example:
+//
+//	value, fault := front.Do(call, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
+func (desk *Desk) Do(inner scope.Scope, order Order) ([]byte, error) {
+	short, release := inner.WithLimit(desk.options.Limit)
+	defer release()
+	if desk.options.Keeper.Owns(order.Key) {
+		return desk.act(short, order)
+	}
+	if owner, found := desk.owner(short, order.Key); found {
+		outcome, fault := desk.pass(short, owner, order)
+		kind := breakdown.Kind(outcome.Kind)
+		if fault == nil && kind != breakdown.Unsettled && kind != breakdown.Internal {
+			return outcome.Value, outcome.fault()
+		}
+		if fault != nil {
+			desk.suspect(owner, short.Now())
+		}
+	}
+	// Two takers of one key hold each other up: each waits a little first.
+	if !short.Wait(rand.N(desk.options.Pass / 4)) {
+		return nil, breakdown.Of(breakdown.Unsettled, "out of time")
+	}
+	return desk.act(short, order)
+}
+
+func (desk *Desk) pass(inner scope.Scope, owner ids.Address, order Order) (Outcome, error) {
+	brief, release := inner.WithLimit(desk.options.Pass)
+	defer release()
+	return courier.Send[Outcome](brief, desk.options.Messenger, owner, "order", order)
+}
+
+// owner finds who owns a key by what the own voter promised last.
+func (desk *Desk) owner(inner scope.Scope, key string) (ids.Address, bool) {
+	owner := desk.options.Acceptor.Slot(key).Promised.Owner
+	if owner == "" || owner == desk.options.Address {
+		return "", false
+	}
+	if member, known := desk.options.Table.Find(owner); known && member.State != cohort.Alive {
+		return "", false
+	}
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	until, quiet := desk.silent[owner]
+	return owner, !quiet || !inner.Now().Before(until)
+}
+
+func (desk *Desk) suspect(owner ids.Address, now clock.Instant) {
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	desk.silent[owner] = now.Add(4 * desk.options.Pass)
+}
+
+// act carries an order out here, taking the key over where needed.
+func (desk *Desk) act(inner scope.Scope, order Order) ([]byte, error) {
+	verb := verbs[order.Verb]
+	if verb == nil {
+		return nil, breakdown.Of(breakdown.UnknownCall, "verb %q", order.Verb)
+	}
+	return desk.options.Keeper.Change(inner, order.Key, verb(order))
+}
+
+var verbs = map[string]func(Order) register.Step{
+	VerbRead:   func(Order) register.Step { return func([]byte) ([]byte, error) { return nil, nil } },
+	VerbChange: func(order Order) register.Step { return order.Change.Step },
+	VerbEmpty:  func(Order) register.Step { return evacuation.Step(true) },
+	VerbRefill: func(Order) register.Step { return evacuation.Step(false) },
+	VerbEpoch:  func(Order) register.Step { return nextEpoch },
+}
+
+func outcomeOf(value []byte, fault error) Outcome {
+	if fault == nil {
+		return Outcome{Value: value}
+	}
+	return Outcome{Kind: int64(breakdown.KindOf(fault)), Detail: breakdown.DetailOf(fault)}
+}
+
+func (outcome Outcome) fault() error {
+	if kind := breakdown.Kind(outcome.Kind); kind != breakdown.None {
+		return breakdown.Of(kind, "%s", outcome.Detail)
+	}
+	return nil
+}
+
+// Chosen publishes a value that a majority holds.
+//
+// Example:
+//
+//	register.Options{Chosen: front.Chosen}
+func (desk *Desk) Chosen(key string, accepted register.Accepted) {
+	if item, found := newsOf(key, accepted.Value); found {
+		desk.options.News.Put(item)
+	}
+}
+
+// newsOf makes the news item of a register's value.
+func newsOf(key string, value []byte) (spread.Item, bool) {
+	kind, _, _ := strings.Cut(key, "/")
+	read := publishers[kind]
+	if read == nil || len(value) == 0 {
+		return spread.Item{}, false
+	}
+	serial, body, fault := read(value)
+	return spread.Item{Key: key, Serial: serial, Body: body}, fault == nil && serial > 0
+}
+
+var publishers = map[string]func([]byte) (ids.Serial, []byte, error){
+	spec.Key: func(value []byte) (ids.Serial, []byte, error) {
+		kept, fault := spec.ReadKept(value)
+		return kept.Serial, kept.Document, fault
+	},
+	"evacuation": func(value []byte) (ids.Serial, []byte, error) {
+		kept, fault := evacuation.Read(value)
+		return kept.Serial, value, fault
+	},
+}
--- /dev/null
+++ b/control/desk/sweep.go
@@ -0,0 +1,78 @@
+package desk
+
+import (
+	"onyxwell/base/breakdown"
+	"onyxwell/base/clock"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+	"onyxwell/control/register"
+)
+
+// EpochKept is the value of a hold's key: how often the duty was gained.
+type EpochKept struct{ Number int64 }
+
+func nextEpoch(current []byte) ([]byte, error) {
+	kept := EpochKept{}
+	if len(current) > 0 {
+		read, fault := courier.Unpack[EpochKept](current)
+		if fault != nil {
+			return nil, breakdown.Of(breakdown.Internal, "kept epoch: %v", fault)
+		}
+		kept = read
+	}
+	return courier.Pack(EpochKept{Number: kept.Number + 1})
+}
+
+// Epoch writes a new epoch for a duty.
+//
+// Example:
+//
+//	hold.Options{Epoch: front.Epoch}
+func (desk *Desk) Epoch(inner scope.Scope, duty string) (int64, error) {
+	value, fault := desk.Do(inner, Order{Key: "hold/" + duty, Verb: VerbEpoch})
+	if fault != nil {
+		return 0, fault
+	}
+	kept, fault := courier.Unpack[EpochKept](value)
+	return kept.Number, fault
+}
+
+// Sweep looks for values that this machine's voter holds but that never became
+// news here: an owner may have fallen between its write and its telling. Each
+// is read from the owner, which settles it.
+//
+// Example:
+//
+//	front.Sweep(top)
+func (desk *Desk) Sweep(inner scope.Scope) {
+	for _, slot := range desk.options.Acceptor.Copy(register.CopyAsk{}).Slots {
+		item, found := newsOf(slot.Key, slot.Accepted.Value)
+		if !found {
+			continue
+		}
+		if known, told := desk.options.News.Get(slot.Key); told && known.Serial >= item.Serial {
+			continue
+		}
+		value, fault := desk.Do(inner, Order{Key: slot.Key, Verb: VerbRead})
+		if fault != nil {
+			continue
+		}
+		if settled, found := newsOf(slot.Key, value); found {
+			desk.options.News.Put(settled)
+		}
+	}
+}
+
+// Run sweeps until the scope ends.
+//
+// Example:
+//
+//	front.Run(top, 500*clock.Millisecond)
+func (desk *Desk) Run(inner scope.Scope, every clock.Span) {
+	for inner.Err() == nil {
+		desk.Sweep(inner)
+		if !inner.Wait(every) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/control/evacuation/evacuation.go
@@ -0,0 +1,67 @@
+// Package evacuation keeps which zones are to get nothing: a key of the
+// register for each zone.
+package evacuation
+
+import (
+	"strings"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/ids"
+	"onyxwell/control/courier"
+)
+
+// Prefix begins the keys of all zones.
+const Prefix = "evacuation/"
+
+// Kept is a zone's value; the serial rises with each change.
+type Kept struct {
+	Serial ids.Serial
+	Empty  bool
+}
+
+// Key is the register's key of a zone.
+//
+// Example:
+//
+//	key := evacuation.Key("hall-a") // "evacuation/hall-a"
+func Key(zone ids.Zone) string { return Prefix + string(zone) }
+
+// ZoneOf gives the zone of a key; false for the keys of others.
+//
+// Example:
+//
+//	zone, found := evacuation.ZoneOf(item.Key)
+func ZoneOf(key string) (ids.Zone, bool) {
+	zone, found := strings.CutPrefix(key, Prefix)
+	return ids.Zone(zone), found
+}
+
+// Step makes the next value of a zone's key.
+//
+// Example:
+//
+//	value, fault := keeper.Change(short, evacuation.Key(zone), evacuation.Step(true))
+func Step(empty bool) func([]byte) ([]byte, error) {
+	return func(current []byte) ([]byte, error) {
+		kept, fault := Read(current)
+		if fault != nil {
+			return nil, breakdown.Of(breakdown.Internal, "kept evacuation: %v", fault)
+		}
+		if kept.Empty == empty && kept.Serial > 0 {
+			return nil, nil
+		}
+		return courier.Pack(Kept{Serial: kept.Serial + 1, Empty: empty})
+	}
+}
+
+// Read reads a zone's value; none is a zone that was never emptied.
+//
+// Example:
+//
+//	kept, fault := evacuation.Read(value)
+func Read(value []byte) (Kept, error) {
+	if len(value) == 0 {
+		return Kept{}, nil
+	}
+	return courier.Unpack[Kept](value)
+}
--- /dev/null
+++ b/control/hold/hold.go
@@ -0,0 +1,161 @@
+// Package hold gives a duty to one daemon at a time: a hold is granted by a
+// majority of the voters for a span, renewed well before its end, and its
+// holder stops a margin early. No time of day is compared anywhere.
+package hold
+
+import (
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+)
+
+// Ask asks a voter for a duty.
+type Ask struct {
+	Duty   string
+	Holder ids.Address
+}
+
+// Told is the voter's answer.
+type Told struct{ Granted bool }
+
+type grant struct {
+	holder ids.Address
+	until  clock.Instant
+}
+
+// Granter is the voter's side: it grants a duty to one holder at a time.
+type Granter struct {
+	lock       sync.Mutex
+	clock      clock.Clock
+	span       clock.Span
+	grants     map[string]grant
+	generation int64
+	quietUntil clock.Instant
+	// Voting tells whether this daemon votes now, and under which generation.
+	voting func() (bool, int64)
+}
+
+// NewGranter makes a voter that grants nothing for a first span, since it may
+// have granted holds in a life before.
+//
+// Example:
+//
+//	granter := hold.NewGranter(top.Clock, 2*clock.Second, voting)
+func NewGranter(machine clock.Clock, span clock.Span, voting func() (bool, int64)) *Granter {
+	return &Granter{
+		clock: machine, span: span, grants: map[string]grant{},
+		quietUntil: machine.Now().Add(span), voting: voting,
+	}
+}
+
+// Grant answers a daemon that wants or has a duty.
+//
+// Example:
+//
+//	told := granter.Grant(hold.Ask{Duty: "plan", Holder: address})
+func (granter *Granter) Grant(asked Ask) Told {
+	voting, generation := granter.voting()
+	granter.lock.Lock()
+	defer granter.lock.Unlock()
+	now := granter.clock.Now()
+	if generation != granter.generation {
+		// Other voters may have granted what this one does not know of.
+		if granter.generation != 0 {
+			granter.quietUntil = now.Add(granter.span)
+		}
+		granter.generation = generation
+	}
+	known, found := granter.grants[asked.Duty]
+	current := found && now.Before(known.until)
+	renewal := current && known.holder == asked.Holder
+	if !voting || (current && !renewal) || (!renewal && now.Before(granter.quietUntil)) {
+		return Told{}
+	}
+	granter.grants[asked.Duty] = grant{holder: asked.Holder, until: now.Add(granter.span)}
+	return Told{Granted: true}
+}
+
+// Options are what a holder is made from.
+type Options struct {
+	Duty    string
+	Address ids.Address
+	Span    clock.Span
+	// Ask asks all voters and tells whether a majority granted.
+	Ask func(inner scope.Scope, asked Ask) bool
+	// Epoch writes a new epoch for the duty to the register.
+	Epoch func(inner scope.Scope, duty string) (int64, error)
+}
+
+// Holder is the side of the daemon that wants the duty.
+type Holder struct {
+	options Options
+	lock    sync.Mutex
+	epoch   int64
+	until   clock.Instant
+}
+
+// NewHolder makes a holder that does not hold yet.
+//
+// Example:
+//
+//	holder := hold.NewHolder(hold.Options{Duty: "census", Address: address, Span: span, Ask: ask, Epoch: epoch})
+func NewHolder(options Options) *Holder { return &Holder{options: options} }
+
+// Held tells whether the duty is this daemon's now, and under which epoch.
+//
+// Example:
+//
+//	epoch, held := holder.Held(top.Now())
+func (holder *Holder) Held(now clock.Instant) (int64, bool) {
+	holder.lock.Lock()
+	defer holder.lock.Unlock()
+	return holder.epoch, holder.epoch > 0 && now.Before(holder.until)
+}
+
+// Run strives for the duty until the scope ends.
+//
+// Example:
+//
+//	holder.Run(top)
+func (holder *Holder) Run(inner scope.Scope) {
+	for inner.Err() == nil {
+		holder.Strive(inner)
+		if !inner.Wait(holder.options.Span / 3) {
+			return
+		}
+	}
+}
+
+// Strive asks once for the duty, or renews it.
+//
+// Example:
+//
+//	holder.Strive(top)
+func (holder *Holder) Strive(inner scope.Scope) {
+	short, release := inner.WithLimit(holder.options.Span / 3)
+	defer release()
+	begin := inner.Now()
+	if !holder.options.Ask(short, Ask{Duty: holder.options.Duty, Holder: holder.options.Address}) {
+		return
+	}
+	// Counted from before the question, less a margin for clocks that differ.
+	until := begin.Add(holder.options.Span * 9 / 10)
+	holder.lock.Lock()
+	lapsed := holder.epoch == 0 || !inner.Now().Before(holder.until)
+	if !lapsed {
+		holder.until = until
+	}
+	holder.lock.Unlock()
+	if !lapsed {
+		return
+	}
+	epoch, fault := holder.options.Epoch(short, holder.options.Duty)
+	if fault != nil {
+		return
+	}
+	holder.lock.Lock()
+	holder.epoch, holder.until = epoch, until
+	holder.lock.Unlock()
+}
--- /dev/null
+++ b/control/operator/operator.go
@@ -0,0 +1,120 @@
+// Package operator serves the operator's calls: pairs of question and answer
+// that end in an order at the desk.
+package operator
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/ids"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/desk"
+	"onyxwell/control/evacuation"
+	"onyxwell/control/spec"
+)
+
+// Desk takes orders.
+type Desk interface {
+	Do(inner scope.Scope, order desk.Order) ([]byte, error)
+}
+
+// SettingsChange is PUT or PATCH /settings.
+type SettingsChange struct{ Change spec.Change }
+
+// Read takes the version that the change builds on and the body.
+func (asked *SettingsChange) Read(incoming call.Incoming) error {
+	text := strings.Trim(incoming.Request.Header.Get("If-Match"), "\" ")
+	match, fault := strconv.ParseInt(text, 10, 64)
+	if fault != nil {
+		return breakdown.Of(breakdown.BadSpec, "If-Match: %q is no version", text)
+	}
+	asked.Change = spec.Change{
+		Whole: incoming.Request.Method == http.MethodPut, Match: ids.Serial(match), Body: incoming.Body,
+	}
+	return nil
+}
+
+// SettingsTaken acknowledges a change.
+type SettingsTaken struct{ Serial ids.Serial }
+
+// Reply tells the version in force.
+func (told SettingsTaken) Reply() reply.Reply {
+	return reply.JSON(http.StatusOK, map[string]any{"config_version": told.Serial})
+}
+
+// Nothing is a question that has no parts.
+type Nothing struct{}
+
+// Read has nothing to read.
+func (asked *Nothing) Read(call.Incoming) error { return nil }
+
+// Settings is the configuration in force.
+type Settings struct{ Document []byte }
+
+// Reply gives the document as it was sent.
+func (told Settings) Reply() reply.Reply {
+	return reply.Raw(http.StatusOK, "application/json", told.Document)
+}
+
+// ZoneOrder is POST or DELETE /empty/ZONE.
+type ZoneOrder struct {
+	Zone ids.Zone
+	Verb string
+}
+
+var zoneVerbs = map[string]string{http.MethodPost: desk.VerbEmpty, http.MethodDelete: desk.VerbRefill}
+
+// Read takes the zone off the path.
+func (asked *ZoneOrder) Read(incoming call.Incoming) error {
+	asked.Zone = ids.Zone(incoming.Tail)
+	asked.Verb = zoneVerbs[incoming.Request.Method]
+	return nil
+}
+
+// Done acknowledges an order.
+type Done struct{}
+
+// Reply is empty.
+func (Done) Reply() reply.Reply { return reply.Empty(http.StatusOK) }
+
+// Serve adds the operator's calls to a table.
+//
+// Example:
+//
+//	operator.Serve(calls, front)
+func Serve(calls *call.Table, front Desk) {
+	change := func(inner scope.Scope, asked SettingsChange) (SettingsTaken, error) {
+		value, fault := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbChange, Change: asked.Change})
+		if fault != nil {
+			return SettingsTaken{}, fault
+		}
+		kept, fault := spec.ReadKept(value)
+		return SettingsTaken{Serial: kept.Serial}, fault
+	}
+	call.Handle(calls, http.MethodPut, "/settings", change)
+	call.Handle(calls, http.MethodPatch, "/settings", change)
+	call.Handle(calls, http.MethodGet, "/settings", func(inner scope.Scope, _ Nothing) (Settings, error) {
+		value, fault := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
+		if fault != nil {
+			return Settings{}, fault
+		}
+		kept, fault := spec.ReadKept(value)
+		if fault == nil && kept.Serial == 0 {
+			fault = breakdown.Of(breakdown.Unready, "no spec was taken yet")
+		}
+		return Settings{Document: kept.Document}, fault
+	})
+	empty := func(inner scope.Scope, asked ZoneOrder) (Done, error) {
+		if _, known := inner.Boot.Zones[asked.Zone]; !known {
+			return Done{}, breakdown.Of(breakdown.UnknownZone, "%q", asked.Zone)
+		}
+		_, fault := front.Do(inner, desk.Order{Key: evacuation.Key(asked.Zone), Verb: asked.Verb})
+		return Done{}, fault
+	}
+	call.Handle(calls, http.MethodPost, "/empty/", empty)
+	call.Handle(calls, http.MethodDelete, "/empty/", empty)
+}
--- /dev/null
+++ b/control/register/acceptor.go
@@ -0,0 +1,210 @@
+package register
+
+import (
+	"sort"
+	"sync"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/courier"
+)
+
+// Store makes a record last; it returns once the disk has it.
+type Store interface{ Save(record []byte) error }
+
+// record is what the journal holds: a slot, or the identity of the disk.
+type record struct {
+	Identity    bool
+	Incarnation ids.Incarnation
+	Slot        Slot
+}
+
+// Acceptor is one voter: what it promised and accepted for each key.
+type Acceptor struct {
+	lock        sync.Mutex
+	store       Store
+	address     ids.Address
+	incarnation ids.Incarnation
+	slots       map[string]Slot
+	voters      Voters
+}
+
+// NewAcceptor makes a voter from the records of its journal.
+//
+// Example:
+//
+//	voter, fault := register.NewAcceptor(address, records)
+func NewAcceptor(address ids.Address, records [][]byte) (*Acceptor, error) {
+	made := &Acceptor{address: address, slots: map[string]Slot{}}
+	for _, body := range records {
+		kept, fault := courier.Unpack[record](body)
+		if fault != nil {
+			return nil, fault
+		}
+		if kept.Identity {
+			made.incarnation = kept.Incarnation
+			continue
+		}
+		made.slots[kept.Slot.Key] = merge(made.slots[kept.Slot.Key], kept.Slot)
+	}
+	made.seeVoters()
+	return made, nil
+}
+
+// Attach gives the voter its store; a voter without one answers nothing.
+//
+// Example:
+//
+//	voter.Attach(opened)
+func (acceptor *Acceptor) Attach(store Store) {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	acceptor.store = store
+}
+
+// Whole gives records that stand for all that the voter holds.
+//
+// Example:
+//
+//	journal.Options{Disk: disk, Name: "registers", Whole: voter.Whole}
+func (acceptor *Acceptor) Whole() [][]byte {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	records := [][]byte{pack(record{Identity: true, Incarnation: acceptor.incarnation})}
+	for _, slot := range acceptor.sorted() {
+		records = append(records, pack(record{Slot: slot}))
+	}
+	return records
+}
+
+// Identify gives a new disk its incarnation.
+//
+// Example:
+//
+//	fault := voter.Identify(incarnation)
+func (acceptor *Acceptor) Identify(incarnation ids.Incarnation) error {
+	acceptor.lock.Lock()
+	acceptor.incarnation = incarnation
+	store := acceptor.store
+	acceptor.lock.Unlock()
+	return store.Save(pack(record{Identity: true, Incarnation: incarnation}))
+}
+
+// Form plants the first voters; only a disk that holds none takes them.
+//
+// Example:
+//
+//	fault := voter.Form(register.Voters{Generation: 1, Seats: seats})
+func (acceptor *Acceptor) Form(voters Voters) error {
+	acceptor.lock.Lock()
+	if len(acceptor.slots) > 0 {
+		acceptor.lock.Unlock()
+		return nil
+	}
+	slot := Slot{Key: CohortKey, Accepted: Accepted{Sequence: 1, Value: pack(voters)}}
+	acceptor.slots[CohortKey] = slot
+	acceptor.seeVoters()
+	store := acceptor.store
+	acceptor.lock.Unlock()
+	return store.Save(pack(record{Slot: slot}))
+}
+
+// Promise answers a taker of a key.
+//
+// Example:
+//
+//	told := voter.Promise(register.PromiseAsk{Fence: fence, Key: "spec", Epoch: epoch})
+func (acceptor *Acceptor) Promise(asked PromiseAsk) PromiseTold {
+	acceptor.lock.Lock()
+	slot := acceptor.slot(asked.Key)
+	told := PromiseTold{Verdict: acceptor.fenced(asked.Fence, asked.Key), Generation: acceptor.voters.Generation, Slot: slot}
+	if told.Verdict == Granted && asked.Epoch.Compare(slot.Promised) <= 0 {
+		told.Verdict = Outbid
+	}
+	if told.Verdict != Granted {
+		acceptor.lock.Unlock()
+		return told
+	}
+	slot.Promised = asked.Epoch
+	acceptor.slots[asked.Key] = slot
+	store := acceptor.store
+	acceptor.lock.Unlock()
+	told.Slot = slot
+	if fault := store.Save(pack(record{Slot: slot})); fault != nil {
+		told.Verdict = Broken
+	}
+	return told
+}
+
+// Accept answers an owner's write.
+//
+// Example:
+//
+//	told := voter.Accept(register.AcceptAsk{Fence: fence, Key: "spec", Accepted: value})
+func (acceptor *Acceptor) Accept(asked AcceptAsk) AcceptTold {
+	acceptor.lock.Lock()
+	told := AcceptTold{Verdict: acceptor.fenced(asked.Fence, asked.Key)}
+	slot := acceptor.slot(asked.Key)
+	if told.Verdict == Granted && asked.Accepted.Epoch.Compare(slot.Promised) < 0 {
+		told.Verdict = Outbid
+	}
+	if told.Verdict == Granted && slot.Accepted.newer(asked.Accepted) {
+		told.Verdict = Outbid
+	}
+	told.Promised, told.Generation = slot.Promised, acceptor.voters.Generation
+	if told.Verdict != Granted {
+		acceptor.lock.Unlock()
+		return told
+	}
+	slot.Promised, slot.Accepted = asked.Accepted.Epoch, asked.Accepted
+	acceptor.slots[asked.Key] = slot
+	acceptor.seeVoters()
+	told.Generation = acceptor.voters.Generation
+	store := acceptor.store
+	acceptor.lock.Unlock()
+	if fault := store.Save(pack(record{Slot: slot})); fault != nil {
+		told.Verdict = Broken
+	}
+	return told
+}
+
+// Confirm tells whether the epoch is still the newest that the voter knows.
+//
+// Example:
+//
+//	told := voter.Confirm(register.ConfirmAsk{Fence: fence, Key: "spec", Epoch: epoch})
+func (acceptor *Acceptor) Confirm(asked ConfirmAsk) AcceptTold {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	slot := acceptor.slot(asked.Key)
+	told := AcceptTold{Verdict: acceptor.fenced(asked.Fence, asked.Key), Promised: slot.Promised, Generation: acceptor.voters.Generation}
+	if told.Verdict == Granted && slot.Promised.Compare(asked.Epoch) != 0 {
+		told.Verdict = Outbid
+	}
+	return told
+}
+
+// Slot gives what the voter holds for a key.
+//
+// Example:
+//
+//	owner := voter.Slot("spec").Promised.Owner
+func (acceptor *Acceptor) Slot(key string) Slot {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return acceptor.slot(key)
+}
+
+func (acceptor *Acceptor) slot(key string) Slot {
+	slot := acceptor.slots[key]
+	slot.Key = key
+	return slot
+}
+
+func (acceptor *Acceptor) sorted() []Slot {
+	var slots []Slot
+	for _, slot := range acceptor.slots {
+		slots = append(slots, slot)
+	}
+	sort.Slice(slots, func(left, right int) bool { return slots[left].Key < slots[right].Key })
+	return slots
+}
--- /dev/null
+++ b/control/register/learn.go
@@ -0,0 +1,134 @@
+package register
+
+import (
+	"onyxwell/base/ids"
+	"onyxwell/control/courier"
+)
+
+// pack can't fail: the types are this package's own, and a test packs each.
+func pack[Message any](message Message) []byte {
+	body, _ := courier.Pack(message)
+	return body
+}
+
+// seeVoters reads the voters out of the cohort slot.
+func (acceptor *Acceptor) seeVoters() {
+	value := acceptor.slots[CohortKey].Accepted.Value
+	if len(value) == 0 {
+		return
+	}
+	if voters, fault := courier.Unpack[Voters](value); fault == nil {
+		acceptor.voters = voters
+	}
+}
+
+// fenced tells whether a message may be acted on. The cohort key is open to
+// takers of any generation: their majorities are counted over the old and the
+// new voters, so they find the newest.
+func (acceptor *Acceptor) fenced(fence Fence, key string) Verdict {
+	if acceptor.store == nil || !acceptor.voting() || fence.Incarnation != acceptor.incarnation {
+		return Misfenced
+	}
+	if key != CohortKey && (fence.Generation != acceptor.voters.Generation || fence.Mark != acceptor.voters.Mark()) {
+		return Misfenced
+	}
+	return Granted
+}
+
+func (acceptor *Acceptor) voting() bool {
+	seat, found := acceptor.voters.seat(acceptor.address)
+	return found && !seat.Learning && seat.Incarnation == acceptor.incarnation
+}
+
+// seat finds the seat at an address.
+func (voters Voters) seat(address ids.Address) (Seat, bool) {
+	for _, seat := range voters.Seats {
+		if seat.Address == address {
+			return seat, true
+		}
+	}
+	return Seat{}, false
+}
+
+// Copy gives all that the voter holds.
+//
+// Example:
+//
+//	all := voter.Copy(register.CopyAsk{})
+func (acceptor *Acceptor) Copy(CopyAsk) CopyTold {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return CopyTold{
+		Incarnation: acceptor.incarnation, Generation: acceptor.voters.Generation,
+		Mark: acceptor.voters.Mark(), Voting: acceptor.voting(), Slots: acceptor.sorted(),
+	}
+}
+
+// Voters gives the voters as this voter knows them.
+//
+// Example:
+//
+//	seats := voter.Voters().Seats
+func (acceptor *Acceptor) Voters() Voters {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return acceptor.voters
+}
+
+// Incarnation tells which disk this is.
+//
+// Example:
+//
+//	seat := register.Seat{Address: address, Incarnation: voter.Incarnation()}
+func (acceptor *Acceptor) Incarnation() ids.Incarnation {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return acceptor.incarnation
+}
+
+// Learn takes slots that others hold: the newest value and the highest promise
+// of each key. A value older than what was promised is left alone, just as if
+// the owner's message had come too late; one who does not vote yet takes all.
+//
+// Example:
+//
+//	fault := voter.Learn(all.Slots)
+func (acceptor *Acceptor) Learn(slots []Slot) error {
+	acceptor.lock.Lock()
+	var records [][]byte
+	for _, seen := range slots {
+		held := acceptor.slot(seen.Key)
+		mended := held
+		if seen.Accepted.newer(held.Accepted) && (!acceptor.voting() || seen.Accepted.Epoch.Compare(held.Promised) >= 0) {
+			mended.Accepted = seen.Accepted
+		}
+		if seen.Promised.Compare(held.Promised) > 0 {
+			mended.Promised = seen.Promised
+		}
+		if mended.Promised != held.Promised || mended.Accepted.newer(held.Accepted) {
+			acceptor.slots[seen.Key] = mended
+			records = append(records, pack(record{Slot: mended}))
+		}
+	}
+	acceptor.seeVoters()
+	store := acceptor.store
+	acceptor.lock.Unlock()
+	for _, body := range records {
+		if fault := store.Save(body); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+// merge keeps the higher promise and the newer value of two states of a slot;
+// records of one key may stand in the journal in either order.
+func merge(left Slot, right Slot) Slot {
+	if left.Promised.Compare(right.Promised) > 0 {
+		right.Promised = left.Promised
+	}
+	if left.Accepted.newer(right.Accepted) {
+		right.Accepted = left.Accepted
+	}
+	return right
+}
--- /dev/null
+++ b/control/register/message.go
@@ -0,0 +1,150 @@
+// Package register keeps small pieces of control state, each under a key of
+// its own, on a majority of synced disks. A key has one owner at a time, which
+// took it over under an epoch higher than any before; there is no common log
+// and no leader for all keys.
+package register
+
+import (
+	"hash/fnv"
+
+	"onyxwell/base/ids"
+)
+
+// CohortKey is the key under which the voters themselves are kept.
+const CohortKey = "cohort"
+
+// Accepted is a value under the epoch of the owner that wrote it. The sequence
+// counts an owner's writes and goes on under the next owner.
+type Accepted struct {
+	Epoch    ids.Epoch
+	Sequence int64
+	Value    []byte
+}
+
+// newer tells whether this value was written after the other.
+func (accepted Accepted) newer(other Accepted) bool {
+	if order := accepted.Epoch.Compare(other.Epoch); order != 0 {
+		return order > 0
+	}
+	return accepted.Sequence > other.Sequence
+}
+
+// Slot is what one voter holds for one key.
+type Slot struct {
+	Key      string
+	Promised ids.Epoch
+	Accepted Accepted
+}
+
+// Seat is one voter's place. A voter whose disk was lost comes back under
+// another incarnation; while it is learning its votes don't count.
+type Seat struct {
+	Address     ids.Address
+	Incarnation ids.Incarnation
+	Learning    bool
+}
+
+// Voters is the value of the cohort key: who votes, and who did before.
+type Voters struct {
+	Generation int64
+	Seats      []Seat
+	Previous   []Seat
+}
+
+// Fence is carried by every message to a voter: a voter of another incarnation
+// or generation refuses it.
+type Fence struct {
+	Generation  int64
+	Mark        int64
+	Incarnation ids.Incarnation
+}
+
+// Verdict is a voter's word on a message.
+type Verdict int64
+
+// The verdicts.
+const (
+	Granted Verdict = iota
+	Outbid
+	Misfenced
+	Broken
+)
+
+// PromiseAsk asks a voter to refuse epochs below this one.
+type PromiseAsk struct {
+	Fence Fence
+	Key   string
+	Epoch ids.Epoch
+}
+
+// PromiseTold is the answer, with what the voter holds.
+type PromiseTold struct {
+	Verdict    Verdict
+	Generation int64
+	Slot       Slot
+}
+
+// AcceptAsk asks a voter to take a value.
+type AcceptAsk struct {
+	Fence    Fence
+	Key      string
+	Accepted Accepted
+}
+
+// AcceptTold is the answer.
+type AcceptTold struct {
+	Verdict    Verdict
+	Generation int64
+	Promised   ids.Epoch
+}
+
+// ConfirmAsk asks whether no newer owner than this epoch is known.
+type ConfirmAsk struct {
+	Fence Fence
+	Key   string
+	Epoch ids.Epoch
+}
+
+// CopyAsk asks for all that a voter holds.
+type CopyAsk struct{ Nothing bool }
+
+// CopyTold is all that a voter holds.
+type CopyTold struct {
+	Incarnation ids.Incarnation
+	Generation  int64
+	Mark        int64
+	Voting      bool
+	Slots       []Slot
+}
+
+// Mark tells voters of one generation apart that two takers proposed at once.
+//
+// Example:
+//
+//	fence := register.Fence{Generation: voters.Generation, Mark: voters.Mark()}
+func (voters Voters) Mark() int64 {
+	digest := fnv.New64a()
+	_, _ = digest.Write(pack(voters))
+	return int64(digest.Sum64())
+}
+
+// Fence makes the fence of a message to one seat.
+//
+// Example:
+//
+//	asked := register.ConfirmAsk{Fence: voters.Fence(seat), Key: "spec", Epoch: epoch}
+func (voters Voters) Fence(seat Seat) Fence {
+	return Fence{Generation: voters.Generation, Mark: voters.Mark(), Incarnation: seat.Incarnation}
+}
+
+// majority tells whether the votes are more than half of the seats; a seat
+// that is learning counts as one that did not vote.
+func majority(seats []Seat, votes map[ids.Address]bool) bool {
+	granted := 0
+	for _, seat := range seats {
+		if votes[seat.Address] && !seat.Learning {
+			granted++
+		}
+	}
+	return 2*granted > len(seats)
+}
--- /dev/null
+++ b/control/scaler/plan.go
@@ -0,0 +1,96 @@
+// Package scaler is the ENOVA design: ceilings from what each runner finished
+// while so many were running, a linear program over ceilings and load, weights
+// in proportion to the ceilings, and a detector that has the plan made anew.
+package scaler
+
+import (
+	"onyxwell/base/ids"
+	"onyxwell/control/courier"
+)
+
+// Key is the news key of the plan.
+const Key = "plan"
+
+// Plan says how routers share requests out among runners.
+type Plan struct {
+	Holder   ids.Address
+	Runners  []RunnerPlan
+	Flows    []Flow
+	Replicas []Replicas
+}
+
+// RunnerPlan is the plan for one runner.
+type RunnerPlan struct {
+	Runner ids.RunnerID
+	// Limit is n_limit, the most requests that it can finish in a second.
+	Limit float64
+	// Cap is max_num_seqs, how many requests it should have running at most.
+	Cap float64
+	// Memory is the part of its memory that it needs at the cap.
+	Memory float64
+	// Weight is its share in routing.
+	Weight float64
+	// Resting takes it out of rotation while it is looked at.
+	Resting bool
+}
+
+// Flow is the share of an origin's requests that a region's runners take.
+type Flow struct {
+	Service ids.Service
+	Homes   string
+	Origin  ids.Region
+	Target  ids.Region
+	Share   float64
+}
+
+// Replicas is how many runners of a type the load needs.
+type Replicas struct {
+	Service ids.Service
+	Region  ids.Region
+	Needed  float64
+	Ready   int64
+	Load    float64
+	Ceiling float64
+}
+
+// Sample is what one router saw of one runner in one span.
+type Sample struct {
+	Runner   ids.RunnerID
+	Service  ids.Service
+	Arrived  float64
+	Finished float64
+	Running  float64
+	Pending  float64
+	Failed   float64
+	// SpentMS is the execution time summed over the finished requests.
+	SpentMS float64
+	// Memory and Busy are utilisations, from 0 to 1, as far as they are known.
+	Memory float64
+	Busy   float64
+}
+
+// Demand is what visitors of a region asked of a service.
+type Demand struct {
+	Service ids.Service
+	Homes   string
+	Arrived float64
+}
+
+// ReportAsk carries a router's samples to the holder of the plan.
+type ReportAsk struct {
+	From    ids.Address
+	Region  ids.Region
+	SpanMS  float64
+	Samples []Sample
+	Demands []Demand
+}
+
+// ReportTold answers it.
+type ReportTold struct{ Holding bool }
+
+// ReadPlan reads the body of the news item.
+//
+// Example:
+//
+//	plan, fault := scaler.ReadPlan(item.Body)
+func ReadPlan(body []byte) (Plan, error) { return courier.Unpack[Plan](body) }
--- /dev/null
+++ b/control/seat/seat.go
@@ -0,0 +1,172 @@
+// Package seat gives a controller its voter: it opens the journal, carries
+// messages to the other voters, and gains a seat for a disk that is new.
+package seat
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/hold"
+	"onyxwell/control/journal"
+	"onyxwell/control/register"
+)
+
+// Options are what a seat is opened with.
+type Options struct {
+	Address   ids.Address
+	Disk      journal.Disk
+	First     bool
+	Seeds     []ids.Address
+	Table     *cohort.Table
+	Messenger *courier.Courier
+	// Patience is how long a voter must be gone before another takes its seat.
+	Patience clock.Span
+	Limit    clock.Span
+	HoldSpan clock.Span
+}
+
+// Seat is a controller's voter and the way to the others.
+type Seat struct {
+	Acceptor *register.Acceptor
+	Granter  *hold.Granter
+	options  Options
+	opened   *journal.Journal
+	fresh    bool
+}
+
+// LearnAsk carries slots to a voter whose copies are old.
+type LearnAsk struct{ Slots []register.Slot }
+
+// LearnTold answers it.
+type LearnTold struct{ Taken bool }
+
+// Open reads the journal. On the very first start the seeds are the voters; an
+// empty disk later is a new one, whose votes of before are forgotten.
+//
+// Example:
+//
+//	own, fault := seat.Open(top, seat.Options{Address: address, Disk: journal.Folder(path)})
+func Open(top scope.Scope, options Options) (*Seat, error) {
+	made := &Seat{options: options}
+	opened, records, fault := journal.Open(journal.Options{
+		Disk: options.Disk, Name: "registers",
+		Whole: func() [][]byte { return made.Acceptor.Whole() },
+	})
+	if fault != nil {
+		return nil, fault
+	}
+	made.opened = opened
+	made.Acceptor, fault = register.NewAcceptor(options.Address, records)
+	if fault != nil {
+		return nil, fault
+	}
+	made.Acceptor.Attach(opened)
+	made.Granter = hold.NewGranter(top.Clock, options.HoldSpan, func() (bool, int64) {
+		return made.Voting(), made.Acceptor.Voters().Generation
+	})
+	made.fresh = len(records) == 0
+	return made, made.begin()
+}
+
+func (seat *Seat) begin() error {
+	if !seat.fresh {
+		return nil
+	}
+	if !seat.options.First {
+		return seat.Acceptor.Identify(ids.Incarnation(rand.Int64N(1<<62) + 1))
+	}
+	voters := register.Voters{Generation: 1}
+	member := false
+	for _, address := range seat.options.Seeds {
+		voters.Seats = append(voters.Seats, register.Seat{Address: address})
+		member = member || address == seat.options.Address
+	}
+	sort.Slice(voters.Seats, func(left, right int) bool { return voters.Seats[left].Address < voters.Seats[right].Address })
+	if !member {
+		return seat.Acceptor.Identify(ids.Incarnation(rand.Int64N(1<<62) + 1))
+	}
+	return seat.Acceptor.Form(voters)
+}
+
+// Voting tells whether this disk votes now.
+//
+// Example:
+//
+//	if !own.Voting() { join() }
+func (seat *Seat) Voting() bool { return seat.Acceptor.Copy(register.CopyAsk{}).Voting }
+
+// Close ends the journal.
+//
+// Example:
+//
+//	defer own.Close()
+func (seat *Seat) Close() { seat.opened.Close() }
+
+// Serve adds the voter's messages to a table of calls.
+//
+// Example:
+//
+//	own.Serve(common.Calls)
+func (seat *Seat) Serve(calls *call.Table) {
+	courier.Handle(calls, "promise", func(_ scope.Scope, asked register.PromiseAsk) (register.PromiseTold, error) {
+		return seat.Acceptor.Promise(asked), nil
+	})
+	courier.Handle(calls, "accept", func(_ scope.Scope, asked register.AcceptAsk) (register.AcceptTold, error) {
+		return seat.Acceptor.Accept(asked), nil
+	})
+	courier.Handle(calls, "confirm", func(_ scope.Scope, asked register.ConfirmAsk) (register.AcceptTold, error) {
+		return seat.Acceptor.Confirm(asked), nil
+	})
+	courier.Handle(calls, "copy", func(_ scope.Scope, asked register.CopyAsk) (register.CopyTold, error) {
+		return seat.Acceptor.Copy(asked), nil
+	})
+	courier.Handle(calls, "learn", func(_ scope.Scope, asked LearnAsk) (LearnTold, error) {
+		fault := seat.Acceptor.Learn(asked.Slots)
+		return LearnTold{Taken: fault == nil}, fault
+	})
+	courier.Handle(calls, "hold", func(_ scope.Scope, asked hold.Ask) (hold.Told, error) {
+		return seat.Granter.Grant(asked), nil
+	})
+}
+
+// AskHold asks all voters for a duty and tells whether a majority granted it.
+//
+// Example:
+//
+//	hold.Options{Ask: own.AskHold}
+func (seat *Seat) AskHold(inner scope.Scope, asked hold.Ask) bool {
+	seats := seat.Acceptor.Voters().Seats
+	votes := make(chan bool, len(seats))
+	for _, voter := range seats {
+		go func() { votes <- seat.askOne(inner, voter.Address, asked) }()
+	}
+	granted := 0
+	for range seats {
+		select {
+		case vote := <-votes:
+			if vote {
+				granted++
+			}
+		case <-inner.Done():
+			return false
+		}
+		if 2*granted > len(seats) {
+			return true
+		}
+	}
+	return false
+}
+
+func (seat *Seat) askOne(inner scope.Scope, address ids.Address, asked hold.Ask) bool {
+	if address == seat.options.Address {
+		return seat.Granter.Grant(asked).Granted
+	}
+	told, fault := courier.Send[hold.Told](inner, seat.options.Messenger, address, "hold", asked)
+	return fault == nil && told.Granted
+}
--- /dev/null
+++ b/control/spec/check.go
@@ -0,0 +1,138 @@
+package spec
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/ids"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+var compiled = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	document, fault := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if fault != nil {
+		return nil, fault
+	}
+	compiler := jsonschema.NewCompiler()
+	if fault := compiler.AddResource("spec.json", document); fault != nil {
+		return nil, fault
+	}
+	return compiler.Compile("spec.json")
+})
+
+// Schema gives the JSON schema of a whole configuration.
+//
+// Example:
+//
+//	os.Stdout.Write(spec.Schema())
+func Schema() []byte { return schemaText }
+
+// Check reads a whole document and refuses an invalid one with a BadSpec
+// breakdown that names the field.
+//
+// Example:
+//
+//	version, fault := spec.Check(document)
+func Check(document []byte) (*Spec, error) {
+	loose, fault := jsonschema.UnmarshalJSON(bytes.NewReader(document))
+	if fault != nil {
+		return nil, breakdown.Of(breakdown.BadSpec, "not JSON: %v", fault)
+	}
+	schema, fault := compiled()
+	if fault != nil {
+		return nil, breakdown.Of(breakdown.Internal, "schema: %v", fault)
+	}
+	if fault := schema.Validate(loose); fault != nil {
+		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
+	}
+	read, fault := Read(document)
+	if fault != nil {
+		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
+	}
+	for _, rule := range rules {
+		if fault := rule(read); fault != nil {
+			return nil, fault
+		}
+	}
+	return read, nil
+}
+
+// rules are what the schema can't say.
+var rules = []func(*Spec) error{namesOnce, placesOnce, servicesKnown, weightsAboveNothing}
+
+func namesOnce(spec *Spec) error {
+	routes := map[string]bool{}
+	for index, route := range spec.Routes {
+		if routes[route.Name] {
+			return breakdown.Of(breakdown.BadSpec, "routes[%d].name: %q stands twice", index, route.Name)
+		}
+		routes[route.Name] = true
+	}
+	services := map[ids.Service]bool{}
+	for index, service := range spec.Services {
+		if services[service.Name] {
+			return breakdown.Of(breakdown.BadSpec, "services[%d].name: %q stands twice", index, service.Name)
+		}
+		services[service.Name] = true
+	}
+	return nil
+}
+
+func placesOnce(spec *Spec) error {
+	places := map[[2]string]bool{}
+	for index, route := range spec.Routes {
+		place := [2]string{hostOnly(route.Host), route.Prefix}
+		if places[place] {
+			return breakdown.Of(breakdown.BadSpec, "routes[%d].path_prefix: %q stands twice for this host", index, route.Prefix)
+		}
+		places[place] = true
+	}
+	return nil
+}
+
+func servicesKnown(spec *Spec) error {
+	for index, route := range spec.Routes {
+		if route.Service == "" && len(route.Shares) == 0 {
+			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: missing", index)
+		}
+		if route.Service != "" && spec.services[route.Service] == nil {
+			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: %q is not known", index, route.Service)
+		}
+		for part, share := range route.Shares {
+			if spec.services[share.Service] == nil {
+				return breakdown.Of(breakdown.BadSpec, "routes[%d].shares[%d].service: %q is not known", index, part, share.Service)
+			}
+		}
+	}
+	return nil
+}
+
+func weightsAboveNothing(spec *Spec) error {
+	for index, route := range spec.Routes {
+		total := 0.0
+		for _, part := range route.Parts() {
+			total += part.Weight
+		}
+		if total <= 0 {
+			return breakdown.Of(breakdown.BadSpec, "routes[%d].shares: the weights add up to 0", index)
+		}
+	}
+	return nil
+}
+
+type patch struct {
+	Serial  ids.Serial                 `json:"config_version"`
+	Changes map[string]json.RawMessage `json:"changes"`
+	Remove  map[string][]string        `json:"remove"`
+}
+
+type named struct {
+	Name string `json:"name"`
+}
--- /dev/null
+++ b/control/spec/keep.go
@@ -0,0 +1,104 @@
+package spec
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"strconv"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/ids"
+	"onyxwell/control/courier"
+)
+
+// Key is the register's key of the spec.
+const Key = "spec"
+
+// recentLimit is how many taken changes are remembered for repeats.
+const recentLimit = 64
+
+// Kept is the value of the register: the document in force, and which changes
+// were taken lately.
+type Kept struct {
+	Serial   ids.Serial
+	Document []byte
+	Recent   []Taken
+}
+
+// Taken is a change that came into force.
+type Taken struct {
+	Serial ids.Serial
+	Digest []byte
+}
+
+// Change is what an operator sends.
+type Change struct {
+	Whole bool
+	Match ids.Serial
+	Body  []byte
+}
+
+func (change Change) digest() []byte {
+	hash := sha256.New()
+	hash.Write([]byte(strconv.FormatBool(change.Whole) + strconv.FormatInt(int64(change.Match), 10)))
+	hash.Write(change.Body)
+	return hash.Sum(nil)
+}
+
+// Step makes the register's next value from a change. A change that was taken
+// before leaves the value as it is, whatever is in force by now.
+//
+// Example:
+//
+//	value, fault := keeper.Change(short, spec.Key, change.Step)
+func (change Change) Step(current []byte) ([]byte, error) {
+	kept := Kept{}
+	if len(current) > 0 {
+		read, fault := courier.Unpack[Kept](current)
+		if fault != nil {
+			return nil, breakdown.Of(breakdown.Internal, "kept spec: %v", fault)
+		}
+		kept = read
+	}
+	digest := change.digest()
+	for _, taken := range kept.Recent {
+		if bytes.Equal(taken.Digest, digest) {
+			return nil, nil
+		}
+	}
+	if change.Match != kept.Serial {
+		return nil, breakdown.Of(breakdown.StaleSpec, "version %d is in place", kept.Serial)
+	}
+	document := change.Body
+	if !change.Whole {
+		patched, fault := Patch(kept.Document, change.Body)
+		if fault != nil {
+			return nil, fault
+		}
+		document = patched
+	}
+	checked, fault := Check(document)
+	if fault != nil {
+		return nil, fault
+	}
+	if checked.Serial <= kept.Serial {
+		return nil, breakdown.Of(breakdown.BadSpec, "config_version: %d is not above %d", checked.Serial, kept.Serial)
+	}
+	kept.Serial, kept.Document = checked.Serial, document
+	kept.Recent = append(kept.Recent, Taken{Serial: checked.Serial, Digest: digest})
+	if surplus := len(kept.Recent) - recentLimit; surplus > 0 {
+		kept.Recent = kept.Recent[surplus:]
+	}
+	return courier.Pack(kept)
+}
+
+// ReadKept reads the register's value.
+//
+// Example:
+//
+//	kept, fault := spec.ReadKept(value)
+func ReadKept(value []byte) (Kept, error) {
+	if len(value) == 0 {
+		return Kept{}, nil
+	}
+	return courier.Unpack[Kept](value)
+}
--- /dev/null
+++ b/control/spec/patch.go
@@ -0,0 +1,102 @@
+package spec
+
+import (
+	"encoding/json"
+
+	"onyxwell/base/breakdown"
+)
+
+// Patch makes a whole document from one in force and the changes to it. Items
+// that are not changed keep their bytes.
+//
+// Example:
+//
+//	document, fault := spec.Patch(current, change)
+func Patch(document []byte, change []byte) ([]byte, error) {
+	var asked patch
+	if fault := json.Unmarshal(change, &asked); fault != nil {
+		return nil, breakdown.Of(breakdown.BadSpec, "not a change: %v", fault)
+	}
+	whole := map[string]json.RawMessage{}
+	if len(document) > 0 {
+		if fault := json.Unmarshal(document, &whole); fault != nil {
+			return nil, breakdown.Of(breakdown.Internal, "kept document: %v", fault)
+		}
+	}
+	for key, names := range asked.Remove {
+		if fault := editList(whole, key, nil, names); fault != nil {
+			return nil, fault
+		}
+	}
+	for key, value := range asked.Changes {
+		var items []json.RawMessage
+		if json.Unmarshal(value, &items) != nil {
+			whole[key] = value
+			continue
+		}
+		if fault := editList(whole, key, items, nil); fault != nil {
+			return nil, fault
+		}
+	}
+	serial, _ := json.Marshal(asked.Serial)
+	whole["config_version"] = serial
+	return json.Marshal(whole)
+}
+
+// editList replaces or adds items by their names and drops others.
+func editList(whole map[string]json.RawMessage, key string, items []json.RawMessage, without []string) error {
+	var kept []json.RawMessage
+	if present := whole[key]; len(present) > 0 {
+		if fault := json.Unmarshal(present, &kept); fault != nil {
+			return breakdown.Of(breakdown.BadSpec, "%s: is no list", key)
+		}
+	}
+	replaced := map[string]json.RawMessage{}
+	dropped := map[string]bool{}
+	var added []string
+	for index, item := range items {
+		name, fault := nameOf(item)
+		if fault != nil {
+			return breakdown.Of(breakdown.BadSpec, "changes.%s[%d].name: missing", key, index)
+		}
+		if _, twice := replaced[name]; twice {
+			return breakdown.Of(breakdown.BadSpec, "changes.%s[%d].name: %q stands twice", key, index, name)
+		}
+		replaced[name] = item
+		added = append(added, name)
+	}
+	for _, name := range without {
+		dropped[name] = true
+	}
+	result := []json.RawMessage{}
+	for _, item := range kept {
+		name, _ := nameOf(item)
+		if dropped[name] {
+			continue
+		}
+		if fresh, found := replaced[name]; found {
+			item = fresh
+			delete(replaced, name)
+		}
+		result = append(result, item)
+	}
+	for _, name := range added {
+		if item, left := replaced[name]; left {
+			result = append(result, item)
+		}
+	}
+	body, fault := json.Marshal(result)
+	whole[key] = body
+	return fault
+}
+
+func nameOf(item json.RawMessage) (string, error) {
+	var read named
+	if fault := json.Unmarshal(item, &read); fault != nil {
+		return "", fault
+	}
+	if read.Name == "" {
+		return "", breakdown.Of(breakdown.BadSpec, "name: missing")
+	}
+	return read.Name, nil
+}
--- /dev/null
+++ b/control/spec/spec.go
@@ -0,0 +1,163 @@
+// Package spec reads, checks and changes the operator's configuration: routes,
+// services and limits under a rising serial.
+package spec
+
+import (
+	"encoding/json"
+	"strings"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// Kind is the type of a route: what may be repeated, and how it answers.
+type Kind string
+
+// The types of routes.
+const (
+	Safe      Kind = "safe"
+	Unsafe    Kind = "unsafe"
+	Streaming Kind = "streaming"
+)
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service ids.Service `json:"service"`
+	Weight  float64     `json:"weight"`
+}
+
+// Route says where the requests of a host and path go.
+type Route struct {
+	Name      string       `json:"name"`
+	Host      string       `json:"hostname"`
+	Prefix    string       `json:"path_prefix"`
+	Kind      Kind         `json:"type"`
+	GiveUpMS  float64      `json:"give_up_ms"`
+	GoalMS    float64      `json:"goal_ms"`
+	Urgency   int          `json:"urgency"`
+	Service   ids.Service  `json:"service"`
+	Shares    []Share      `json:"shares"`
+	Tries     int          `json:"tries"`
+	Sticky    bool         `json:"sticky"`
+	Resumable bool         `json:"resumable"`
+	GapGoalMS float64      `json:"gap_goal_ms"`
+	Homes     []ids.Region `json:"home_regions"`
+}
+
+// Repeatable tells whether a request may run again after it may have run.
+//
+// Example:
+//
+//	if route.Repeatable() { tryAgain() }
+func (route *Route) Repeatable() bool {
+	return route.Kind == Safe || (route.Kind == Streaming && route.Resumable)
+}
+
+// Goal is the time within which an answer earns its full worth.
+//
+// Example:
+//
+//	early := route.Goal() / 4
+func (route *Route) Goal() clock.Span {
+	return clock.Span(route.GoalMS * float64(clock.Millisecond))
+}
+
+// Parts gives the services of the route with their weights.
+//
+// Example:
+//
+//	for _, part := range route.Parts() { ... }
+func (route *Route) Parts() []Share {
+	if len(route.Shares) > 0 {
+		return route.Shares
+	}
+	return []Share{{Service: route.Service, Weight: 1}}
+}
+
+// Engine is what a model service tells of its runners' engines.
+type Engine struct {
+	Capacity    int     `json:"capacity"`
+	CacheTokens float64 `json:"cache_tokens"`
+	Stride      int     `json:"stride"`
+}
+
+// Service is a set of like runners.
+type Service struct {
+	Name           ids.Service `json:"name"`
+	HealthPath     string      `json:"health_path"`
+	MaxConnections int         `json:"max_conns"`
+	WarmupS        float64     `json:"warmup_s"`
+	ColdPerS       float64     `json:"cold_per_s"`
+	Engine         *Engine     `json:"engine"`
+}
+
+// Limits bound what a visitor may send.
+type Limits struct {
+	MaxHeaderBytes int64   `json:"max_header_bytes"`
+	MaxBodyBytes   int64   `json:"max_body_bytes"`
+	HeaderWaitMS   float64 `json:"header_wait_ms"`
+	IdleMS         float64 `json:"idle_ms"`
+}
+
+// Spec is one version of the configuration.
+type Spec struct {
+	Serial   ids.Serial `json:"config_version"`
+	Routes   []Route    `json:"routes"`
+	Services []Service  `json:"services"`
+	Limits   Limits     `json:"limits"`
+
+	hosts    map[string][]*Route
+	services map[ids.Service]*Service
+}
+
+// Read reads a document that was checked before.
+//
+// Example:
+//
+//	version, fault := spec.Read(item.Body)
+func Read(document []byte) (*Spec, error) {
+	read := &Spec{}
+	if fault := json.Unmarshal(document, read); fault != nil {
+		return nil, fault
+	}
+	read.hosts = map[string][]*Route{}
+	for index := range read.Routes {
+		route := &read.Routes[index]
+		host := strings.ToLower(route.Host)
+		read.hosts[host] = append(read.hosts[host], route)
+	}
+	read.services = map[ids.Service]*Service{}
+	for index := range read.Services {
+		read.services[read.Services[index].Name] = &read.Services[index]
+	}
+	return read, nil
+}
+
+// Match finds the route of a host and path: the longest prefix wins.
+//
+// Example:
+//
+//	route := version.Match("shop.example", "/a/b")
+func (spec *Spec) Match(host string, path string) *Route {
+	var best *Route
+	for _, route := range spec.hosts[hostOnly(host)] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// Service finds a service by its name; nil where there is none.
+//
+// Example:
+//
+//	service := version.Service("readers")
+func (spec *Spec) Service(name ids.Service) *Service { return spec.services[name] }
+
+func hostOnly(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/data/answer/carry.go
@@ -0,0 +1,117 @@
+package answer
+
+import (
+	"net/http"
+	"strconv"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/clock"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/spec"
+	"onyxwell/data/letin"
+	"onyxwell/data/metrics"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+)
+
+// acts are what the executor can do; each tells whether the visit is over.
+var acts = map[letin.Act]func(*visit, scope.Scope, *letin.Decision, letin.Order) bool{
+	letin.Send: (*visit).send,
+	letin.Wait: func(visit *visit, inner scope.Scope, _ *letin.Decision, order letin.Order) bool {
+		return !inner.Wait(order.Span)
+	},
+	letin.Answer: func(visit *visit, _ scope.Scope, _ *letin.Decision, order letin.Order) bool {
+		visit.refuse(order.Kind, "")
+		return true
+	},
+}
+
+// carry asks the decision and obeys until the visit is over.
+func (visit *visit) carry() {
+	top := visit.front.options.Scope.Under(visit.request.Context())
+	inner, release := top.WithLimit(visit.limit.Since(visit.since))
+	defer release()
+	decision := visit.front.options.Gate.Begin(visit.asking)
+	for {
+		if top.Err() != nil {
+			reply.Abort()
+		}
+		order := decision.Ask(top.Now())
+		if acts[order.Act](visit, inner, decision, order) {
+			return
+		}
+	}
+}
+
+// send takes the request to a runner and its answer to the visitor.
+func (visit *visit) send(inner scope.Scope, decision *letin.Decision, order letin.Order) bool {
+	options, runner := visit.front.options, order.Runner
+	begin := inner.Now()
+	if !decision.Holds(runner, begin) {
+		return false
+	}
+	trip := relay.Trip{
+		Request: visit.sent, Runner: runner.ID, Address: runner.Address,
+		Left: visit.limit.Since(begin), Urgency: visit.route.Urgency,
+	}
+	if visit.known {
+		trip.LastEvent = strconv.FormatInt(visit.last, 10)
+	}
+	number := visit.front.number.Add(1)
+	options.Board.Sent(decision.Service(), runner.ID, number, visit.asking.Tokens, begin)
+	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens, Shun: visit.shun()}
+	result := options.Sender.Send(inner, trip)
+	visit.hear(runner, result.Response)
+	fate, over := result.Fate, false
+	if result.Fate == relay.Answered {
+		ending.Began = true
+		options.Board.Began(runner.ID, number, visit.asking.Tokens, inner.Now())
+		fate, over = visit.pass(inner, runner, result.Response)
+	} else {
+		relay.Discard(result.Response)
+	}
+	now := inner.Now()
+	ending.Finished = fate == relay.Answered
+	ending.Spent = now.Since(begin)
+	late := visit.gone || visit.request.Context().Err() != nil || !now.Before(visit.limit)
+	ending.Broken = fate != relay.Answered && broken(result, late, ending, visit.route)
+	options.Board.Ended(runner.ID, ending, now)
+	decision.Tell(runner, fate)
+	if visit.gone {
+		reply.Abort()
+	}
+	return over
+}
+
+// broken tells whether a fate speaks against the runner: one that only turned
+// a request away is well; one that was silent for longer than an answer's goal
+// is not.
+func broken(result relay.Result, late bool, ending metrics.Ending, route *spec.Route) bool {
+	if result.Fate == relay.Refused {
+		return result.Response.StatusCode == http.StatusMisdirectedRequest
+	}
+	if late {
+		return !ending.Began && ending.Spent > route.Goal()
+	}
+	return true
+}
+
+// shun is the first pause after a breakdown of a runner.
+func (visit *visit) shun() clock.Span {
+	return boot.Milliseconds(visit.front.options.Scope.Boot.Bounds.InTouchMS) / 16
+}
+
+// hear takes what a runner says of itself in an answer's head.
+func (visit *visit) hear(runner *picture.Runner, response *http.Response) {
+	if response == nil {
+		return
+	}
+	now := visit.front.options.Scope.Now()
+	if load := response.Header.Get(relay.LoadHeader); load != "" {
+		visit.front.options.Board.Told(runner.ID, load, now)
+	}
+	if left, fault := strconv.ParseFloat(response.Header.Get(relay.ColdHeader), 64); fault == nil && left > 0 {
+		visit.front.options.Warmth.Chill(runner.ID, now.Add(boot.Milliseconds(left)))
+	}
+}
--- /dev/null
+++ b/data/answer/front.go
@@ -0,0 +1,209 @@
+// Package answer is the visitor's side of a router: it reads requests, asks
+// the decision what to do, obeys, and answers.
+package answer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/breakdown"
+	"onyxwell/base/clock"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/spec"
+	"onyxwell/data/letin"
+	"onyxwell/data/metrics"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+	"onyxwell/data/warmth"
+)
+
+// Options are what a front is made from.
+type Options struct {
+	Scope  scope.Scope
+	Frame  *picture.Frame
+	Gate   *letin.Gate
+	Board  *metrics.Board
+	Warmth *warmth.Warmth
+	Sender *relay.Sender
+}
+
+// Front answers visitors.
+type Front struct {
+	options Options
+	leaving atomic.Bool
+	number  atomic.Uint64
+	running atomic.Int64
+}
+
+// NewFront makes a front.
+//
+// Example:
+//
+//	front := answer.NewFront(answer.Options{Scope: top, Frame: frame, Gate: gate, Sender: sender})
+func NewFront(options Options) *Front { return &Front{options: options} }
+
+// Leave has every answer from now on ask its visitor to go elsewhere next.
+//
+// Example:
+//
+//	front.Leave()
+func (front *Front) Leave() { front.leaving.Store(true) }
+
+// Running tells how many requests are being answered.
+//
+// Example:
+//
+//	for front.Running() > 0 && top.Wait(pause) {}
+func (front *Front) Running() int64 { return front.running.Load() }
+
+// ServeHTTP answers one request.
+func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	front.running.Add(1)
+	defer front.running.Add(-1)
+	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now()}
+	if fault := visit.read(); fault != nil {
+		visit.refuse(breakdown.KindOf(fault), breakdown.DetailOf(fault))
+		return
+	}
+	visit.carry()
+}
+
+// visit is one request of a visitor.
+type visit struct {
+	front   *Front
+	writer  http.ResponseWriter
+	request *http.Request
+	since   clock.Instant
+	limit   clock.Instant
+	seen    *picture.Picture
+	route   *spec.Route
+	sent    *relay.Request
+	asking  letin.Asking
+	// begun says that the head of an answer is with the visitor, last is the id
+	// of the last event passed on, gone that the visitor takes no more.
+	begun bool
+	known bool
+	gone  bool
+	last  int64
+}
+
+// read takes the request in, within the spec's limits.
+func (visit *visit) read() error {
+	visit.seen = visit.front.options.Frame.Now()
+	if visit.seen.Spec == nil {
+		return breakdown.Of(breakdown.Unready, "")
+	}
+	limits := visit.seen.Spec.Limits
+	if limits.MaxHeaderBytes > 0 && headBytes(visit.request) > limits.MaxHeaderBytes {
+		return breakdown.Of(breakdown.HeadTooLarge, "over %d bytes", limits.MaxHeaderBytes)
+	}
+	if !strings.HasPrefix(visit.request.RequestURI, "/") {
+		return breakdown.Of(breakdown.BadRequest, "the target is no path")
+	}
+	path, _, _ := strings.Cut(visit.request.RequestURI, "?")
+	visit.route = visit.seen.Spec.Match(visit.request.Host, path)
+	if visit.route == nil {
+		return breakdown.Of(breakdown.NoRoute, "")
+	}
+	body, fault := visit.body(limits)
+	if fault != nil {
+		return fault
+	}
+	visit.sent = &relay.Request{
+		Method: visit.request.Method, Target: visit.request.RequestURI, Host: visit.request.Host,
+		Header: relay.PassedOn(visit.request.Header), Body: body,
+		Attempt: visit.request.Header.Get(relay.AttemptHeader),
+	}
+	visit.time()
+	visit.asking = letin.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
+	visit.asking.Parts, visit.asking.Tokens = prompt(visit.request.Header.Get(relay.PrefixHeader))
+	if after := visit.request.Header.Get(relay.LastEventField); after != "" {
+		visit.last, fault = strconv.ParseInt(after, 10, 64)
+		visit.known = fault == nil
+	}
+	return nil
+}
+
+func (visit *visit) body(limits spec.Limits) ([]byte, error) {
+	if limits.MaxBodyBytes > 0 && visit.request.ContentLength > limits.MaxBodyBytes {
+		return nil, breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
+	}
+	most := limits.MaxBodyBytes
+	if most <= 0 {
+		most = visit.front.options.Scope.Boot.Limits.MemoryMB << 20 / 64
+	}
+	reply.ReadWithin(visit.writer, boot.Milliseconds(limits.IdleMS))
+	body, fault := io.ReadAll(http.MaxBytesReader(visit.writer, visit.request.Body, most))
+	reply.ReadWithin(visit.writer, 0)
+	if fault == nil {
+		return body, nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(fault, &large) {
+		return nil, breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", most)
+	}
+	var slow interface{ Timeout() bool }
+	if errors.As(fault, &slow) && slow.Timeout() {
+		return nil, breakdown.Of(breakdown.TooSlow, "")
+	}
+	return nil, breakdown.Of(breakdown.BadRequest, "the body is not whole")
+}
+
+// time works out until when the request may take.
+func (visit *visit) time() {
+	span := boot.Milliseconds(visit.route.GiveUpMS)
+	if left, fault := strconv.ParseFloat(visit.request.Header.Get(relay.LeftHeader), 64); fault == nil && left > 0 {
+		span = min(span, boot.Milliseconds(left))
+	}
+	visit.limit = visit.since.Add(span)
+}
+
+// refuse answers with a breakdown, and where it promises that nothing ran,
+// tells when to come back.
+func (visit *visit) refuse(kind breakdown.Kind, detail string) {
+	if visit.begun {
+		reply.Abort()
+	}
+	made := reply.Of(kind, detail)
+	if kind.Answer().Status == http.StatusServiceUnavailable && visit.route != nil {
+		made = made.After(max(visit.route.Goal()/8, 20*clock.Millisecond))
+	}
+	if visit.front.leaving.Load() {
+		made = made.Close()
+	}
+	made.Send(visit.writer)
+}
+
+func headBytes(request *http.Request) int64 {
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host) + 20
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	return int64(size)
+}
+
+// prompt reads the parts of a prompt: ids in order, and how many tokens.
+func prompt(text string) ([]string, float64) {
+	if text == "" {
+		return nil, 0
+	}
+	var parts []string
+	total := 0.0
+	for _, piece := range strings.Split(text, ",") {
+		id, count, _ := strings.Cut(strings.TrimSpace(piece), ":")
+		tokens, fault := strconv.ParseFloat(count, 64)
+		if fault == nil {
+			total += tokens
+		}
+		parts = append(parts, id)
+	}
+	return parts, total
+}
--- /dev/null
+++ b/data/letin/choose.go
@@ -0,0 +1,188 @@
+package letin
+
+import (
+	"hash/fnv"
+	"math"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/spec"
+	"onyxwell/data/picture"
+)
+
+// candidate is a runner that could take the request.
+type candidate struct {
+	runner *picture.Runner
+	weight float64
+	// load is how many requests it has for each that it can run at once.
+	load float64
+}
+
+// choose picks the runner for the next sending. Where none is open now but one
+// soon will be, it tells how long that takes.
+func (gate *Gate) choose(decision *Decision, now clock.Instant) (*picture.Runner, clock.Span) {
+	seen := gate.options.Frame.Now()
+	if seen.Spec == nil {
+		return nil, 0
+	}
+	service := seen.Spec.Service(decision.service)
+	found, soon := gate.candidates(seen, service, decision, now)
+	if len(found) == 0 {
+		return nil, soon
+	}
+	found = gate.region(seen, decision, found)
+	if key, keyed := affinity(decision.asking.Parts); keyed && decision.asking.Route.Sticky {
+		return rendezvous(found, key).runner, 0
+	}
+	return gate.lighterOfTwo(found).runner, 0
+}
+
+// candidates are the runners that are listed, at home, open, awake and within
+// what cold ones may get.
+func (gate *Gate) candidates(seen *picture.Picture, service *spec.Service, decision *Decision, now clock.Instant) ([]candidate, clock.Span) {
+	var found, resting []candidate
+	soon := clock.Span(0)
+	route := decision.asking.Route
+	bound := gate.bound(service)
+	patience := max(route.Goal()/2, 50*clock.Millisecond)
+	for _, runner := range seen.Runners[decision.service] {
+		if decision.tried[runner.ID] || !seen.Open(runner) || !atHome(route, runner.Region) {
+			continue
+		}
+		ledger := gate.options.Board.Look(runner.ID)
+		if now.Before(ledger.Shunned) || gate.options.Board.Silence(runner.ID, now) > patience {
+			continue
+		}
+		if service != nil && service.MaxConnections > 0 &&
+			ledger.Running >= math.Max(1, float64(service.MaxConnections)/float64(max(1, bound.Sharers))) {
+			continue
+		}
+		if !gate.options.Warmth.Open(runner.ID, bound, now) {
+			soon = 20 * clock.Millisecond
+			continue
+		}
+		planned, known := seen.Planned[runner.ID]
+		weight := float64(max(1, runner.Capacity))
+		if known && planned.Weight > 0 {
+			weight = planned.Weight
+		}
+		slots := math.Max(1, float64(runner.Capacity))
+		told := ledger.Load.Running + ledger.Load.Waiting
+		able := candidate{runner: runner, weight: weight, load: math.Max(told+ledger.Load.Sent, ledger.Running) / slots}
+		if known && planned.Resting {
+			resting = append(resting, able)
+		} else {
+			found = append(found, able)
+		}
+	}
+	if len(found) == 0 {
+		found = resting
+	}
+	return found, soon
+}
+
+// region narrows the choice to one region: by the plan's shares, or the own
+// region first, as long as the runners there are not the fuller ones by far.
+func (gate *Gate) region(seen *picture.Picture, decision *Decision, found []candidate) []candidate {
+	regions := map[ids.Region][]candidate{}
+	for _, able := range found {
+		regions[able.runner.Region] = append(regions[able.runner.Region], able)
+	}
+	if len(regions) == 1 {
+		return found
+	}
+	homes := homesKey(decision.asking.Route)
+	total := 0.0
+	shares := map[ids.Region]float64{}
+	for _, flow := range seen.Plan.Flows {
+		if flow.Service == decision.service && flow.Homes == homes && flow.Origin == gate.options.Region && regions[flow.Target] != nil {
+			shares[flow.Target] += flow.Share
+			total += flow.Share
+		}
+	}
+	aim := gate.options.Chance() * total
+	for _, flow := range seen.Plan.Flows {
+		if share := shares[flow.Target]; share > 0 && flow.Service == decision.service && flow.Homes == homes && flow.Origin == gate.options.Region {
+			if aim -= share; aim < 0 {
+				return regions[flow.Target]
+			}
+		}
+	}
+	if own := regions[gate.options.Region]; own != nil {
+		return own
+	}
+	return found
+}
+
+// affinity is the key that keeps like prompts together: the last shared part
+// stands for all before it.
+func affinity(parts []string) (string, bool) {
+	if len(parts) < 2 {
+		return "", false
+	}
+	return parts[len(parts)-2], true
+}
+
+// rendezvous picks by weighted rendezvous hashing, so that shares follow the
+// weights and a part stays where it was read; a runner that is much fuller
+// than the others is passed over for the next in the order.
+func rendezvous(found []candidate, key string) candidate {
+	mean := 0.0
+	for _, able := range found {
+		mean += able.load / float64(len(found))
+	}
+	bound := 1.25*mean + 0.06
+	best, bestScore := -1, 0.0
+	least := 0
+	for index, able := range found {
+		if able.load < found[least].load {
+			least = index
+		}
+		score := -able.weight / math.Log(fraction(key, string(able.runner.ID)))
+		if able.load <= bound && (best < 0 || score > bestScore) {
+			best, bestScore = index, score
+		}
+	}
+	if best < 0 {
+		best = least
+	}
+	return found[best]
+}
+
+// fraction hashes a key and a runner to a number between 0 and 1.
+func fraction(key string, runner string) float64 {
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(key))
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write([]byte(runner))
+	mixed := digest.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	mixed *= 0xc4ceb9fe1a85ec53
+	mixed ^= mixed >> 33
+	return (float64(mixed>>11) + 0.5) / (1 << 53)
+}
+
+// lighterOfTwo draws two by weight and takes the one with less load.
+func (gate *Gate) lighterOfTwo(found []candidate) candidate {
+	first, second := gate.draw(found), gate.draw(found)
+	if second.load < first.load {
+		return second
+	}
+	return first
+}
+
+func (gate *Gate) draw(found []candidate) candidate {
+	total := 0.0
+	for _, able := range found {
+		total += able.weight
+	}
+	aim := gate.options.Chance() * total
+	for _, able := range found {
+		if aim -= able.weight; aim < 0 {
+			return able
+		}
+	}
+	return found[len(found)-1]
+}
--- /dev/null
+++ b/data/letin/decision.go
@@ -0,0 +1,121 @@
+package letin
+
+import (
+	"onyxwell/base/breakdown"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+)
+
+// Act is what the executor is to do next.
+type Act int
+
+// The acts.
+const (
+	// Send the request to the order's runner.
+	Send Act = iota
+	// Wait for the order's span and ask again.
+	Wait
+	// Answer with the order's kind of breakdown.
+	Answer
+)
+
+// Order is what a decision says when it is asked.
+type Order struct {
+	Act    Act
+	Runner *picture.Runner
+	Span   clock.Span
+	Kind   breakdown.Kind
+}
+
+// Decision is the state of one request on its way.
+type Decision struct {
+	gate    *Gate
+	asking  Asking
+	service ids.Service
+	tried   map[ids.RunnerID]bool
+	sends   int
+	arrived bool
+	ran     bool
+	garbled bool
+}
+
+// Service is the service that the request goes to.
+//
+// Example:
+//
+//	board.Sent(decision.Service(), runner.ID, number, tokens, now)
+func (decision *Decision) Service() ids.Service { return decision.service }
+
+// Ask tells what to do next.
+//
+// Example:
+//
+//	order := decision.Ask(now)
+func (decision *Decision) Ask(now clock.Instant) Order {
+	if !now.Before(decision.asking.Limit) {
+		return decision.finally(breakdown.LimitBeforeRun, breakdown.LimitReached)
+	}
+	route := decision.asking.Route
+	if decision.ran && !route.Repeatable() {
+		return decision.finally(breakdown.RunnerLost, breakdown.RunnerLost)
+	}
+	if decision.sends >= max(1, route.Tries) {
+		return decision.finally(breakdown.Crowded, breakdown.RunnerLost)
+	}
+	runner, pause := decision.gate.choose(decision, now)
+	if runner == nil {
+		// A short wait is no refusal that comes late.
+		if pause > 0 && now.Add(pause).Since(decision.asking.Since) < route.Goal()/4 {
+			return Order{Act: Wait, Span: pause}
+		}
+		return decision.finally(breakdown.NoRunner, breakdown.RunnerLost)
+	}
+	if decision.arrived && !decision.gate.options.Budget.Spend(decision.service, now) {
+		return decision.finally(breakdown.BudgetSpent, breakdown.RunnerLost)
+	}
+	return Order{Act: Send, Runner: runner}
+}
+
+// finally picks the last answer: a promise only where nothing can have run.
+func (decision *Decision) finally(promise breakdown.Kind, broken breakdown.Kind) Order {
+	if !decision.ran {
+		return Order{Act: Answer, Kind: promise}
+	}
+	if decision.garbled && broken == breakdown.RunnerLost {
+		broken = breakdown.RunnerGarbled
+	}
+	return Order{Act: Answer, Kind: broken}
+}
+
+// Holds asks again, right before the bytes are written, whether the runner may
+// still be sent to; it takes the request's place at a cold one.
+//
+// Example:
+//
+//	if !decision.Holds(order.Runner, now) { continue }
+func (decision *Decision) Holds(runner *picture.Runner, now clock.Instant) bool {
+	options := decision.gate.options
+	seen := options.Frame.Now()
+	if seen.Spec == nil || !seen.Usable(decision.service, runner.ID) {
+		return false
+	}
+	return options.Warmth.Take(runner.ID, decision.gate.bound(seen.Spec.Service(decision.service)), now)
+}
+
+// Tell notes the fate of a sending.
+//
+// Example:
+//
+//	decision.Tell(order.Runner, result.Fate)
+func (decision *Decision) Tell(runner *picture.Runner, fate relay.Fate) {
+	decision.tried[runner.ID] = true
+	if fate == relay.Unsent {
+		return
+	}
+	decision.sends++
+	decision.arrived = true
+	decision.ran = decision.ran || fate != relay.Refused
+	decision.garbled = fate == relay.Garbled
+}
--- /dev/null
+++ b/data/letin/gate.go
@@ -0,0 +1,103 @@
+// Package letin decides what becomes of a request: which runner it goes to,
+// whether it waits, or how it is answered. It is asked; the executor obeys.
+package letin
+
+import (
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/spec"
+	"onyxwell/data/budget"
+	"onyxwell/data/metrics"
+	"onyxwell/data/picture"
+	"onyxwell/data/warmth"
+)
+
+// Options are what a gate is made from.
+type Options struct {
+	Scope   scope.Scope
+	Frame   *picture.Frame
+	Board   *metrics.Board
+	Budget  *budget.Budget
+	Warmth  *warmth.Warmth
+	Region  ids.Region
+	Sharers func() int
+	// Chance gives numbers from 0 to below 1; tests replace it.
+	Chance func() float64
+}
+
+// Gate makes decisions.
+type Gate struct{ options Options }
+
+// NewGate makes a gate.
+//
+// Example:
+//
+//	gate := letin.NewGate(letin.Options{Scope: top, Frame: frame, Board: board})
+func NewGate(options Options) *Gate { return &Gate{options: options} }
+
+// Asking is what is known of a request when it is let in.
+type Asking struct {
+	Route *spec.Route
+	// Parts are the ids of the prompt's parts, the own part last.
+	Parts  []string
+	Tokens float64
+	Since  clock.Instant
+	Limit  clock.Instant
+}
+
+// Begin opens the decision on a request.
+//
+// Example:
+//
+//	decision := gate.Begin(asking)
+func (gate *Gate) Begin(asking Asking) *Decision {
+	decision := &Decision{gate: gate, asking: asking, tried: map[ids.RunnerID]bool{}}
+	decision.service = gate.service(asking.Route)
+	gate.options.Board.Asked(decision.service, homesKey(asking.Route))
+	gate.options.Budget.Request(decision.service, gate.options.Scope.Now())
+	return decision
+}
+
+// service picks one of the route's services by their weights.
+func (gate *Gate) service(route *spec.Route) ids.Service {
+	parts := route.Parts()
+	total := 0.0
+	for _, part := range parts {
+		total += part.Weight
+	}
+	aim := gate.options.Chance() * total
+	for _, part := range parts {
+		if aim -= part.Weight; aim < 0 {
+			return part.Service
+		}
+	}
+	return parts[len(parts)-1].Service
+}
+
+func homesKey(route *spec.Route) string {
+	key := ""
+	for _, home := range route.Homes {
+		key += string(home) + ","
+	}
+	return key
+}
+
+func atHome(route *spec.Route, region ids.Region) bool {
+	if len(route.Homes) == 0 {
+		return true
+	}
+	for _, home := range route.Homes {
+		if home == region {
+			return true
+		}
+	}
+	return false
+}
+
+func (gate *Gate) bound(service *spec.Service) warmth.Bound {
+	if service == nil {
+		return warmth.Bound{}
+	}
+	return warmth.Bound{PerS: service.ColdPerS, Sharers: gate.options.Sharers()}
+}
--- /dev/null
+++ b/data/metrics/board.go
@@ -0,0 +1,284 @@
+// Package metrics keeps what a router sees of each runner: requests arrived,
+// running and finished, how long they took, and the load that runners tell.
+package metrics
+
+import (
+	"hash/maphash"
+	"strconv"
+	"strings"
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/scaler"
+)
+
+const shards = 8
+
+// Load is what a runner told of itself in an answer.
+type Load struct {
+	Running float64
+	Waiting float64
+	Slots   float64
+	At      clock.Instant
+	Sent    float64
+}
+
+// Ledger is what is known of one runner.
+type Ledger struct {
+	Service ids.Service
+	Running float64
+	// Unanswered are the tokens of prompts sent whose first event is not here.
+	Unanswered float64
+	Load       Load
+	// Heard is when the runner last gave a sign of life, Asked when the oldest
+	// request that still waits for one was sent.
+	Heard clock.Instant
+	// Shunned is until when nothing new is sent, after breakdowns in a row.
+	Shunned    clock.Instant
+	Breakdowns int
+
+	arrived, finished, failed, spentMS float64
+	runningSum, pendingSum             float64
+	looks                              float64
+	waits                              map[uint64]clock.Instant
+}
+
+// Board holds the ledgers of all runners, in shards with a lock each.
+type Board struct {
+	seed   maphash.Seed
+	shards [shards]shard
+	demand shard
+	wanted map[demandKey]float64
+}
+
+type shard struct {
+	lock    sync.Mutex
+	ledgers map[ids.RunnerID]*Ledger
+}
+
+type demandKey struct {
+	service ids.Service
+	homes   string
+}
+
+// NewBoard makes an empty board.
+//
+// Example:
+//
+//	board := metrics.NewBoard()
+func NewBoard() *Board {
+	board := &Board{seed: maphash.MakeSeed(), wanted: map[demandKey]float64{}}
+	for index := range board.shards {
+		board.shards[index].ledgers = map[ids.RunnerID]*Ledger{}
+	}
+	return board
+}
+
+func (board *Board) with(id ids.RunnerID, act func(ledger *Ledger)) {
+	part := &board.shards[maphash.String(board.seed, string(id))%shards]
+	part.lock.Lock()
+	defer part.lock.Unlock()
+	ledger := part.ledgers[id]
+	if ledger == nil {
+		ledger = &Ledger{waits: map[uint64]clock.Instant{}}
+		part.ledgers[id] = ledger
+	}
+	act(ledger)
+}
+
+// Look gives a copy of a runner's ledger.
+//
+// Example:
+//
+//	load := board.Look(runner.ID).Load
+func (board *Board) Look(id ids.RunnerID) Ledger {
+	var seen Ledger
+	board.with(id, func(ledger *Ledger) { seen = *ledger })
+	seen.waits = nil
+	return seen
+}
+
+// Asked notes how much visitors want of a service.
+//
+// Example:
+//
+//	board.Asked(service, homes)
+func (board *Board) Asked(service ids.Service, homes string) {
+	board.demand.lock.Lock()
+	defer board.demand.lock.Unlock()
+	board.wanted[demandKey{service: service, homes: homes}]++
+}
+
+// Sent notes a request that goes to a runner; the number is given back to
+// Began and Ended.
+//
+// Example:
+//
+//	board.Sent(runner, number, tokens, now)
+func (board *Board) Sent(service ids.Service, id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
+	board.with(id, func(ledger *Ledger) {
+		ledger.Service = service
+		ledger.Running++
+		ledger.Unanswered += tokens
+		ledger.arrived++
+		ledger.Load.Sent++
+		ledger.waits[number] = now
+	})
+}
+
+// Began notes the first sign of an answer.
+//
+// Example:
+//
+//	board.Began(id, number, tokens, now)
+func (board *Board) Began(id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
+	board.with(id, func(ledger *Ledger) {
+		ledger.Unanswered = max(0, ledger.Unanswered-tokens)
+		ledger.Heard = now
+		delete(ledger.waits, number)
+	})
+}
+
+// Ending is how a request at a runner ended.
+type Ending struct {
+	Service ids.Service
+	Number  uint64
+	Tokens  float64
+	Began   bool
+	// Finished is an answer that came whole; Broken a runner that broke down.
+	Finished bool
+	Broken   bool
+	Spent    clock.Span
+	Shun     clock.Span
+}
+
+// Ended notes the end of a request.
+//
+// Example:
+//
+//	board.Ended(id, metrics.Ending{Number: number, Finished: true, Spent: spent}, now)
+func (board *Board) Ended(id ids.RunnerID, ending Ending, now clock.Instant) {
+	board.with(id, func(ledger *Ledger) {
+		ledger.Running = max(0, ledger.Running-1)
+		delete(ledger.waits, ending.Number)
+		if !ending.Began {
+			ledger.Unanswered = max(0, ledger.Unanswered-ending.Tokens)
+		}
+		if ending.Finished {
+			ledger.finished++
+			ledger.spentMS += float64(ending.Spent.Milliseconds())
+			ledger.Heard, ledger.Breakdowns, ledger.Shunned = now, 0, 0
+		}
+		if ending.Broken {
+			ledger.failed++
+			ledger.Breakdowns++
+			ledger.Shunned = now.Add(ending.Shun * clock.Span(min(ledger.Breakdowns, 4)))
+		}
+	})
+}
+
+// Told notes the load that a runner put in an answer: running, waiting, slots.
+//
+// Example:
+//
+//	board.Told(id, "3,0,8", now)
+func (board *Board) Told(id ids.RunnerID, text string, now clock.Instant) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return
+	}
+	figures := [3]float64{}
+	for index, part := range parts {
+		figure, fault := strconv.ParseFloat(strings.TrimSpace(part), 64)
+		if fault != nil {
+			return
+		}
+		figures[index] = figure
+	}
+	board.with(id, func(ledger *Ledger) {
+		ledger.Load = Load{Running: figures[0], Waiting: figures[1], Slots: figures[2], At: now}
+	})
+}
+
+// Silence tells how long the oldest request at a runner has waited for a first
+// sign, if the runner gave no other sign of life since.
+//
+// Example:
+//
+//	if board.Silence(id, now) > patience { avoid(id) }
+func (board *Board) Silence(id ids.RunnerID, now clock.Instant) clock.Span {
+	silence := clock.Span(0)
+	board.with(id, func(ledger *Ledger) {
+		for _, since := range ledger.waits {
+			if since.Before(ledger.Heard) {
+				since = ledger.Heard
+			}
+			silence = max(silence, now.Since(since))
+		}
+	})
+	return silence
+}
+
+// Sample adds one look at how many are running; looks are averaged.
+//
+// Example:
+//
+//	board.Sample()
+func (board *Board) Sample() {
+	for index := range board.shards {
+		part := &board.shards[index]
+		part.lock.Lock()
+		for _, ledger := range part.ledgers {
+			ledger.looks++
+			ledger.runningSum += ledger.Running
+			ledger.pendingSum += float64(len(ledger.waits))
+		}
+		part.lock.Unlock()
+	}
+}
+
+// Collect gives what was seen since the last time, and begins anew.
+//
+// Example:
+//
+//	samples, demands := board.Collect()
+func (board *Board) Collect() ([]scaler.Sample, []scaler.Demand) {
+	var samples []scaler.Sample
+	for index := range board.shards {
+		part := &board.shards[index]
+		part.lock.Lock()
+		for id, ledger := range part.ledgers {
+			if sample, any := ledger.collect(id); any {
+				samples = append(samples, sample)
+			} else if ledger.Running == 0 {
+				delete(part.ledgers, id)
+			}
+		}
+		part.lock.Unlock()
+	}
+	var demands []scaler.Demand
+	board.demand.lock.Lock()
+	defer board.demand.lock.Unlock()
+	for key, arrived := range board.wanted {
+		demands = append(demands, scaler.Demand{Service: key.service, Homes: key.homes, Arrived: arrived})
+	}
+	board.wanted = map[demandKey]float64{}
+	return samples, demands
+}
+
+func (ledger *Ledger) collect(id ids.RunnerID) (scaler.Sample, bool) {
+	looks := max(1, ledger.looks)
+	sample := scaler.Sample{
+		Runner: id, Service: ledger.Service, Arrived: ledger.arrived, Finished: ledger.finished, Failed: ledger.failed,
+		SpentMS: ledger.spentMS, Running: ledger.runningSum / looks, Pending: ledger.pendingSum / looks,
+	}
+	if ledger.Load.Slots > 0 {
+		sample.Busy = ledger.Load.Running / ledger.Load.Slots
+		sample.Memory = sample.Busy
+	}
+	any := ledger.arrived+ledger.finished+ledger.failed > 0 || ledger.Running > 0
+	ledger.arrived, ledger.finished, ledger.failed, ledger.spentMS = 0, 0, 0, 0
+	ledger.runningSum, ledger.pendingSum, ledger.looks = 0, 0, 0
+	return sample, any
+}
--- /dev/null
+++ b/data/picture/picture.go
@@ -0,0 +1,198 @@
+// Package picture holds what a router acts on: one immutable picture of spec,
+// census, evacuations and plan, swapped whole; the serial of each part only
+// rises.
+package picture
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/census"
+	"onyxwell/control/courier"
+	"onyxwell/control/evacuation"
+	"onyxwell/control/scaler"
+	"onyxwell/control/spec"
+	"onyxwell/control/spread"
+)
+
+// Runner is a listed runner with the region that it stands in.
+type Runner struct {
+	census.Runner
+	Region ids.Region
+}
+
+// Picture is the state of everything at one moment; it is never changed.
+type Picture struct {
+	Spec     *spec.Spec
+	Runners  map[ids.Service][]*Runner
+	Census   clock.Instant
+	Empty    map[ids.Zone]bool
+	Refilled map[ids.Zone]clock.Instant
+	Plan     scaler.Plan
+	Planned  map[ids.RunnerID]scaler.RunnerPlan
+}
+
+// Options are what a frame is made from.
+type Options struct {
+	Clock clock.Clock
+	Zones map[ids.Zone]ids.Region
+	// Listed is told each new list, before it is acted on.
+	Listed func(seen *Picture)
+}
+
+// Frame holds the picture of now.
+type Frame struct {
+	options Options
+	lock    sync.Mutex
+	now     atomic.Pointer[Picture]
+	ready   chan struct{}
+	once    sync.Once
+}
+
+// NewFrame makes a frame with an empty picture.
+//
+// Example:
+//
+//	frame := picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones})
+func NewFrame(options Options) *Frame {
+	if options.Listed == nil {
+		options.Listed = func(*Picture) {}
+	}
+	frame := &Frame{options: options, ready: make(chan struct{})}
+	frame.now.Store(&Picture{})
+	return frame
+}
+
+// Now gives the picture of now.
+//
+// Example:
+//
+//	seen := frame.Now()
+func (frame *Frame) Now() *Picture { return frame.now.Load() }
+
+// Ready is closed once the first spec is known.
+//
+// Example:
+//
+//	<-frame.Ready()
+func (frame *Frame) Ready() <-chan struct{} { return frame.ready }
+
+// Absorb takes an item of news; the news store calls it in rising order of
+// serials.
+//
+// Example:
+//
+//	news := spread.NewNews(frame.Absorb)
+func (frame *Frame) Absorb(item spread.Item) {
+	if absorb := absorbers[item.Key]; absorb != nil {
+		frame.swap(func(next *Picture) bool { return absorb(frame, next, item.Body) })
+		return
+	}
+	if zone, found := evacuation.ZoneOf(item.Key); found {
+		frame.swap(func(next *Picture) bool { return frame.absorbZone(next, zone, item.Body) })
+	}
+}
+
+// Take takes a list that this router asked for itself.
+//
+// Example:
+//
+//	frame.Take(list)
+func (frame *Frame) Take(list census.List) {
+	frame.swap(func(next *Picture) bool { frame.list(next, list); return true })
+}
+
+var absorbers = map[string]func(*Frame, *Picture, []byte) bool{
+	spec.Key: func(frame *Frame, next *Picture, body []byte) bool {
+		read, fault := spec.Read(body)
+		if fault != nil || (next.Spec != nil && read.Serial <= next.Spec.Serial) {
+			return false
+		}
+		next.Spec = read
+		frame.once.Do(func() { close(frame.ready) })
+		return true
+	},
+	census.Key: func(frame *Frame, next *Picture, body []byte) bool {
+		list, fault := courier.Unpack[census.List](body)
+		if fault == nil {
+			frame.list(next, list)
+		}
+		return fault == nil
+	},
+	scaler.Key: func(_ *Frame, next *Picture, body []byte) bool {
+		plan, fault := scaler.ReadPlan(body)
+		if fault != nil {
+			return false
+		}
+		next.Plan, next.Planned = plan, map[ids.RunnerID]scaler.RunnerPlan{}
+		for _, planned := range plan.Runners {
+			next.Planned[planned.Runner] = planned
+		}
+		return true
+	},
+}
+
+func (frame *Frame) list(next *Picture, list census.List) {
+	next.Census = frame.options.Clock.Now()
+	next.Runners = map[ids.Service][]*Runner{}
+	for _, listed := range list.Runners {
+		runner := &Runner{Runner: listed, Region: frame.options.Zones[listed.Zone]}
+		next.Runners[listed.Service] = append(next.Runners[listed.Service], runner)
+	}
+	frame.options.Listed(next)
+}
+
+func (frame *Frame) absorbZone(next *Picture, zone ids.Zone, body []byte) bool {
+	kept, fault := evacuation.Read(body)
+	if fault != nil {
+		return false
+	}
+	empty, refilled := map[ids.Zone]bool{}, map[ids.Zone]clock.Instant{}
+	for name, value := range next.Empty {
+		empty[name] = value
+	}
+	for name, when := range next.Refilled {
+		refilled[name] = when
+	}
+	if empty[zone] && !kept.Empty {
+		refilled[zone] = frame.options.Clock.Now()
+	}
+	empty[zone] = kept.Empty
+	next.Empty, next.Refilled = empty, refilled
+	return true
+}
+
+func (frame *Frame) swap(change func(next *Picture) bool) {
+	frame.lock.Lock()
+	defer frame.lock.Unlock()
+	next := *frame.now.Load()
+	if change(&next) {
+		frame.now.Store(&next)
+	}
+}
+
+// Usable tells whether a runner may be sent requests now: listed, ready, and
+// in a zone that is not being emptied.
+//
+// Example:
+//
+//	if !frame.Now().Usable(runner.Service, runner.ID) { chooseAnother() }
+func (seen *Picture) Usable(service ids.Service, id ids.RunnerID) bool {
+	for _, runner := range seen.Runners[service] {
+		if runner.ID == id {
+			return seen.Open(runner)
+		}
+	}
+	return false
+}
+
+// Open tells the same of a runner of this picture.
+//
+// Example:
+//
+//	for _, runner := range seen.Runners[service] { if seen.Open(runner) { ... } }
+func (seen *Picture) Open(runner *Runner) bool {
+	return !runner.Draining && !seen.Empty[runner.Zone]
+}
--- /dev/null
+++ b/data/relay/events.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// ErrOrder is told where the ids of a stream don't rise by one.
+var ErrOrder = errors.New("relay: an event is missing or came twice")
+
+// Events reads the whole events of a stream, one after another.
+type Events struct {
+	reader *bufio.Reader
+	event  []byte
+	// Last is the id of the last event; Known says that there was one.
+	Last  int64
+	Known bool
+}
+
+// NewEvents reads a stream that goes on after an event's id; an empty id is
+// the start.
+//
+// Example:
+//
+//	events := relay.NewEvents(response.Body, "12")
+func NewEvents(body io.Reader, after string) *Events {
+	events := &Events{reader: bufio.NewReaderSize(body, 4096)}
+	if number, fault := strconv.ParseInt(after, 10, 64); fault == nil {
+		events.Last, events.Known = number, true
+	}
+	return events
+}
+
+// Next gives the bytes of the next whole event, which are good until the next
+// call. A rest that is no whole event comes with io.ErrUnexpectedEOF.
+//
+// Example:
+//
+//	for { event, fault := events.Next(); ... }
+func (events *Events) Next() ([]byte, error) {
+	events.event = events.event[:0]
+	number, numbered := int64(0), false
+	for {
+		line, fault := events.reader.ReadSlice('\n')
+		events.event = append(events.event, line...)
+		if errors.Is(fault, bufio.ErrBufferFull) {
+			continue
+		}
+		if fault != nil {
+			if errors.Is(fault, io.EOF) && len(bytes.TrimSpace(events.event)) > 0 {
+				fault = io.ErrUnexpectedEOF
+			}
+			return events.event, fault
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return events.event, events.follow(number, numbered)
+		}
+		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+			read, fault := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			number, numbered = read, fault == nil
+		}
+	}
+}
+
+func (events *Events) follow(number int64, numbered bool) error {
+	if !numbered {
+		return nil
+	}
+	if events.Known && number != events.Last+1 {
+		return ErrOrder
+	}
+	events.Last, events.Known = number, true
+	return nil
+}
--- /dev/null
+++ b/data/warmth/warmth.go
@@ -0,0 +1,143 @@
+// Package warmth bounds what cold runners get: all routers together stay under
+// a runner's rate, each within its own part and without saving any up.
+package warmth
+
+import (
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// Bound is what a service says of its cold runners.
+type Bound struct {
+	Warmup  clock.Span
+	PerS    float64
+	Sharers int
+}
+
+// Warmth knows until when each runner is cold.
+type Warmth struct {
+	lock    sync.Mutex
+	runners map[ids.RunnerID]*standing
+	listed  bool
+}
+
+type standing struct {
+	coldUntil clock.Instant
+	next      clock.Instant
+	seen      bool
+}
+
+// New makes a warmth that knows nobody yet.
+//
+// Example:
+//
+//	cold := warmth.New()
+func New() *Warmth { return &Warmth{runners: map[ids.RunnerID]*standing{}} }
+
+// Entry is one runner of a list.
+type Entry struct {
+	ID       ids.RunnerID
+	ColdLeft clock.Span
+	Warmup   clock.Span
+}
+
+// List takes a list of runners. One that was not on the list before is cold
+// for its whole warm-up, whatever the list says; on the first list of all the
+// list's own word counts.
+//
+// Example:
+//
+//	cold.List(entries, lag, now)
+func (warmth *Warmth) List(entries []Entry, lag clock.Span, now clock.Instant) {
+	warmth.lock.Lock()
+	defer warmth.lock.Unlock()
+	present := map[ids.RunnerID]bool{}
+	for _, entry := range entries {
+		present[entry.ID] = true
+		known := warmth.runners[entry.ID]
+		if known == nil {
+			known = &standing{}
+			warmth.runners[entry.ID] = known
+			if warmth.listed && entry.Warmup > 0 {
+				known.chill(now.Add(entry.Warmup + lag))
+			}
+		}
+		if entry.ColdLeft > 0 {
+			known.chill(now.Add(entry.ColdLeft + lag))
+		}
+	}
+	for id := range warmth.runners {
+		if !present[id] {
+			delete(warmth.runners, id)
+		}
+	}
+	warmth.listed = warmth.listed || len(entries) > 0
+}
+
+// Chill holds a runner for cold until an instant.
+//
+// Example:
+//
+//	cold.Chill(id, now.Add(warmup))
+func (warmth *Warmth) Chill(id ids.RunnerID, until clock.Instant) {
+	warmth.lock.Lock()
+	defer warmth.lock.Unlock()
+	if known := warmth.runners[id]; known != nil {
+		known.chill(until)
+	}
+}
+
+func (known *standing) chill(until clock.Instant) {
+	if known.coldUntil.Before(until) {
+		known.coldUntil = until
+	}
+}
+
+// Cold tells whether a runner is held for cold.
+//
+// Example:
+//
+//	if cold.Cold(id, now) { weight = ramped }
+func (warmth *Warmth) Cold(id ids.RunnerID, now clock.Instant) bool {
+	warmth.lock.Lock()
+	defer warmth.lock.Unlock()
+	known := warmth.runners[id]
+	return known != nil && now.Before(known.coldUntil)
+}
+
+// Open tells whether a runner could take a request now, without taking it.
+//
+// Example:
+//
+//	if cold.Open(id, bound, now) { candidates = append(candidates, id) }
+func (warmth *Warmth) Open(id ids.RunnerID, bound Bound, now clock.Instant) bool {
+	return warmth.ask(id, bound, now, false)
+}
+
+// Take takes one request's place at a runner; a warm one always has place.
+//
+// Example:
+//
+//	if !cold.Take(id, bound, now) { chooseAnother() }
+func (warmth *Warmth) Take(id ids.RunnerID, bound Bound, now clock.Instant) bool {
+	return warmth.ask(id, bound, now, true)
+}
+
+func (warmth *Warmth) ask(id ids.RunnerID, bound Bound, now clock.Instant, take bool) bool {
+	warmth.lock.Lock()
+	defer warmth.lock.Unlock()
+	known := warmth.runners[id]
+	if known == nil || bound.PerS <= 0 || !now.Before(known.coldUntil) {
+		return true
+	}
+	if now.Before(known.next) {
+		return false
+	}
+	if take {
+		gap := float64(clock.Second) * float64(max(1, bound.Sharers)) / bound.PerS
+		known.next = now.Add(clock.Span(gap))
+	}
+	return true
+}
