--- a/cmd/router/leave.go
+++ b/cmd/router/leave.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 
 	"onyxwell/base/boot"
 	"onyxwell/base/scope"
@@ -12,10 +11,8 @@
 
 func chance() float64 { return rand.Float64() }
 
-var open atomic.Pointer[http.Server]
-
 // door remembers the server that visitors come through.
-func (made *router) door(server *http.Server) { open.Store(server) }
+func (made *router) door(server *http.Server) { made.server.Store(server) }
 
 // leave goes in order: out of the directory at once, the door open until
 // visitors have moved, then closed, and what runs is finished.
@@ -25,7 +22,7 @@
 	made.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
 	made.common.Tell(top)
 	made.front.Leave()
-	server := open.Load()
+	server := made.server.Load()
 	if server != nil {
 		server.SetKeepAlivesEnabled(false)
 	}
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"onyxwell/base/boot"
 	"onyxwell/base/breakdown"
@@ -33,6 +34,7 @@
 	board  *metrics.Board
 	warmth *warmth.Warmth
 	front  *answer.Front
+	server atomic.Pointer[http.Server]
 }
 
 func serve(top scope.Scope, reread <-chan *boot.Boot) error {
