--- /dev/null
+++ b/cmd/fleet-controller/plan.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"onyxwell/base/clock"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/courier"
+	"onyxwell/control/hold"
+	"onyxwell/control/scaler"
+)
+
+const (
+	// metricWindow is how far back the scaler's metrics go.
+	metricWindow = 600 * clock.Second
+	// metricStep is the time between two looks at them.
+	metricStep = clock.Second
+	// planPace is how many looks pass between two plans that nothing hurries.
+	planPace = 5
+)
+
+// planner adds the scaler, which works while this controller has the duty.
+func (made *controller) planner(top scope.Scope) func(*hold.Holder) func(scope.Scope) {
+	return func(holder *hold.Holder) func(scope.Scope) {
+		made.scaler = scaler.New(scaler.Options{
+			Address: made.common.Address, News: made.common.News, Held: holder.Held,
+			Runners: func() []scaler.Listed { return made.runners(top) }, Serial: census.SerialOf,
+			Window: metricWindow, Step: metricStep, Pace: planPace,
+		})
+		made.scaler.Serve(made.common.Calls)
+		return made.scaler.Run
+	}
+}
+
+// runners reads the newest census.
+func (made *controller) runners(top scope.Scope) []scaler.Listed {
+	item, found := made.common.News.Get(census.Key)
+	if !found {
+		return nil
+	}
+	list, fault := courier.Unpack[census.List](item.Body)
+	if fault != nil {
+		return nil
+	}
+	var listed []scaler.Listed
+	for _, runner := range list.Runners {
+		listed = append(listed, scaler.Listed{
+			ID: runner.ID, Service: runner.Service, Version: runner.Version, Region: top.Boot.Zones[runner.Zone],
+			Ready: !runner.Draining, Cold: runner.ColdLeftMS > 0,
+		})
+	}
+	return listed
+}
--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -14,6 +14,7 @@
 	"onyxwell/control/journal"
 	"onyxwell/control/operator"
 	"onyxwell/control/register"
+	"onyxwell/control/scaler"
 	"onyxwell/control/seat"
 	"onyxwell/control/spread"
 )
@@ -27,6 +28,8 @@
 	own    *seat.Seat
 	keeper *register.Keeper
 	front  *desk.Desk
+	scaler *scaler.Scaler
+	duties []*hold.Holder
 }
 
 func serve(top scope.Scope, reread <-chan *boot.Boot) error {
@@ -50,6 +53,9 @@
 			// Calls that run are answered; others find another controller.
 			leaving := top.Detached()
 			made.common.Leave(leaving)
+			for _, duty := range made.duties {
+				go duty.Release(leaving)
+			}
 			leaving.Wait(made.pace.Order)
 			return nil
 		}
@@ -98,10 +104,11 @@
 	made.duty("census", func(holder *hold.Holder) func(inner scope.Scope) {
 		taker := &census.Taker{
 			Client: platformClient(pace), News: common.News, Held: holder.Held,
-			Every: pace.Census, Beat: 3 * pace.Census,
+			Every: pace.Census, Beat: pace.Census,
 		}
 		return taker.Run
 	})
+	made.duty("plan", made.planner(top))
 	orders := call.NewTable(top, top.Boot.Limits.MemoryMB<<20/16)
 	operator.Serve(orders, made.front)
 	common.Part("control", func(inner scope.Scope) error {
@@ -120,6 +127,7 @@
 		Duty: name, Address: made.common.Address, Span: made.pace.Hold,
 		Ask: made.own.AskHold, Epoch: made.front.Epoch,
 	})
+	made.duties = append(made.duties, holder)
 	run := work(holder)
 	made.common.Part("hold "+name, func(inner scope.Scope) error { holder.Run(inner); return nil })
 	made.common.Part(name, func(inner scope.Scope) error { run(inner); return nil })
--- a/cmd/router/tasks.go
+++ b/cmd/router/tasks.go
@@ -17,18 +17,19 @@
 // that all daemons together stay under the platform's rate.
 func (made *router) lookAfterCensus(inner scope.Scope) error {
 	client := made.client()
-	drain := made.pace.Census * 6
-	for inner.Wait(made.pace.Census + rand.N(made.pace.Census)) {
-		seen := made.frame.Now()
-		fresh := seen.Runners != nil && inner.Now().Since(seen.Census) < drain/2
-		if fresh {
+	// The holder tells the census once a span; a third of the time for
+	// draining without one is long.
+	patience := 3 * made.pace.Census
+	for inner.Wait(made.pace.Census / 4) {
+		if made.censusFresh(inner, patience) {
 			continue
 		}
-		rate := inner.Boot.Platform.RatePerS
-		if least := boot.Seconds(float64(made.sharers()) * 4 / rate); least > made.pace.Census && !inner.Wait(least) {
-			return nil
+		crowd := boot.Seconds(2 * float64(made.sharers()) / inner.Boot.Platform.RatePerS)
+		if !inner.Wait(rand.N(crowd)) || made.censusFresh(inner, patience) {
+			continue
 		}
-		short, release := inner.WithLimit(made.pace.Silence)
+		inner.Log.Info().Str("part", "census").Msg("no news of it: the platform is asked from here")
+		short, release := inner.WithLimit(made.pace.Census)
 		list, fault := census.Fetch(short, client, inner.Boot.Platform.Address)
 		release()
 		if fault == nil {
@@ -38,6 +39,11 @@
 	return nil
 }
 
+func (made *router) censusFresh(inner scope.Scope, patience clock.Span) bool {
+	seen := made.frame.Now()
+	return seen.Runners != nil && inner.Now().Since(seen.Census) < patience
+}
+
 func (made *router) client() *http.Client {
 	return call.Client(call.Pooling{
 		Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence}, Idle: 4 * made.pace.Silence, PerHost: 1,
--- a/control/daemon/pace.go
+++ b/control/daemon/pace.go
@@ -50,7 +50,7 @@
 		Silence:  touch / 2,
 		Exchange: apply / 8,
 		Census:   drain / 6,
-		Hold:     touch / 2,
+		Hold:     touch / 3,
 		Sweep:    apply / 6,
 		Pass:     apply / 8,
 		Order:    apply * 3 / 10,
--- a/control/hold/hold.go
+++ b/control/hold/hold.go
@@ -4,6 +4,7 @@
 package hold
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"onyxwell/base/clock"
@@ -11,10 +12,13 @@
 	"onyxwell/base/scope"
 )
 
-// Ask asks a voter for a duty.
+// Ask asks a voter for a duty. Renew says that the asker holds it now; Release
+// gives a grant back.
 type Ask struct {
-	Duty   string
-	Holder ids.Address
+	Duty    string
+	Holder  ids.Address
+	Renew   bool
+	Release bool
 }
 
 // Told is the voter's answer.
@@ -69,7 +73,15 @@
 	}
 	known, found := granter.grants[asked.Duty]
 	current := found && now.Before(known.until)
-	renewal := current && known.holder == asked.Holder
+	own := current && known.holder == asked.Holder
+	if asked.Release {
+		if own {
+			delete(granter.grants, asked.Duty)
+		}
+		return Told{}
+	}
+	// A grant that its holder does not know of any more runs out first.
+	renewal := own && asked.Renew
 	if !voting || (current && !renewal) || (!renewal && now.Before(granter.quietUntil)) {
 		return Told{}
 	}
@@ -121,41 +133,64 @@
 //	holder.Run(top)
 func (holder *Holder) Run(inner scope.Scope) {
 	for inner.Err() == nil {
-		holder.Strive(inner)
-		if !inner.Wait(holder.options.Span / 3) {
+		pause := holder.options.Span / 3
+		if !holder.Strive(inner) {
+			// Askers that split the votes must not meet again.
+			pause = pause/2 + rand.N(holder.options.Span/3)
+		}
+		if !inner.Wait(pause) {
 			return
 		}
 	}
 }
 
-// Strive asks once for the duty, or renews it.
+// Release gives the duty up.
+//
+// Example:
+//
+//	holder.Release(top)
+func (holder *Holder) Release(inner scope.Scope) {
+	holder.lock.Lock()
+	holder.until = 0
+	holder.lock.Unlock()
+	holder.options.Ask(inner, Ask{Duty: holder.options.Duty, Holder: holder.options.Address, Release: true})
+}
+
+// Strive asks once for the duty, or renews it; it tells whether a majority
+// granted it.
 //
 // Example:
 //
-//	holder.Strive(top)
-func (holder *Holder) Strive(inner scope.Scope) {
+//	held := holder.Strive(top)
+func (holder *Holder) Strive(inner scope.Scope) bool {
 	short, release := inner.WithLimit(holder.options.Span / 3)
 	defer release()
 	begin := inner.Now()
-	if !holder.options.Ask(short, Ask{Duty: holder.options.Duty, Holder: holder.options.Address}) {
-		return
+	_, renew := holder.Held(begin)
+	asked := Ask{Duty: holder.options.Duty, Holder: holder.options.Address, Renew: renew}
+	if !holder.options.Ask(short, asked) {
+		if !renew {
+			// What a minority granted is given back, so that another can gain it.
+			holder.Release(inner)
+		}
+		return renew
 	}
 	// Counted from before the question, less a margin for clocks that differ.
 	until := begin.Add(holder.options.Span * 9 / 10)
-	holder.lock.Lock()
-	lapsed := holder.epoch == 0 || !inner.Now().Before(holder.until)
-	if !lapsed {
+	if renew {
+		holder.lock.Lock()
 		holder.until = until
+		holder.lock.Unlock()
+		return true
 	}
-	holder.lock.Unlock()
-	if !lapsed {
-		return
-	}
-	epoch, fault := holder.options.Epoch(short, holder.options.Duty)
+	epoch, fault := holder.options.Epoch(inner, holder.options.Duty)
+	inner.Log.Info().Str("part", "hold").Str("duty", holder.options.Duty).Int64("epoch", epoch).Err(fault).Msg("granted")
 	if fault != nil {
-		return
+		holder.Release(inner)
+		return false
 	}
 	holder.lock.Lock()
 	holder.epoch, holder.until = epoch, until
 	holder.lock.Unlock()
+	return true
 }
--- /dev/null
+++ b/control/scaler/detector.go
@@ -0,0 +1,122 @@
+package scaler
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Direction is where a detected runner pulls the plan.
+type Direction int
+
+// The directions: up where it is overloaded, down where it is idle.
+const (
+	Steady Direction = iota
+	Up
+	Down
+)
+
+const (
+	// kept is how many components stand in for the hidden variable.
+	kept = 2
+	// fewestNormal is how many looks a profile must rest on.
+	fewestNormal = 24
+	// peak is by how many deviations a miss must stand out to count.
+	peak = 6.0
+)
+
+// Profile is what is normal for a type of runners: the mean and spread of each
+// metric and the main directions in which they move together. It stands in
+// for the paper's auto-encoder: a linear one.
+type Profile struct {
+	mean   []float64
+	spread []float64
+	base   *mat.Dense
+	miss   float64
+	around float64
+}
+
+// Learn makes a profile from metric vectors; too few give none.
+//
+// Example:
+//
+//	profile := scaler.Learn(vectors)
+func Learn(vectors [][]float64) *Profile {
+	if len(vectors) < fewestNormal {
+		return nil
+	}
+	width := len(vectors[0])
+	made := &Profile{mean: make([]float64, width), spread: make([]float64, width)}
+	column := make([]float64, len(vectors))
+	for metric := range width {
+		for index, vector := range vectors {
+			column[index] = vector[metric]
+		}
+		made.mean[metric], made.spread[metric] = stat.MeanStdDev(column, nil)
+		if made.spread[metric] < 1e-9 {
+			made.spread[metric] = math.Max(1e-3, math.Abs(made.mean[metric]))
+		}
+	}
+	table := mat.NewDense(len(vectors), width, nil)
+	for index, vector := range vectors {
+		table.SetRow(index, made.normalise(vector))
+	}
+	var parts mat.SVD
+	if !parts.Factorize(table, mat.SVDThin) {
+		return nil
+	}
+	var directions mat.Dense
+	parts.VTo(&directions)
+	made.base = mat.DenseCopyOf(directions.Slice(0, width, 0, min(kept, width)))
+	misses := make([]float64, len(vectors))
+	for index, vector := range vectors {
+		misses[index], _ = made.reconstruct(vector)
+	}
+	made.miss, made.around = stat.MeanStdDev(misses, nil)
+	return made
+}
+
+func (profile *Profile) normalise(vector []float64) []float64 {
+	normal := make([]float64, len(vector))
+	for metric, value := range vector {
+		normal[metric] = (value - profile.mean[metric]) / profile.spread[metric]
+	}
+	return normal
+}
+
+// reconstruct gives how far the vector is from what the profile makes of it,
+// and the mean difference between the two.
+func (profile *Profile) reconstruct(vector []float64) (float64, float64) {
+	input := mat.NewVecDense(len(vector), profile.normalise(vector))
+	var hidden, output mat.VecDense
+	hidden.MulVec(profile.base.T(), input)
+	output.MulVec(profile.base, &hidden)
+	miss, difference := 0.0, 0.0
+	for metric := range vector {
+		gap := input.AtVec(metric) - output.AtVec(metric)
+		miss += gap * gap
+		difference += gap / float64(len(vector))
+	}
+	return math.Sqrt(miss), difference
+}
+
+// Detect tells whether a vector stands out from the profile, and by the sign
+// of the mean reconstruction difference, in which direction.
+//
+// Example:
+//
+//	if direction := profile.Detect(vector); direction != scaler.Steady { plan() }
+func (profile *Profile) Detect(vector []float64) Direction {
+	if profile == nil {
+		return Steady
+	}
+	miss, difference := profile.reconstruct(vector)
+	if miss <= profile.miss+peak*math.Max(profile.around, 0.1*profile.miss) {
+		return Steady
+	}
+	if difference > 0 {
+		return Up
+	}
+	return Down
+}
--- /dev/null
+++ b/control/scaler/replicas.go
@@ -0,0 +1,64 @@
+package scaler
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/optimize/convex/lp"
+)
+
+// Type is one kind of replica to the linear program: the runners of a service
+// in a region.
+type Type struct {
+	// Score is the cost of one replica: how badly its memory fits the need.
+	Score float64
+	// Limit is n_limit of one replica.
+	Limit float64
+	// Most is how many there are.
+	Most float64
+}
+
+// Solve finds how many replicas of each type bear the load at the least cost:
+// the paper's program (8), with the sign of the first constraint turned, so
+// that the replicas cover the load. Where all replicas together don't, it
+// gives all of them.
+//
+// Example:
+//
+//	needed := scaler.Solve(types, load)
+func Solve(types []Type, load float64) []float64 {
+	needed := make([]float64, len(types))
+	able := 0.0
+	for index, kind := range types {
+		needed[index] = kind.Most
+		able += kind.Most * kind.Limit
+	}
+	if len(types) == 0 || able <= load {
+		return needed
+	}
+	costs := make([]float64, len(types))
+	limits := mat.NewDense(len(types)+1, len(types), nil)
+	bounds := make([]float64, len(types)+1)
+	for index, kind := range types {
+		costs[index] = kind.Score
+		limits.Set(0, index, -kind.Limit)
+		limits.Set(index+1, index, 1)
+		bounds[index+1] = kind.Most
+	}
+	bounds[0] = -load
+	cost, equal, right := lp.Convert(costs, limits, bounds, nil, nil)
+	_, found, fault := lp.Simplex(cost, equal, right, 1e-9, nil)
+	if fault != nil {
+		return needed
+	}
+	// Convert splits each variable into a positive and a negative part.
+	for index := range types {
+		needed[index] = math.Ceil(found[index] - found[index+len(types)] - 1e-6)
+	}
+	return needed
+}
+
+// scoreOf is the paper's matching score: the gap between the memory that a
+// replica needs and what its type has; a small part for each replica keeps
+// fewer of them better than more.
+func scoreOf(memory float64) float64 { return 0.1 + math.Abs(1-memory) }
--- /dev/null
+++ b/control/scaler/scaler.go
@@ -0,0 +1,241 @@
+package scaler
+
+import (
+	"sync"
+
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+// Listed is a runner as the scaler needs to know it.
+type Listed struct {
+	ID      ids.RunnerID
+	Service ids.Service
+	Version string
+	Region  ids.Region
+	Ready   bool
+	Cold    bool
+}
+
+// Options are what a scaler is made from.
+type Options struct {
+	Address ids.Address
+	News    *spread.News
+	// Held tells whether this daemon has the duty, and under which epoch.
+	Held func(now clock.Instant) (int64, bool)
+	// Runners gives the runners of the newest census.
+	Runners func() []Listed
+	// Serial joins an epoch and a count.
+	Serial func(epoch int64, counter int64) ids.Serial
+	// Window is how far back the metrics go, Step the time between two looks.
+	Window clock.Span
+	Step   clock.Span
+	// Pace is how many steps pass between two plans that nothing hurries.
+	Pace int
+}
+
+// Scaler plans while it holds the duty.
+type Scaler struct {
+	options  Options
+	lock     sync.Mutex
+	window   *window
+	profiles map[ids.Service]*Profile
+	last     map[ids.RunnerID]RunnerPlan
+	resting  map[ids.RunnerID]int
+	counter  int64
+	steps    int
+	told     []byte
+	ready    string
+	epoch    int64
+}
+
+// New makes a scaler.
+//
+// Example:
+//
+//	planner := scaler.New(scaler.Options{Address: address, News: news, Held: holder.Held})
+func New(options Options) *Scaler {
+	made := &Scaler{options: options}
+	made.forget()
+	return made
+}
+
+func (scaler *Scaler) forget() {
+	scaler.window = newWindow(scaler.options.Window, scaler.options.Step)
+	scaler.profiles = map[ids.Service]*Profile{}
+	scaler.last = map[ids.RunnerID]RunnerPlan{}
+	scaler.resting = map[ids.RunnerID]int{}
+	scaler.steps, scaler.told, scaler.ready = 0, nil, ""
+}
+
+// Serve adds the scaler's message to a table of calls.
+//
+// Example:
+//
+//	planner.Serve(common.Calls)
+func (scaler *Scaler) Serve(calls *call.Table) {
+	courier.Handle(calls, "report", func(inner scope.Scope, report ReportAsk) (ReportTold, error) {
+		_, held := scaler.options.Held(inner.Now())
+		if held {
+			scaler.Take(report)
+		}
+		return ReportTold{Holding: held}, nil
+	})
+}
+
+// Take adds a router's report to the window.
+//
+// Example:
+//
+//	planner.Take(report)
+func (scaler *Scaler) Take(report ReportAsk) {
+	scaler.lock.Lock()
+	defer scaler.lock.Unlock()
+	scaler.window.take(report)
+}
+
+// Run looks at the metrics once a step until the scope ends.
+//
+// Example:
+//
+//	planner.Run(top)
+func (scaler *Scaler) Run(inner scope.Scope) {
+	last := inner.Now()
+	for inner.Wait(scaler.options.Step) {
+		now := inner.Now()
+		scaler.Look(now, now.Since(last))
+		last = now
+	}
+}
+
+// Look closes a step: it detects, and plans anew where a runner stands out,
+// the runners changed, or it is time.
+//
+// Example:
+//
+//	planner.Look(top.Now(), clock.Second)
+func (scaler *Scaler) Look(now clock.Instant, spent clock.Span) {
+	epoch, held := scaler.options.Held(now)
+	scaler.lock.Lock()
+	defer scaler.lock.Unlock()
+	if !held {
+		return
+	}
+	if epoch != scaler.epoch {
+		scaler.forget()
+		scaler.epoch, scaler.counter = epoch, 0
+		scaler.inherit()
+	}
+	scaler.window.close(now, spent)
+	hit := scaler.detect()
+	runners := scaler.options.Runners()
+	changed := scaler.changed(runners)
+	if hit || changed || scaler.steps%scaler.options.Pace == 0 {
+		scaler.publish(scaler.Plan(runners))
+	}
+	if scaler.steps%scaler.options.Pace == 0 {
+		scaler.learn()
+	}
+	scaler.steps++
+}
+
+// inherit takes over the ceilings of the plan that another holder made.
+func (scaler *Scaler) inherit() {
+	item, found := scaler.options.News.Get(Key)
+	if !found {
+		return
+	}
+	if plan, fault := ReadPlan(item.Body); fault == nil {
+		for _, planned := range plan.Runners {
+			scaler.last[planned.Runner] = planned
+		}
+	}
+}
+
+func (scaler *Scaler) changed(runners []Listed) bool {
+	sign := ""
+	for _, runner := range runners {
+		if runner.Ready {
+			sign += string(runner.ID) + " "
+		}
+	}
+	changed := sign != scaler.ready
+	scaler.ready = sign
+	return changed
+}
+
+func (scaler *Scaler) publish(plan Plan) {
+	body, fault := courier.Pack(plan)
+	if fault != nil || string(body) == string(scaler.told) {
+		return
+	}
+	scaler.counter++
+	scaler.told = body
+	scaler.options.News.Put(spread.Item{Key: Key, Serial: scaler.options.Serial(scaler.epoch, scaler.counter), Body: body})
+}
+
+// learn renews what is normal for the runners of each service.
+func (scaler *Scaler) learn() {
+	vectors := map[ids.Service][][]float64{}
+	for _, run := range scaler.window.runs {
+		for _, seen := range run.points {
+			vectors[run.service] = append(vectors[run.service], seen.vector())
+		}
+	}
+	for service, seen := range vectors {
+		if profile := Learn(seen); profile != nil {
+			scaler.profiles[service] = profile
+		}
+	}
+}
+
+// restSteps is how many steps a runner that stands out stays out of rotation;
+// its probe is the routers' own.
+const restSteps = 2
+
+// detect looks for runners that stand out. A hit has the plan made anew; one
+// that points up at a runner which finishes nothing while requests break down
+// there has the runner rest: that is what a relaunch comes to here.
+func (scaler *Scaler) detect() bool {
+	hit := false
+	for id, steps := range scaler.resting {
+		scaler.resting[id] = steps - 1
+		if steps <= 1 {
+			delete(scaler.resting, id)
+			hit = true
+		}
+	}
+	for id, run := range scaler.window.runs {
+		if len(run.points) == 0 {
+			continue
+		}
+		newest := run.points[len(run.points)-1]
+		direction := scaler.profiles[run.service].Detect(newest.vector())
+		if direction == Steady {
+			continue
+		}
+		hit = true
+		if direction == Up && newest.finished == 0 && newest.failed > 0 && scaler.mayRest(run.service) {
+			scaler.resting[id] = restSteps
+		}
+	}
+	return hit
+}
+
+// mayRest keeps those that rest at less than a third of a service's runners.
+func (scaler *Scaler) mayRest(service ids.Service) bool {
+	all, resting := 0, 0
+	for id, run := range scaler.window.runs {
+		if run.service == service {
+			all++
+			if scaler.resting[id] > 0 {
+				resting++
+			}
+		}
+	}
+	return 3*(resting+1) < all
+}
--- a/control/seat/seat.go
+++ b/control/seat/seat.go
@@ -136,18 +136,27 @@
 }
 
 // AskHold asks all voters for a duty and tells whether a majority granted it.
+// The own voter is asked first: while it refuses, the others are left in peace.
 //
 // Example:
 //
 //	hold.Options{Ask: own.AskHold}
 func (seat *Seat) AskHold(inner scope.Scope, asked hold.Ask) bool {
 	seats := seat.Acceptor.Voters().Seats
+	granted := 0
+	if seat.Granter.Grant(asked).Granted {
+		granted = 1
+	} else if !asked.Renew && !asked.Release {
+		return false
+	}
 	votes := make(chan bool, len(seats))
 	for _, voter := range seats {
 		go func() { votes <- seat.askOne(inner, voter.Address, asked) }()
 	}
-	granted := 0
 	for range seats {
+		if 2*granted > len(seats) {
+			return true
+		}
 		select {
 		case vote := <-votes:
 			if vote {
@@ -156,17 +165,16 @@
 		case <-inner.Done():
 			return false
 		}
-		if 2*granted > len(seats) {
-			return true
-		}
 	}
-	return false
+	return 2*granted > len(seats)
 }
 
 func (seat *Seat) askOne(inner scope.Scope, address ids.Address, asked hold.Ask) bool {
 	if address == seat.options.Address {
-		return seat.Granter.Grant(asked).Granted
+		return false
 	}
-	told, fault := courier.Send[hold.Told](inner, seat.options.Messenger, address, "hold", asked)
+	message, release := inner.Detached().WithLimit(seat.options.HoldSpan / 3)
+	defer release()
+	told, fault := courier.Send[hold.Told](message, seat.options.Messenger, address, "hold", asked)
 	return fault == nil && told.Granted
 }
