Register: a model test over kills, wipes, cuts, duels and turnover; three faults mended

Found by the model and mended: a new seat that voted demoted itself; a voter that missed a change of voters and promised a taker since could not be mended (the key is now settled anew); a blank disk whose identity was never written counted as the first one (a disk without identity does not vote).

--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -84,6 +84,7 @@
 		Chosen:       func(key string, accepted register.Accepted) { made.front.Chosen(key, accepted) },
 		MessageLimit: made.pace.Silence,
 	})
+	made.own.Seek(made.keeper)
 	made.front = desk.New(desk.Options{
 		Address: made.common.Address, Keeper: made.keeper, Acceptor: made.own.Acceptor,
 		Table: made.common.Table, News: made.common.News, Messenger: made.common.Messenger,
@@ -97,7 +98,7 @@
 func (made *controller) parts(top scope.Scope) {
 	common, pace := made.common, made.pace
 	common.Part("seat", func(inner scope.Scope) error {
-		made.own.Run(inner, made.keeper, pace.Exchange)
+		made.own.Run(inner, pace.Exchange)
 		return nil
 	})
 	common.Part("sweep", func(inner scope.Scope) error { made.front.Run(inner, pace.Sweep); return nil })
--- a/control/register/acceptor.go
+++ b/control/register/acceptor.go
@@ -24,6 +24,7 @@
 	store       Store
 	address     ids.Address
 	incarnation ids.Incarnation
+	identified  bool
 	slots       map[string]Slot
 	voters      Voters
 }
@@ -41,7 +42,7 @@
 			return nil, fault
 		}
 		if kept.Identity {
-			made.incarnation = kept.Incarnation
+			made.incarnation, made.identified = kept.Incarnation, true
 			continue
 		}
 		made.slots[kept.Slot.Key] = merge(made.slots[kept.Slot.Key], kept.Slot)
@@ -69,7 +70,10 @@
 func (acceptor *Acceptor) Whole() [][]byte {
 	acceptor.lock.Lock()
 	defer acceptor.lock.Unlock()
-	records := [][]byte{pack(record{Identity: true, Incarnation: acceptor.incarnation})}
+	var records [][]byte
+	if acceptor.identified {
+		records = append(records, pack(record{Identity: true, Incarnation: acceptor.incarnation}))
+	}
 	for _, slot := range acceptor.sorted() {
 		records = append(records, pack(record{Slot: slot}))
 	}
@@ -83,7 +87,7 @@
 //	fault := voter.Identify(incarnation)
 func (acceptor *Acceptor) Identify(incarnation ids.Incarnation) error {
 	acceptor.lock.Lock()
-	acceptor.incarnation = incarnation
+	acceptor.incarnation, acceptor.identified = incarnation, true
 	store := acceptor.store
 	acceptor.lock.Unlock()
 	return store.Save(pack(record{Identity: true, Incarnation: incarnation}))
@@ -102,9 +106,13 @@
 	}
 	slot := Slot{Key: CohortKey, Accepted: Accepted{Sequence: 1, Value: pack(voters)}}
 	acceptor.slots[CohortKey] = slot
+	acceptor.identified = true
 	acceptor.seeVoters()
 	store := acceptor.store
 	acceptor.lock.Unlock()
+	if fault := store.Save(pack(record{Identity: true, Incarnation: acceptor.incarnation})); fault != nil {
+		return fault
+	}
 	return store.Save(pack(record{Slot: slot}))
 }
 
--- a/control/register/learn.go
+++ b/control/register/learn.go
@@ -37,7 +37,7 @@
 
 func (acceptor *Acceptor) voting() bool {
 	seat, found := acceptor.voters.seat(acceptor.address)
-	return found && !seat.Learning && seat.Incarnation == acceptor.incarnation
+	return found && acceptor.identified && !seat.Learning && seat.Incarnation == acceptor.incarnation
 }
 
 // seat finds the seat at an address.
@@ -86,6 +86,18 @@
 	return acceptor.incarnation
 }
 
+// Identified tells whether the disk has an identity; one without it is blank,
+// whatever else stands on it.
+//
+// Example:
+//
+//	if !voter.Identified() { fault = voter.Identify(incarnation) }
+func (acceptor *Acceptor) Identified() bool {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return acceptor.identified
+}
+
 // Learn takes slots that others hold: the newest value and the highest promise
 // of each key. A value older than what was promised is left alone, just as if
 // the owner's message had come too late; one who does not vote yet takes all.
--- /dev/null
+++ b/control/register/model_test.go
@@ -0,0 +1,194 @@
+package register
+
+import (
+	"errors"
+	"fmt"
+
+	"pgregory.net/rapid"
+
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+)
+
+var errLost = errors.New("model: the message was lost")
+
+// disk is a simulated disk: what was synced outlives everything but a wipe. A
+// refused save may or may not have reached it; the save after a refused one
+// writes the whole state, as the journal does.
+type disk struct {
+	records [][]byte
+	refuses bool
+	dirty   bool
+	whole   func() [][]byte
+	draw    func(odds int) bool
+}
+
+func (disk *disk) Save(record []byte) error {
+	if disk.refuses {
+		disk.dirty = true
+		if disk.draw(2) {
+			disk.records = append(disk.records, record)
+		}
+		return errors.New("model: the disk refuses")
+	}
+	disk.records = append(disk.records, record)
+	if disk.dirty {
+		disk.records, disk.dirty = disk.whole(), false
+	}
+	return nil
+}
+
+// machine is one simulated controller.
+type machine struct {
+	address  ids.Address
+	disk     *disk
+	acceptor *Acceptor
+	keeper   *Keeper
+	joiner   *Joiner
+	up       bool
+	gone     bool
+	busy     bool
+}
+
+// world is a simulated network of controllers.
+type world struct {
+	t        *rapid.T
+	scope    scope.Scope
+	machines []*machine
+	cuts     map[[2]ids.Address]bool
+	depth    int
+	births   int64
+	formed   bool
+	// acked is the longest history that was acknowledged.
+	acked  string
+	writes int
+	calm   bool
+}
+
+func (world *world) draw(odds int) bool {
+	return !world.calm && rapid.IntRange(0, odds-1).Draw(world.t, "chance") == 0
+}
+
+func (world *world) find(address ids.Address) *machine {
+	for _, found := range world.machines {
+		if found.address == address {
+			return found
+		}
+	}
+	return nil
+}
+
+// carry brings a message from one machine to another, or loses it or its
+// answer; on the way, something else may happen.
+func carry[Told any](world *world, from ids.Address, to ids.Address, act func(*Acceptor) Told) (Told, error) {
+	var nothing Told
+	if world.depth < 2 && world.draw(8) {
+		world.depth++
+		world.happen()
+		world.depth--
+	}
+	target := world.find(to)
+	if target == nil || !target.up || world.cuts[[2]ids.Address{from, to}] || (from != to && world.draw(12)) {
+		return nothing, errLost
+	}
+	told := act(target.acceptor)
+	if world.cuts[[2]ids.Address{to, from}] || (from != to && world.draw(12)) {
+		return nothing, errLost
+	}
+	return told, nil
+}
+
+// line is a machine's way to the others.
+type line struct {
+	world *world
+	from  ids.Address
+}
+
+func (line line) mend(address ids.Address, verdict Verdict, theirs int64, fault error) {
+	if fault == nil && verdict == Misfenced && address != line.from {
+		line.world.find(line.from).joiner.Mend(line.world.scope, address, theirs)
+	}
+}
+
+func (line line) Promise(_ scope.Scope, address ids.Address, asked PromiseAsk) (PromiseTold, error) {
+	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) PromiseTold { return voter.Promise(asked) })
+	line.mend(address, told.Verdict, told.Generation, fault)
+	return told, fault
+}
+
+func (line line) Accept(_ scope.Scope, address ids.Address, asked AcceptAsk) (AcceptTold, error) {
+	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Accept(asked) })
+	line.mend(address, told.Verdict, told.Generation, fault)
+	return told, fault
+}
+
+func (line line) Confirm(_ scope.Scope, address ids.Address, asked ConfirmAsk) (AcceptTold, error) {
+	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Confirm(asked) })
+	line.mend(address, told.Verdict, told.Generation, fault)
+	return told, fault
+}
+
+func (line line) Copy(_ scope.Scope, address ids.Address) (CopyTold, error) {
+	return carry(line.world, line.from, address, func(voter *Acceptor) CopyTold { return voter.Copy(CopyAsk{}) })
+}
+
+func (line line) Learn(_ scope.Scope, address ids.Address, slots []Slot) error {
+	fault, lost := carry(line.world, line.from, address, func(voter *Acceptor) error { return voter.Learn(slots) })
+	return errors.Join(fault, lost)
+}
+
+// start gives a machine a new life on the disk that it has.
+func (world *world) start(subject *machine) {
+	acceptor, fault := NewAcceptor(subject.address, subject.disk.records)
+	if fault != nil {
+		world.t.Fatalf("the records of %s can't be read: %v", subject.address, fault)
+	}
+	subject.acceptor = acceptor
+	subject.disk.whole, subject.disk.dirty = acceptor.Whole, false
+	acceptor.Attach(subject.disk)
+	subject.up, subject.gone = true, false
+	if !acceptor.Identified() && world.formed {
+		world.births++
+		// A program that can't write its identity ends; it is started again.
+		subject.up = acceptor.Identify(ids.Incarnation(world.births)) == nil
+	}
+	road := line{world: world, from: subject.address}
+	subject.keeper = NewKeeper(Options{
+		Address: subject.address, Line: road, Voters: acceptor.Voters,
+		Seen:         func(key string) int64 { return acceptor.Slot(key).Promised.Number },
+		MessageLimit: 1, Spawn: func(send func()) { send() },
+	})
+	subject.joiner = &Joiner{
+		Address: subject.address, Acceptor: acceptor, Keeper: subject.keeper, Reach: road,
+		Others: func() []ids.Address {
+			var others []ids.Address
+			for _, other := range world.machines {
+				if other != subject {
+					others = append(others, other.address)
+				}
+			}
+			return others
+		},
+		Gone: func(address ids.Address) bool { return world.find(address).gone },
+	}
+}
+
+func newWorld(t *rapid.T) *world {
+	made := &world{t: t, scope: scope.New(scope.Options{}), cuts: map[[2]ids.Address]bool{}}
+	voters := Voters{Generation: 1}
+	for _, name := range []ids.Address{"a", "b", "c"} {
+		voters.Seats = append(voters.Seats, Seat{Address: name})
+	}
+	for index := range 4 {
+		subject := &machine{address: ids.Address(fmt.Sprintf("%c", 'a'+index)), disk: &disk{draw: made.draw}}
+		made.machines = append(made.machines, subject)
+		made.formed = index == 3
+		made.start(subject)
+		if index < 3 {
+			if fault := subject.acceptor.Form(voters); fault != nil {
+				t.Fatal(fault)
+			}
+		}
+	}
+	return made
+}
--- a/control/register/owner.go
+++ b/control/register/owner.go
@@ -150,6 +150,22 @@
 	return keeper.Change(inner, key, func([]byte) ([]byte, error) { return nil, nil })
 }
 
+// Settle takes the key over anew, even from itself, and so writes its newest
+// value to all voters again.
+//
+// Example:
+//
+//	fault := keeper.Settle(short, register.CohortKey)
+func (keeper *Keeper) Settle(inner scope.Scope, key string) error {
+	state, fault := keeper.enter(inner, key)
+	if fault != nil {
+		return fault
+	}
+	defer func() { <-state.turn }()
+	state.holding = false
+	return keeper.hold(inner, state, key)
+}
+
 // attempts is how often a taker outbid by another bids again in one call.
 const attempts = 3
 
--- /dev/null
+++ b/control/register/register_test.go
@@ -0,0 +1,198 @@
+package register
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"onyxwell/base/ids"
+)
+
+// write adds a mark to the history under the key, or only reads it, and checks
+// what the outcome says against all that was acknowledged before it began.
+func (world *world) write(subject *machine, reads bool) bool {
+	if !subject.up || subject.busy {
+		return false
+	}
+	subject.busy = true
+	defer func() { subject.busy = false }()
+	before := world.acked
+	world.writes++
+	mark := string(rune('A'+world.writes%26)) + string(subject.address) + ";"
+	keeper := subject.keeper
+	value, fault := keeper.Change(world.scope, "spec", func(current []byte) ([]byte, error) {
+		if reads {
+			return nil, nil
+		}
+		return append(append([]byte(nil), current...), mark...), nil
+	})
+	if fault != nil {
+		return false
+	}
+	if !strings.HasPrefix(string(value), before) {
+		world.t.Fatalf("acknowledged %q is gone: %s now answers %q", before, subject.address, value)
+	}
+	if !strings.HasPrefix(string(value), world.acked) && !strings.HasPrefix(world.acked, string(value)) {
+		world.t.Fatalf("two histories were acknowledged: %q and %q", world.acked, value)
+	}
+	if len(value) > len(world.acked) {
+		world.acked = string(value)
+	}
+	return true
+}
+
+// bearable tells whether one more disk may be lost: all other voters are up,
+// whole, and know the same voters.
+func (world *world) bearable(subject *machine) bool {
+	for _, other := range world.machines {
+		if other == subject {
+			continue
+		}
+		seat, seated := world.newest().seat(other.address)
+		whole := other.up && !seat.Learning && seat.Incarnation == other.acceptor.Incarnation()
+		if seated && !(whole && other.acceptor.Voters().Mark() == world.newest().Mark()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (world *world) newest() Voters {
+	var newest Accepted
+	voters := Voters{}
+	for _, other := range world.machines {
+		if held := other.acceptor.Slot(CohortKey).Accepted; held.newer(newest) {
+			newest, voters = held, other.acceptor.Voters()
+		}
+	}
+	return voters
+}
+
+// happen lets one thing happen anywhere.
+func (world *world) happen() {
+	subject := world.machines[rapid.IntRange(0, len(world.machines)-1).Draw(world.t, "machine")]
+	other := world.machines[rapid.IntRange(0, len(world.machines)-1).Draw(world.t, "other")]
+	events := []func(){
+		func() { world.write(subject, false) },
+		func() { world.write(subject, false) },
+		func() { world.write(subject, true) },
+		func() { world.join(subject) },
+		func() { world.join(subject) },
+		func() {
+			// Killed, with what the disk holds, and back.
+			if !subject.busy {
+				world.start(subject)
+			}
+		},
+		func() {
+			// The disk is lost; it must be the only one of the voters' disks.
+			if !subject.busy && world.bearable(subject) {
+				subject.disk.records = nil
+				world.start(subject)
+			}
+		},
+		func() { subject.disk.refuses = !subject.disk.refuses },
+		func() { subject.up = !subject.up },
+		func() { subject.gone = !subject.up },
+		func() { world.cuts[[2]ids.Address{subject.address, other.address}] = subject != other },
+		func() { world.cuts = map[[2]ids.Address]bool{} },
+	}
+	events[rapid.IntRange(0, len(events)-1).Draw(world.t, "event")]()
+}
+
+func (world *world) join(subject *machine) {
+	if !subject.up || subject.busy || subject.acceptor.Copy(CopyAsk{}).Voting {
+		return
+	}
+	subject.busy = true
+	_ = subject.joiner.Join(world.scope)
+	subject.busy = false
+}
+
+// TestNothingAcknowledgedIsLost lets machines be killed, wiped, cut off, taken
+// out and brought in, with disks that refuse and owners that duel: what was
+// acknowledged stays, and of two changes on one value only one wins.
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWorld(t)
+		for range rapid.IntRange(5, 60).Draw(t, "length") {
+			world.happen()
+		}
+		world.settle()
+	})
+}
+
+// settle ends all trouble; within some rounds the key must be served again.
+func (world *world) settle() {
+	world.calm = true
+	world.cuts = map[[2]ids.Address]bool{}
+	for _, subject := range world.machines {
+		subject.disk.refuses = false
+		subject.up, subject.gone = true, false
+	}
+	served := false
+	for range 6 {
+		for _, subject := range world.machines {
+			world.join(subject)
+		}
+		for _, subject := range world.machines {
+			served = world.write(subject, false) || served
+		}
+	}
+	if !served {
+		world.t.Fatalf("the key is not served after all trouble ended: %+v", world.newest())
+	}
+}
+
+// TestStaleOwnerIsFenced has an owner freeze, another take over, and the first
+// come back: its write must not be acknowledged on top of the other's.
+func TestStaleOwnerIsFenced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWorld(t)
+		world.calm = true
+		first, second := world.machines[0], world.machines[1]
+		if !world.write(first, false) || !world.write(second, false) {
+			t.Fatal("a calm write failed")
+		}
+		value, fault := first.keeper.Read(world.scope, "spec")
+		if fault == nil && !strings.HasPrefix(string(value), world.acked) {
+			t.Fatalf("a fenced owner read %q after %q was acknowledged", value, world.acked)
+		}
+		if !world.write(first, false) {
+			t.Fatal("the key can't be taken back")
+		}
+	})
+}
+
+// TestLostDiskLearnsFirst wipes a voter right after its vote made a majority:
+// it may vote again only once it learnt from both others.
+func TestLostDiskLearnsFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWorld(t)
+		world.calm = true
+		world.machines[2].up = false
+		if !world.write(world.machines[0], false) {
+			t.Fatal("a write on two of three failed")
+		}
+		wiped := world.machines[0]
+		wiped.disk.records = nil
+		world.start(wiped)
+		world.machines[1].up = false
+		world.machines[2].up = true
+		world.join(wiped)
+		if world.write(world.machines[2], false) {
+			t.Fatal("a blank disk and one that missed the write made a majority")
+		}
+		world.machines[1].up = true
+		for range 4 {
+			world.join(wiped)
+		}
+		if !wiped.acceptor.Copy(CopyAsk{}).Voting {
+			t.Fatal("the new disk never got its seat")
+		}
+		if !world.write(world.machines[2], false) {
+			t.Fatal("the key is not served")
+		}
+	})
+}
--- a/control/seat/line.go
+++ b/control/seat/line.go
@@ -1,8 +1,10 @@
 package seat
 
 import (
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
 	"onyxwell/control/register"
 )
@@ -39,30 +41,81 @@
 
 // mend repairs whichever side knows only older voters.
 func (seat *Seat) mend(inner scope.Scope, address ids.Address, verdict register.Verdict, theirs int64, fault error) {
-	if fault != nil || verdict != register.Misfenced {
-		return
+	if fault == nil && verdict == register.Misfenced {
+		seat.joiner.Mend(inner, address, theirs)
 	}
-	own := seat.Acceptor.Voters().Generation
-	if theirs > own {
-		seat.learnVoters(inner, address)
+}
+
+// Copy asks a controller for all that it holds.
+func (seat *Seat) Copy(inner scope.Scope, address ids.Address) (register.CopyTold, error) {
+	return courier.Send[register.CopyTold](inner, seat.options.Messenger, address, "copy", register.CopyAsk{})
+}
+
+// Learn brings newer copies to a voter.
+func (seat *Seat) Learn(inner scope.Scope, address ids.Address, slots []register.Slot) error {
+	_, fault := courier.Send[LearnTold](inner, seat.options.Messenger, address, "learn", LearnAsk{Slots: slots})
+	return fault
+}
+
+// Seek names the keeper through which a seat is asked for.
+//
+// Example:
+//
+//	own.Seek(keeper)
+func (seat *Seat) Seek(keeper *register.Keeper) {
+	seat.joiner = &register.Joiner{
+		Address: seat.options.Address, Acceptor: seat.Acceptor, Keeper: keeper,
+		Reach: seat, Others: seat.controllers, Gone: seat.isGone,
 	}
-	if theirs < own {
-		slot := seat.Acceptor.Slot(register.CohortKey)
-		slot.Promised = ids.Epoch{}
-		_, _ = courier.Send[LearnTold](inner, seat.options.Messenger, address, "learn", LearnAsk{Slots: []register.Slot{slot}})
+}
+
+// Run strives for a seat until the scope ends; a disk that votes has nothing
+// to do here.
+//
+// Example:
+//
+//	own.Run(top, 300*clock.Millisecond)
+func (seat *Seat) Run(inner scope.Scope, every clock.Span) {
+	for inner.Err() == nil {
+		if !seat.Voting() {
+			short, release := inner.WithLimit(seat.options.Limit)
+			fault := seat.joiner.Join(short)
+			release()
+			inner.Log.Info().Str("part", "seat").Err(fault).Msg("asked for a seat")
+		}
+		if !inner.Wait(every) {
+			return
+		}
 	}
 }
 
-// learnVoters takes the voters that another controller knows.
-func (seat *Seat) learnVoters(inner scope.Scope, address ids.Address) {
-	told, fault := courier.Send[register.CopyTold](inner, seat.options.Messenger, address, "copy", register.CopyAsk{})
-	if fault != nil {
-		return
+func (seat *Seat) isGone(address ids.Address) bool {
+	member, known := seat.options.Table.Find(address)
+	return known && !member.Present() && seat.options.Table.Since(address) > seat.options.Patience
+}
+
+// controllers gives the inner addresses of all controllers worth asking.
+func (seat *Seat) controllers() []ids.Address {
+	known := map[ids.Address]bool{seat.options.Address: true}
+	var found []ids.Address
+	add := func(address ids.Address) {
+		if !known[address] {
+			known[address] = true
+			found = append(found, address)
+		}
+	}
+	for _, member := range seat.options.Table.Members() {
+		if member.Role == seat.options.Table.Self().Role && member.State == cohort.Alive {
+			add(member.Address)
+		}
 	}
-	for _, slot := range told.Slots {
-		if slot.Key == register.CohortKey {
-			slot.Promised = ids.Epoch{}
-			_ = seat.Acceptor.Learn([]register.Slot{slot})
+	for _, voter := range seat.Acceptor.Voters().Seats {
+		if !seat.isGone(voter.Address) {
+			add(voter.Address)
 		}
 	}
+	for _, address := range seat.options.Seeds {
+		add(address)
+	}
+	return found
 }
--- a/control/seat/seat.go
+++ b/control/seat/seat.go
@@ -37,7 +37,7 @@
 	Granter  *hold.Granter
 	options  Options
 	opened   *journal.Journal
-	fresh    bool
+	joiner   *register.Joiner
 }
 
 // LearnAsk carries slots to a voter whose copies are old.
@@ -70,12 +70,12 @@
 	made.Granter = hold.NewGranter(top.Clock, options.HoldSpan, func() (bool, int64) {
 		return made.Voting(), made.Acceptor.Voters().Generation
 	})
-	made.fresh = len(records) == 0
 	return made, made.begin()
 }
 
 func (seat *Seat) begin() error {
-	if !seat.fresh {
+	formed := seat.Acceptor.Voters().Generation > 0
+	if seat.Acceptor.Identified() && (formed || !seat.options.First) {
 		return nil
 	}
 	if !seat.options.First {
