Register: a rewritten change of voters needs no majority of the voters before

Cause: the value of the cohort key carried the seats before it and every rewrite asked a majority of those too.

--- a/control/register/join.go
+++ b/control/register/join.go
@@ -106,7 +106,7 @@
 		if fault != nil || voters.Mark() != known.Mark() {
 			return nil, breakdown.Of(breakdown.Unsettled, "the voters changed")
 		}
-		next := Voters{Generation: voters.Generation + 1, Previous: voters.Seats}
+		next := Voters{Generation: voters.Generation + 1}
 		next.Seats = append(next.Seats, voters.Seats...)
 		next.Seats[index] = own
 		return courier.Pack(next)
--- a/control/register/message.go
+++ b/control/register/message.go
@@ -44,11 +44,12 @@
 	Learning    bool
 }
 
-// Voters is the value of the cohort key: who votes, and who did before.
+// Voters is the value of the cohort key: who votes. From one generation to the
+// next a single seat changes, and a new seat learns before it votes, so every
+// majority of the one meets every majority of the other.
 type Voters struct {
 	Generation int64
 	Seats      []Seat
-	Previous   []Seat
 }
 
 // Fence is carried by every message to a voter: a voter of another incarnation
--- a/control/register/owner.go
+++ b/control/register/owner.go
@@ -218,7 +218,7 @@
 		if fault != nil {
 			return breakdown.Of(breakdown.Internal, "voters: %v", fault)
 		}
-		sets = append(sets, voters.Seats, voters.Previous)
+		sets = append(sets, voters.Seats)
 	}
 	fault := keeper.rounds(inner, state, sets, func(message scope.Scope, seat Seat) (Verdict, int64) {
 		told, fault := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: next})
