--- /dev/null
+++ b/data/answer/answer_test.go
@@ -0,0 +1,125 @@
+package answer
+
+import (
+	"strings"
+	"testing"
+
+	"onyxwell/data/script"
+)
+
+func TestPlainAnswerIsTheRunners(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "seal-1", "whole"))
+	got := newHouse(t, 10, runner).ask("/safe/x?y=1", "body")
+	if got.status != 200 || got.body != "whole" || got.header.Get("Onyxwell-Server-Seal") != "seal-1" || got.header.Get("Onyxwell-Attempt-Id") != "v1" {
+		t.Fatalf("%+v", got)
+	}
+	if seen := runner.Seen()[0]; seen.Target != "/safe/x?y=1" || seen.Body != "body" || seen.Header.Get("Onyxwell-Target-Server") != "i-1" {
+		t.Fatalf("%+v", seen)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	cases := []struct {
+		path, body, head string
+		status           int
+	}{
+		{"/nowhere/x", "", "", 404},
+		{"/safe/x", strings.Repeat("b", 101), "", 413},
+		{"/safe/x", "", strings.Repeat("h", 2001), 431},
+	}
+	for _, example := range cases {
+		if got := house.ask(example.path, example.body, "X-Long", example.head); got.status != example.status {
+			t.Errorf("%s: %d, not %d", example.path, got.status, example.status)
+		}
+	}
+	if arrivals(runner) != 0 {
+		t.Error("a refused request reached a runner")
+	}
+}
+
+// TestFates takes each way a runner can fail on a request, and what becomes of
+// it on each kind of route: only what surely did not run, or may run again, is
+// tried elsewhere, and only what did not run gets a promise.
+func TestFates(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		step   script.Step
+		status int
+		second bool
+	}{
+		{"full, plain", "/safe/x", script.Refuse(503), 200, true},
+		{"full, once", "/once/x", script.Refuse(503), 200, true},
+		{"another life, once", "/once/x", script.Refuse(421), 200, true},
+		{"hangs up, plain", "/safe/x", script.Hangup(), 200, true},
+		{"hangs up, once", "/once/x", script.Hangup(), 502, false},
+		{"no promise, once", "/once/x", script.Plain(503, "s", "x"), 502, false},
+		{"garbage, once", "/once/x", script.Raw("nonsense\r\n\r\n", false), 502, false},
+		{"another's answer, once", "/once/x", script.Raw("HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: z\r\nOnyxwell-Server-Seal: s\r\nContent-Length: 0\r\n\r\n", true), 502, false},
+		{"short body, plain", "/safe/x", script.Raw("HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", false), 200, true},
+		{"short body, once", "/once/x", script.Raw("HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", false), 502, false},
+		{"own failure, once", "/once/x", script.Plain(500, "s", "broken"), 500, false},
+		{"stream not begun", "/stream/x", script.Hangup(), 502, false},
+		{"stream full", "/stream/x", script.Refuse(503), 200, true},
+	}
+	for _, example := range cases {
+		finish := script.Plain(200, "good", "good")
+		if strings.HasPrefix(example.path, "/stream/") {
+			finish = script.Events("good", 1, 2, true)
+		}
+		house, bad, good := pair(t, 10, example.step, finish)
+		got := house.ask(example.path, "x")
+		if got.status != example.status || (len(good.Seen()) == 1) != example.second || arrivals(bad) != 1 {
+			t.Errorf("%s: %d, %d and %d arrivals", example.name, got.status, arrivals(bad), arrivals(good))
+		}
+	}
+}
+
+func TestBudgetIsOneForAll(t *testing.T) {
+	bad := []*script.Runner{script.Start(t, script.Hangup()), script.Start(t, script.Hangup())}
+	house := newHouse(t, 1, bad...)
+	if got := house.ask("/safe/x", "x"); got.status != 502 || arrivals(bad...) != 2 {
+		t.Fatalf("%d after %d arrivals", got.status, arrivals(bad...))
+	}
+	house.clock.Move(2e9)
+	if got := house.ask("/safe/x", "x"); got.status != 502 || arrivals(bad...) != 3 {
+		t.Fatalf("%d after %d arrivals: a further try without budget", got.status, arrivals(bad...))
+	}
+}
+
+func TestHomesBind(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	if got := house.ask("/home/x", "x"); got.status != 503 || arrivals(runner) != 0 {
+		t.Fatalf("%d: a runner away from home got the request", got.status)
+	}
+	house.listed[0].Zone = "s"
+	house.list()
+	if got := house.ask("/home/x", "x"); got.status != 200 {
+		t.Fatalf("%d from a runner at home", got.status)
+	}
+}
+
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	house.empty("n", 1, true)
+	if got := house.ask("/safe/x", "x"); got.status != 503 || got.header.Get("Retry-After") == "" || arrivals(runner) != 0 {
+		t.Fatalf("%+v", got)
+	}
+	house.empty("n", 2, false)
+	if got := house.ask("/safe/x", "x"); got.status != 200 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestLeavingClosesAfterTheAnswer(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	house.front.Leave()
+	if got := house.ask("/safe/x", "x"); got.status != 200 || !got.closing {
+		t.Fatalf("%+v", got)
+	}
+}
--- /dev/null
+++ b/data/answer/harness_test.go
@@ -0,0 +1,138 @@
+package answer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/courier"
+	"onyxwell/control/evacuation"
+	"onyxwell/control/spread"
+	"onyxwell/data/budget"
+	"onyxwell/data/letin"
+	"onyxwell/data/metrics"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+	"onyxwell/data/script"
+	"onyxwell/data/warmth"
+)
+
+const document = `{"config_version":%d,"routes":[
+ {"name":"plain","hostname":"shop.example","path_prefix":"/safe/","type":"safe","give_up_ms":5000,"goal_ms":400,"service":"desk","tries":3},
+ {"name":"once","hostname":"shop.example","path_prefix":"/once/","type":"unsafe","give_up_ms":5000,"goal_ms":400,"service":"desk","tries":3},
+ {"name":"again","hostname":"shop.example","path_prefix":"/again/","type":"streaming","resumable":true,"sticky":true,"give_up_ms":5000,"goal_ms":400,"service":"desk","tries":3},
+ {"name":"stream","hostname":"shop.example","path_prefix":"/stream/","type":"streaming","give_up_ms":5000,"goal_ms":400,"service":"desk","tries":3},
+ {"name":"home","hostname":"shop.example","path_prefix":"/home/","type":"safe","give_up_ms":5000,"goal_ms":400,"service":"desk","tries":3,"home_regions":["south"]}],
+ "services":[{"name":"desk","health_path":"/health","max_conns":100,"warmup_s":3,"cold_per_s":10}],
+ "limits":{"max_header_bytes":2000,"max_body_bytes":100,"header_wait_ms":3000,"idle_ms":15000}}`
+
+// house is a router's data plane between scripted runners and a visitor.
+type house struct {
+	t      *testing.T
+	clock  *clock.Fake
+	frame  *picture.Frame
+	news   *spread.News
+	board  *metrics.Board
+	front  *Front
+	server *httptest.Server
+	listed []census.Runner
+	serial ids.Serial
+}
+
+func newHouse(t *testing.T, extra float64, runners ...*script.Runner) *house {
+	t.Helper()
+	machine := clock.NewFake()
+	top := scope.New(scope.Options{Clock: machine})
+	made := &house{t: t, clock: machine, board: metrics.NewBoard()}
+	made.frame = picture.NewFrame(picture.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
+	made.news = spread.NewNews(made.frame.Absorb)
+	one := func() int { return 1 }
+	cold := warmth.New()
+	gate := letin.NewGate(letin.Options{
+		Scope: top, Frame: made.frame, Board: made.board, Warmth: cold, Region: "north", Sharers: one,
+		Chance: func() float64 { return 0 },
+		Budget: budget.New(budget.Options{Ratio: 0, Extra: extra, Window: 10 * clock.Second, Sharers: one}),
+	})
+	sender := relay.NewSender(relay.Options{
+		Clock: machine, Dialing: call.Dialing{Limit: 5 * clock.Second, Silence: 5 * clock.Second}, Idle: 60 * clock.Second, PerHost: 4,
+	})
+	made.front = NewFront(Options{Scope: top, Frame: made.frame, Gate: gate, Board: made.board, Warmth: cold, Sender: sender})
+	made.server = httptest.NewServer(made.front)
+	t.Cleanup(made.server.Close)
+	made.spec(1, document)
+	for index, runner := range runners {
+		zone := ids.Zone("n")
+		made.listed = append(made.listed, census.Runner{
+			ID: ids.RunnerID(fmt.Sprintf("i-%d", index+1)), Service: "desk", Address: runner.Address, Zone: zone, Capacity: 4,
+		})
+	}
+	made.list()
+	return made
+}
+
+func (house *house) spec(serial int, text string) {
+	house.news.Put(spread.Item{Key: "spec", Serial: ids.Serial(serial), Body: []byte(fmt.Sprintf(text, serial))})
+}
+
+func (house *house) list() {
+	house.serial++
+	body, fault := courier.Pack(census.List{Runners: house.listed})
+	if fault != nil {
+		house.t.Fatal(fault)
+	}
+	house.news.Put(spread.Item{Key: census.Key, Serial: house.serial, Body: body})
+}
+
+func (house *house) empty(zone ids.Zone, serial ids.Serial, empty bool) {
+	body, fault := courier.Pack(evacuation.Kept{Serial: serial, Empty: empty})
+	if fault != nil {
+		house.t.Fatal(fault)
+	}
+	house.news.Put(spread.Item{Key: evacuation.Key(zone), Serial: serial, Body: body})
+}
+
+type told struct {
+	status  int
+	closing bool
+	header  http.Header
+	body    string
+	fault   error
+}
+
+// ask sends a visitor's request and reads the answer to its end.
+func (house *house) ask(path string, body string, heads ...string) told {
+	house.t.Helper()
+	request, fault := http.NewRequest("POST", house.server.URL+path, strings.NewReader(body))
+	if fault != nil {
+		house.t.Fatal(fault)
+	}
+	request.Host = "shop.example"
+	request.Header.Set("Onyxwell-Attempt-Id", "v1")
+	request.Header.Set("Onyxwell-Time-Left-Ms", "4000")
+	for index := 0; index+1 < len(heads); index += 2 {
+		request.Header.Set(heads[index], heads[index+1])
+	}
+	response, fault := http.DefaultTransport.RoundTrip(request)
+	if fault != nil {
+		return told{fault: fault}
+	}
+	defer response.Body.Close()
+	text, fault := io.ReadAll(response.Body)
+	return told{status: response.StatusCode, closing: response.Close, header: response.Header, body: string(text), fault: fault}
+}
+
+func arrivals(runners ...*script.Runner) int {
+	count := 0
+	for _, runner := range runners {
+		count += len(runner.Seen())
+	}
+	return count
+}
--- /dev/null
+++ b/data/answer/stream_test.go
@@ -0,0 +1,90 @@
+package answer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"onyxwell/data/script"
+)
+
+// pair starts two runners; the second is ready only once the first has a
+// request, so that the first is asked first.
+func pair(t *testing.T, extra float64, first script.Step, second script.Step) (*house, *script.Runner, *script.Runner) {
+	t.Helper()
+	var made *house
+	open := func() {
+		made.listed[1].Draining = false
+		made.list()
+	}
+	one := script.Start(t, script.After(open, first))
+	two := script.Start(t, second)
+	made = newHouse(t, extra, one, two)
+	made.listed[1].Draining = true
+	made.list()
+	return made, one, two
+}
+
+func events(first int, last int) string {
+	text := ""
+	for number := first; number <= last; number++ {
+		text += fmt.Sprintf("id: %d\ndata: token %d\n\n", number, number)
+	}
+	return text
+}
+
+func TestStreamIsPassedOn(t *testing.T) {
+	runner := script.Start(t, script.Events("seal", 1, 5, true))
+	got := newHouse(t, 10, runner).ask("/stream/x", "x")
+	if got.status != 200 || got.fault != nil || got.body != events(1, 5) || got.header.Get("Onyxwell-Server-Seal") != "seal" {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestBrokenStreamGoesOn has one runner break off after three events: another
+// goes on after the third, under the first one's head.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	house, _, second := pair(t, 10, script.Events("seal-1", 1, 3, false), script.Events("seal-2", 4, 6, true))
+	got := house.ask("/again/x", "x")
+	if got.fault != nil || got.body != events(1, 6) || got.header.Get("Onyxwell-Server-Seal") != "seal-1" {
+		t.Fatalf("%+v", got)
+	}
+	if after := second.Seen()[0].Header.Get("Last-Event-Id"); after != "3" {
+		t.Fatalf("the second run was asked to go on after %q", after)
+	}
+}
+
+// TestStreamThatMayNotGoOnLooksBroken breaks streams off in ways that can't be
+// mended; the visitor must see that they are not whole.
+func TestStreamThatMayNotGoOnLooksBroken(t *testing.T) {
+	cases := []struct {
+		name          string
+		path          string
+		first, second script.Step
+	}{
+		{"not resumable", "/stream/x", script.Events("s", 1, 3, false), script.Events("s", 4, 6, true)},
+		{"a gap", "/stream/x", script.Raw(gapped, true), script.Events("s", 2, 6, true)},
+		{"goes on wrongly", "/again/x", script.Events("s", 1, 3, false), script.Events("s", 1, 6, true)},
+	}
+	for _, example := range cases {
+		house, _, _ := pair(t, 10, example.first, example.second)
+		got := house.ask(example.path, "x")
+		if got.fault == nil {
+			t.Errorf("%s: the answer looks whole: %q", example.name, got.body)
+		}
+		if !strings.HasPrefix(events(1, 3), got.body) {
+			t.Errorf("%s: %q was passed on", example.name, got.body)
+		}
+	}
+}
+
+const gapped = "HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+	"15\r\nid: 1\ndata: token 1\n\n\r\n15\r\nid: 3\ndata: token 3\n\n\r\n0\r\n\r\n"
+
+func TestVisitorsResumedStream(t *testing.T) {
+	runner := script.Start(t, script.Events("s", 8, 9, true))
+	got := newHouse(t, 10, runner).ask("/again/x", "x", "Last-Event-Id", "7")
+	if got.fault != nil || got.body != events(8, 9) || runner.Seen()[0].Header.Get("Last-Event-Id") != "7" {
+		t.Fatalf("%+v", got)
+	}
+}
--- /dev/null
+++ b/data/relay/events_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func readAll(events *Events) ([]string, error) {
+	var found []string
+	for {
+		event, fault := events.Next()
+		if fault != nil {
+			return found, fault
+		}
+		found = append(found, string(event))
+	}
+}
+
+func TestEventsComeWhole(t *testing.T) {
+	text := "id: 1\ndata: a\n\nonyxwell-weight-versions: 2\nid: 2\r\ndata: b\r\n\r\n"
+	found, fault := readAll(NewEvents(strings.NewReader(text), ""))
+	if !errors.Is(fault, io.EOF) || len(found) != 2 || strings.Join(found, "") != text {
+		t.Fatalf("%q, %v", found, fault)
+	}
+}
+
+func TestLongEventIsWhole(t *testing.T) {
+	text := "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n"
+	found, _ := readAll(NewEvents(strings.NewReader(text), ""))
+	if len(found) != 1 || found[0] != text {
+		t.Fatalf("%d events", len(found))
+	}
+}
+
+func TestEventsMustRiseByOne(t *testing.T) {
+	cases := []struct {
+		name  string
+		after string
+		text  string
+		good  int
+		order bool
+	}{
+		{"a gap", "", "id: 1\n\nid: 3\n\n", 1, true},
+		{"twice", "", "id: 1\n\nid: 1\n\n", 1, true},
+		{"goes on", "4", "id: 5\n\nid: 6\n\n", 2, false},
+		{"begins anew", "4", "id: 1\n\n", 0, true},
+	}
+	for _, example := range cases {
+		found, fault := readAll(NewEvents(strings.NewReader(example.text), example.after))
+		if len(found) != example.good || errors.Is(fault, ErrOrder) != example.order {
+			t.Errorf("%s: %d events, %v", example.name, len(found), fault)
+		}
+	}
+}
+
+func TestTornEventIsNoEvent(t *testing.T) {
+	found, fault := readAll(NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), ""))
+	if len(found) != 1 || !errors.Is(fault, io.ErrUnexpectedEOF) {
+		t.Fatalf("%q, %v", found, fault)
+	}
+}
--- /dev/null
+++ b/data/script/script.go
@@ -0,0 +1,173 @@
+// Package script plays runners for tests: each connection is answered by the
+// steps of a script, byte for byte, without any waiting.
+package script
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"onyxwell/base/ids"
+)
+
+// Seen is a request as the runner got it.
+type Seen struct {
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    string
+	Attempt string
+}
+
+// Step answers one request: it writes bytes and tells whether the connection
+// stays open.
+type Step func(seen Seen, writer io.Writer) (open bool)
+
+// Runner is a scripted runner.
+type Runner struct {
+	Address ids.Address
+	lock    sync.Mutex
+	steps   []Step
+	seen    []Seen
+}
+
+// Start starts a runner on the loopback that answers the first request with
+// the first step, and so on; the last step answers all that follow.
+//
+// Example:
+//
+//	runner := script.Start(t, script.Plain(200, "seal", "body"))
+func Start(t *testing.T, steps ...Step) *Runner {
+	t.Helper()
+	listener, fault := net.Listen("tcp", "127.0.0.1:0")
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	made := &Runner{Address: ids.Address(listener.Addr().String()), steps: steps}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			link, fault := listener.Accept()
+			if fault != nil {
+				return
+			}
+			go made.serve(link)
+		}
+	}()
+	return made
+}
+
+// Seen gives the requests that arrived, in their order.
+//
+// Example:
+//
+//	if len(runner.Seen()) != 1 { t.Fatal("it came twice") }
+func (runner *Runner) Seen() []Seen {
+	runner.lock.Lock()
+	defer runner.lock.Unlock()
+	return append([]Seen(nil), runner.seen...)
+}
+
+func (runner *Runner) serve(link net.Conn) {
+	defer link.Close()
+	reader := bufio.NewReader(link)
+	for {
+		request, fault := http.ReadRequest(reader)
+		if fault != nil {
+			return
+		}
+		body, fault := io.ReadAll(request.Body)
+		if fault != nil {
+			return
+		}
+		seen := Seen{
+			Method: request.Method, Target: request.RequestURI, Host: request.Host, Header: request.Header,
+			Body: string(body), Attempt: request.Header.Get("Onyxwell-Attempt-Id"),
+		}
+		if !runner.next(seen)(seen, link) {
+			return
+		}
+	}
+}
+
+func (runner *Runner) next(seen Seen) Step {
+	runner.lock.Lock()
+	defer runner.lock.Unlock()
+	runner.seen = append(runner.seen, seen)
+	return runner.steps[min(len(runner.seen), len(runner.steps))-1]
+}
+
+// Raw writes text in which {id} stands for the request's attempt id.
+//
+// Example:
+//
+//	script.Raw("HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\n...", true)
+func Raw(text string, open bool) Step {
+	return func(seen Seen, writer io.Writer) bool {
+		_, _ = io.WriteString(writer, strings.ReplaceAll(text, "{id}", seen.Attempt))
+		return open
+	}
+}
+
+// Plain answers with a status, a seal and a body.
+//
+// Example:
+//
+//	script.Plain(200, "seal", "body")
+func Plain(status int, seal string, body string) Step {
+	return Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, seal, len(body), body), true)
+}
+
+// After does something once the request is there, before it is answered.
+//
+// Example:
+//
+//	script.After(listTheOther, script.Hangup())
+func After(act func(), step Step) Step {
+	return func(seen Seen, writer io.Writer) bool {
+		act()
+		return step(seen, writer)
+	}
+}
+
+// Refuse turns a request away without running it.
+//
+// Example:
+//
+//	script.Refuse(503)
+func Refuse(status int) Step {
+	return Raw(fmt.Sprintf("HTTP/1.1 %d X\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status), true)
+}
+
+// Events answers with a stream of events from one id to another; a stream that
+// is not whole breaks off after the last.
+//
+// Example:
+//
+//	script.Events("seal", 1, 3, true)
+func Events(seal string, first int, last int, whole bool) Step {
+	text := "HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: " + seal +
+		"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for number := first; number <= last; number++ {
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", number, number)
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	}
+	if whole {
+		text += "0\r\n\r\n"
+	}
+	return Raw(text, whole)
+}
+
+// Hangup closes the connection without an answer.
+//
+// Example:
+//
+//	script.Hangup()
+func Hangup() Step { return Raw("", false) }
