Scaler: the program's replicas stay above nothing, the detector's sign means something

Two faults found by tests: the linear program's variables could go negative (at no load it paired 4 and -4 replicas), and the linear reconstruction followed an outlier so far that the mean difference lost its sign. Hidden values are now held to what normal looks showed.

--- a/base/clock/fake.go
+++ b/base/clock/fake.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Next moves the clock to the first instant that somebody waits for; false
+// says that nobody waits.
+//
+// Example:
+//
+//	for !finished() { machine.Next() }
+func (fake *Fake) Next() bool {
+	fake.lock.Lock()
+	if len(fake.waiting) == 0 {
+		fake.lock.Unlock()
+		return false
+	}
+	first := fake.waiting[0].until
+	for _, waiting := range fake.waiting {
+		first = min(first, waiting.until)
+	}
+	span := first.Since(fake.now)
+	fake.lock.Unlock()
+	fake.Move(span)
+	return true
+}
+
 func (fake *Fake) at(span Span, wake func()) {
 	fake.lock.Lock()
 	if span > 0 {
--- /dev/null
+++ b/control/cohort/cohort_test.go
@@ -0,0 +1,157 @@
+package cohort
+
+import (
+	"runtime"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+)
+
+func table(machine clock.Clock, address ids.Address) *Table {
+	return NewTable(machine, Member{Address: address, Role: "router"})
+}
+
+func TestNewerReportsCount(t *testing.T) {
+	known := table(clock.NewFake(), "a")
+	known.Merge([]Member{{Address: "b", Incarnation: 2}})
+	known.Merge([]Member{{Address: "b", Incarnation: 1, State: Removed}})
+	if member, _ := known.Find("b"); member.State != Alive {
+		t.Fatalf("an older report counted: %+v", member)
+	}
+	known.Merge([]Member{{Address: "b", Incarnation: 2, State: Suspect}})
+	if member, _ := known.Find("b"); member.State != Suspect {
+		t.Fatalf("a worse report of the same life did not count: %+v", member)
+	}
+	known.Merge([]Member{{Address: "b", Incarnation: 3}})
+	if member, _ := known.Find("b"); member.State != Alive {
+		t.Fatalf("the refutation did not count: %+v", member)
+	}
+}
+
+func TestSuspicionIsRefuted(t *testing.T) {
+	known := table(clock.NewFake(), "a")
+	known.Merge([]Member{{Address: "a", Role: "router", Incarnation: 1, State: Suspect}})
+	if self := known.Self(); self.State != Alive || self.Incarnation != 2 {
+		t.Fatalf("%+v", self)
+	}
+	other := table(clock.NewFake(), "b")
+	other.Merge([]Member{{Address: "a", Role: "router", Incarnation: 1, State: Removed}})
+	other.Merge([]Member{known.Self()})
+	if member, _ := other.Find("a"); member.State != Alive {
+		t.Fatalf("%+v", member)
+	}
+}
+
+func TestSecondLifeOverridesTheFirst(t *testing.T) {
+	other := table(clock.NewFake(), "b")
+	other.Merge([]Member{{Address: "a", Role: "router", Ready: true, Incarnation: 7}})
+	reborn := table(clock.NewFake(), "a")
+	reborn.Merge(other.Members())
+	other.Merge([]Member{reborn.Self()})
+	if member, _ := other.Find("a"); member.Ready || member.Incarnation != 8 {
+		t.Fatalf("%+v", member)
+	}
+}
+
+func TestEqualTablesHaveEqualSums(t *testing.T) {
+	first, second := table(clock.NewFake(), "a"), table(clock.NewFake(), "b")
+	first.Merge([]Member{second.Self()})
+	if first.Sum() == second.Sum() {
+		t.Fatal("tables that differ have one sum")
+	}
+	second.Merge(first.Members())
+	if first.Sum() != second.Sum() {
+		t.Fatal("equal tables differ in their sums")
+	}
+}
+
+// net joins probers without any network; members in dead answer nothing, and
+// pairs in cut don't reach each other.
+type net struct {
+	clock   *clock.Fake
+	scope   scope.Scope
+	probers map[ids.Address]*Prober
+	dead    map[ids.Address]bool
+	cut     map[[2]ids.Address]bool
+}
+
+func newNet(addresses ...ids.Address) *net {
+	made := &net{clock: clock.NewFake(), probers: map[ids.Address]*Prober{}, dead: map[ids.Address]bool{}, cut: map[[2]ids.Address]bool{}}
+	made.scope = scope.New(scope.Options{Clock: made.clock})
+	for _, address := range addresses {
+		made.probers[address] = &Prober{
+			Table: table(made.clock, address),
+			Spawn: func(ask func()) { ask() },
+			Pace:  Pace{Every: clock.Second, Answer: 100 * clock.Millisecond, Suspicion: 2 * clock.Second, Seconds: 2},
+			Send: func(to ids.Address, body []byte) {
+				if target := made.probers[to]; target != nil && !made.dead[to] && !made.dead[address] && !made.cut[[2]ids.Address{address, to}] {
+					target.Take(made.scope, body)
+				}
+			},
+		}
+	}
+	for _, prober := range made.probers {
+		for _, other := range made.probers {
+			prober.Table.Merge([]Member{other.Table.Self()})
+		}
+	}
+	return made
+}
+
+// probe runs one probe, letting time pass while it waits.
+func (net *net) probe(from ids.Address, to ids.Address) {
+	target, _ := net.probers[from].Table.Find(to)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		net.probers[from].Probe(net.scope, target)
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			net.clock.Next()
+			runtime.Gosched()
+		}
+	}
+}
+
+func (net *net) state(at ids.Address, of ids.Address) State {
+	member, _ := net.probers[at].Table.Find(of)
+	return member.State
+}
+
+func TestSilentMemberIsSuspectedThenRemoved(t *testing.T) {
+	net := newNet("a", "b", "c")
+	net.probe("a", "b")
+	if net.state("a", "b") != Alive {
+		t.Fatal("a member that answers is suspected")
+	}
+	net.dead["b"] = true
+	net.probe("a", "b")
+	if net.state("a", "b") != Suspect {
+		t.Fatalf("state %d of a silent member", net.state("a", "b"))
+	}
+	net.probers["a"].expire(true)
+	net.clock.Move(3 * clock.Second)
+	net.probers["a"].expire(true)
+	if net.state("a", "b") != Suspect {
+		t.Fatal("a daemon that was frozen itself removed another")
+	}
+	net.probers["a"].expire(false)
+	if net.state("a", "b") != Removed {
+		t.Fatal("the suspicion never ends")
+	}
+}
+
+func TestThirdPartyVouches(t *testing.T) {
+	net := newNet("a", "b", "c")
+	net.cut[[2]ids.Address{"a", "b"}] = true
+	net.probe("a", "b")
+	if net.state("a", "b") != Alive {
+		t.Fatal("a member that others reach is suspected")
+	}
+}
--- a/control/cohort/probe.go
+++ b/control/cohort/probe.go
@@ -42,6 +42,8 @@
 	Send func(to ids.Address, body []byte)
 	// Shuffle orders the members of one turn; tests replace it.
 	Shuffle func(members []Member)
+	// Spawn runs what asks on another's behalf; tests run it in place.
+	Spawn func(ask func())
 
 	lock    sync.Mutex
 	number  int64
@@ -117,18 +119,31 @@
 	},
 	kindAnswer: func(prober *Prober, _ scope.Scope, datagram Datagram) { prober.wake(datagram.Number) },
 	kindSecond: func(prober *Prober, inner scope.Scope, datagram Datagram) {
-		go func() {
+		prober.spawn(func() {
 			number, answered := prober.open()
 			defer prober.close(number)
 			prober.post(datagram.Target, Datagram{Kind: kindProbe, Number: number})
 			if waitFor(inner, answered, prober.Pace.Answer) {
 				prober.post(datagram.From, Datagram{Kind: kindAnswer, Number: datagram.Number})
 			}
-		}()
+		})
 	},
 }
 
+func (prober *Prober) spawn(ask func()) {
+	if prober.Spawn != nil {
+		prober.Spawn(ask)
+		return
+	}
+	go ask()
+}
+
 func waitFor(inner scope.Scope, answered chan struct{}, span clock.Span) bool {
+	select {
+	case <-answered:
+		return true
+	default:
+	}
 	select {
 	case <-answered:
 		return true
--- a/control/scaler/detector.go
+++ b/control/scaler/detector.go
@@ -28,11 +28,14 @@
 
 // Profile is what is normal for a type of runners: the mean and spread of each
 // metric and the main directions in which they move together. It stands in
-// for the paper's auto-encoder: a linear one.
+// for the paper's auto-encoder: a linear one, whose hidden variable is held to
+// what it was in normal looks, as the paper's prior holds it. So an overloaded
+// runner is reconstructed as a normal one, and the difference has a sign.
 type Profile struct {
 	mean   []float64
 	spread []float64
 	base   *mat.Dense
+	reach  []float64
 	miss   float64
 	around float64
 }
@@ -69,6 +72,14 @@
 	var directions mat.Dense
 	parts.VTo(&directions)
 	made.base = mat.DenseCopyOf(directions.Slice(0, width, 0, min(kept, width)))
+	made.reach = make([]float64, min(kept, width))
+	for _, vector := range vectors {
+		var hidden mat.VecDense
+		hidden.MulVec(made.base.T(), mat.NewVecDense(width, made.normalise(vector)))
+		for part := range made.reach {
+			made.reach[part] = math.Max(made.reach[part], math.Abs(hidden.AtVec(part)))
+		}
+	}
 	misses := make([]float64, len(vectors))
 	for index, vector := range vectors {
 		misses[index], _ = made.reconstruct(vector)
@@ -91,6 +102,9 @@
 	input := mat.NewVecDense(len(vector), profile.normalise(vector))
 	var hidden, output mat.VecDense
 	hidden.MulVec(profile.base.T(), input)
+	for part, reach := range profile.reach {
+		hidden.SetVec(part, math.Min(reach, math.Max(-reach, hidden.AtVec(part))))
+	}
 	output.MulVec(profile.base, &hidden)
 	miss, difference := 0.0, 0.0
 	for metric := range vector {
--- a/control/scaler/replicas.go
+++ b/control/scaler/replicas.go
@@ -37,13 +37,15 @@
 		return needed
 	}
 	costs := make([]float64, len(types))
-	limits := mat.NewDense(len(types)+1, len(types), nil)
-	bounds := make([]float64, len(types)+1)
+	limits := mat.NewDense(2*len(types)+1, len(types), nil)
+	bounds := make([]float64, 2*len(types)+1)
 	for index, kind := range types {
 		costs[index] = kind.Score
 		limits.Set(0, index, -kind.Limit)
 		limits.Set(index+1, index, 1)
 		bounds[index+1] = kind.Most
+		// Convert takes variables that may be negative: none may be here.
+		limits.Set(len(types)+index+1, index, -1)
 	}
 	bounds[0] = -load
 	cost, equal, right := lp.Convert(costs, limits, bounds, nil, nil)
--- /dev/null
+++ b/control/scaler/scaler_test.go
@@ -0,0 +1,189 @@
+package scaler
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/spread"
+)
+
+// bench plays routers that report to a scaler on a fake clock.
+type bench struct {
+	clock   *clock.Fake
+	news    *spread.News
+	scaler  *Scaler
+	runners []Listed
+	epoch   int64
+	held    bool
+}
+
+func newBench() *bench {
+	made := &bench{clock: clock.NewFake(), news: spread.NewNews(nil), epoch: 1, held: true}
+	for index := range 4 {
+		region := ids.Region("north")
+		if index == 3 {
+			region = "south"
+		}
+		made.runners = append(made.runners, Listed{ID: ids.RunnerID(fmt.Sprint("i", index)), Service: "s", Version: "v1", Region: region, Ready: true})
+	}
+	made.scaler = made.fresh()
+	return made
+}
+
+func (bench *bench) fresh() *Scaler {
+	return New(Options{
+		Address: "c", News: bench.news, Runners: func() []Listed { return bench.runners },
+		Held:   func(clock.Instant) (int64, bool) { return bench.epoch, bench.held },
+		Serial: func(epoch int64, counter int64) ids.Serial { return ids.Serial(epoch<<32 | counter) },
+		Window: 60 * clock.Second, Step: clock.Second, Pace: 5,
+	})
+}
+
+// pass lets seconds pass in which each runner finishes its rate, at its limit.
+func (bench *bench) pass(seconds int, rates map[ids.RunnerID]float64, demand float64) {
+	for second := range seconds {
+		report := ReportAsk{From: "r", Region: "north", SpanMS: 1000}
+		for _, runner := range bench.runners {
+			rate := rates[runner.ID]
+			wobble := float64(second%3) - 1
+			report.Samples = append(report.Samples, Sample{
+				Runner: runner.ID, Service: "s", Arrived: rate, Finished: rate + 0.1*wobble,
+				Running: 20 - 3*wobble, SpentMS: 500 * rate, Memory: 0.5, Busy: 0.5,
+			})
+		}
+		report.Demands = []Demand{{Service: "s", Arrived: demand}}
+		bench.scaler.Take(report)
+		bench.clock.Move(clock.Second)
+		bench.scaler.Look(bench.clock.Now(), clock.Second)
+	}
+}
+
+func (bench *bench) plan(t *testing.T) Plan {
+	t.Helper()
+	item, found := bench.news.Get(Key)
+	if !found {
+		t.Fatal("no plan was told")
+	}
+	plan, fault := ReadPlan(item.Body)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	return plan
+}
+
+func (plan Plan) of(id ids.RunnerID) RunnerPlan {
+	for _, planned := range plan.Runners {
+		if planned.Runner == id {
+			return planned
+		}
+	}
+	return RunnerPlan{}
+}
+
+func TestWeightsFollowTheCeilings(t *testing.T) {
+	bench := newBench()
+	bench.pass(58, map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 30, "i3": 10}, 60)
+	plan := bench.plan(t)
+	slow, fast := plan.of("i0"), plan.of("i2")
+	if fast.Weight != fast.Limit && math.Abs(fast.Weight-fast.Limit) > slack*fast.Limit {
+		t.Fatalf("a weight is not its ceiling: %+v", fast)
+	}
+	if fast.Weight < 1.6*slow.Weight {
+		t.Fatalf("a runner three times as fast has %v against %v", fast.Weight, slow.Weight)
+	}
+	bench.runners[2].Cold = true
+	bench.pass(5, map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 30, "i3": 10}, 60)
+	if cold := bench.plan(t).of("i2"); cold.Weight > 0.6*fast.Weight {
+		t.Fatalf("a cold runner keeps its weight: %+v", cold)
+	}
+}
+
+func TestOwnRegionFirstThenTheExcess(t *testing.T) {
+	bench := newBench()
+	rates := map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 10, "i3": 10}
+	bench.pass(40, rates, 15)
+	for _, flow := range bench.plan(t).Flows {
+		if flow.Target != "north" || flow.Share != 1 {
+			t.Fatalf("a region that can bear its load spills: %+v", flow)
+		}
+	}
+	bench.pass(40, rates, 60)
+	shares := map[ids.Region]float64{}
+	for _, flow := range bench.plan(t).Flows {
+		shares[flow.Target] += flow.Share
+	}
+	if shares["north"] > 0.7 || shares["south"] < 0.3 || math.Abs(shares["north"]+shares["south"]-1) > 0.02 {
+		t.Fatalf("the excess is not spilled: %v", shares)
+	}
+	needed := 0.0
+	for _, replicas := range bench.plan(t).Replicas {
+		needed += replicas.Needed
+	}
+	if needed != 4 {
+		t.Fatalf("%v replicas for a load over all ceilings", needed)
+	}
+}
+
+func TestMissingMetricsDecayToTheType(t *testing.T) {
+	bench := newBench()
+	bench.pass(58, map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 30, "i3": 10}, 60)
+	before := bench.plan(t).of("i2").Limit
+	quiet := bench.runners[2]
+	bench.runners = append(bench.runners[:2:2], bench.runners[3])
+	bench.pass(1, map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i3": 10}, 60)
+	bench.runners = append(bench.runners, quiet)
+	for range 70 {
+		report := ReportAsk{Region: "north"}
+		for _, id := range []ids.RunnerID{"i0", "i1", "i3"} {
+			report.Samples = append(report.Samples, Sample{Runner: id, Service: "s", Finished: 10, Running: 20, Arrived: 10})
+		}
+		bench.scaler.Take(report)
+		bench.clock.Move(clock.Second)
+		bench.scaler.Look(bench.clock.Now(), clock.Second)
+	}
+	after := bench.plan(t).of("i2").Limit
+	if after <= 0 || after >= before*0.8 {
+		t.Fatalf("the ceiling of a runner without metrics went from %v to %v", before, after)
+	}
+}
+
+func TestNextHolderGoesOnFromThePlan(t *testing.T) {
+	bench := newBench()
+	bench.pass(30, map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 10, "i3": 10}, 20)
+	first, _ := bench.news.Get(Key)
+	before := bench.plan(t).of("i0").Limit
+	bench.scaler = bench.fresh()
+	bench.epoch = 2
+	bench.clock.Move(clock.Second)
+	bench.scaler.Look(bench.clock.Now(), clock.Second)
+	second, _ := bench.news.Get(Key)
+	if second.Serial <= first.Serial || bench.plan(t).of("i0").Limit != before {
+		t.Fatalf("%d then %d, ceiling %v", first.Serial, second.Serial, bench.plan(t).of("i0").Limit)
+	}
+	bench.held = false
+	bench.clock.Move(clock.Second)
+	bench.scaler.Look(bench.clock.Now(), clock.Second)
+	if third, _ := bench.news.Get(Key); third.Serial != second.Serial {
+		t.Fatal("a daemon without the duty planned")
+	}
+}
+
+func TestBrokenRunnerRests(t *testing.T) {
+	bench := newBench()
+	rates := map[ids.RunnerID]float64{"i0": 10, "i1": 10, "i2": 10, "i3": 10}
+	bench.pass(30, rates, 20)
+	report := ReportAsk{Region: "north", Samples: []Sample{{Runner: "i1", Service: "s", Arrived: 40, Failed: 30, Running: 90, Pending: 90, Memory: 1, Busy: 1}}}
+	bench.scaler.Take(report)
+	bench.clock.Move(clock.Second)
+	bench.scaler.Look(bench.clock.Now(), clock.Second)
+	if !bench.plan(t).of("i1").Resting {
+		t.Fatal("a runner that breaks all it gets stays in rotation")
+	}
+	bench.pass(restSteps+1, rates, 20)
+	if bench.plan(t).of("i1").Resting {
+		t.Fatal("the runner never came back")
+	}
+}
--- /dev/null
+++ b/control/spec/spec_test.go
@@ -0,0 +1,133 @@
+package spec
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"onyxwell/base/breakdown"
+	"onyxwell/base/ids"
+)
+
+const good = `{"config_version":7,"extra":{"kept":1},"routes":[
+ {"name":"a","hostname":"Shop.example","path_prefix":"/a/","type":"safe","give_up_ms":100,"service":"s"},
+ {"name":"b","hostname":"shop.example","path_prefix":"/a/b/","type":"streaming","resumable":true,"give_up_ms":100,"shares":[{"service":"s","weight":1},{"service":"t","weight":0}]}],
+ "services":[{"name":"s"},{"name":"t","cold_per_s":2.5}],"limits":{"max_body_bytes":10}}`
+
+func TestLongestPrefixWins(t *testing.T) {
+	read, fault := Check([]byte(good))
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	cases := map[[2]string]string{
+		{"shop.example", "/a/x"}: "a", {"SHOP.example:80", "/a/b/x"}: "b", {"shop.example", "/a/bx"}: "a",
+		{"shop.example", "/b/"}: "", {"other.example", "/a/x"}: "", {"shop.example", "/a"}: "",
+	}
+	for place, name := range cases {
+		route := read.Match(place[0], place[1])
+		if (route == nil) != (name == "") || (route != nil && route.Name != name) {
+			t.Errorf("%v: %+v", place, route)
+		}
+	}
+}
+
+func TestInvalidSpecsAreRefusedByField(t *testing.T) {
+	cases := []struct{ name, from, to, field string }{
+		{"cut short", good, good[:200], "not JSON"},
+		{"two documents", good, good + good, "not JSON"},
+		{"unknown service", `"give_up_ms":100,"service":"s"`, `"give_up_ms":100,"service":"x"`, "routes[0].service"},
+		{"unknown share", `{"service":"s","weight":1}`, `{"service":"x","weight":1}`, "routes[1].shares[0].service"},
+		{"same place", `"/a/b/"`, `"/a/"`, "routes[1].path_prefix"},
+		{"no weight", `"weight":1`, `"weight":0`, "routes[1].shares"},
+		{"no time", `"give_up_ms":100,"service"`, `"give_up_ms":0,"service"`, "give_up_ms"},
+		{"name twice", `"name":"b"`, `"name":"a"`, "routes[1].name"},
+		{"service twice", `{"name":"t"`, `{"name":"s"`, "services[1].name"},
+		{"no service", `,"service":"s"`, ``, "routes[0].service"},
+		{"no version", `"config_version":7,`, ``, "config_version"},
+		{"version as text", `"config_version":7`, `"config_version":"7"`, "config_version"},
+		{"unknown type", `"type":"safe"`, `"type":"odd"`, "type"},
+	}
+	for _, example := range cases {
+		text := strings.Replace(good, example.from, example.to, 1)
+		if text == good {
+			t.Fatalf("%s: the case changes nothing", example.name)
+		}
+		_, fault := Check([]byte(text))
+		if breakdown.KindOf(fault) != breakdown.BadSpec || !strings.Contains(fault.Error(), example.field) {
+			t.Errorf("%s: %v", example.name, fault)
+		}
+	}
+}
+
+func step(t *testing.T, current []byte, change Change, want breakdown.Kind) []byte {
+	t.Helper()
+	next, fault := change.Step(current)
+	if breakdown.KindOf(fault) != want {
+		t.Fatalf("%v, not %v", fault, want)
+	}
+	return next
+}
+
+func TestChangesBuildOnOneSerial(t *testing.T) {
+	first := Change{Whole: true, Match: 0, Body: []byte(good)}
+	value := step(t, nil, first, breakdown.None)
+	if again := step(t, value, first, breakdown.None); again != nil {
+		t.Fatal("a repeat changed the value")
+	}
+	rival := Change{Whole: true, Match: 0, Body: []byte(strings.Replace(good, ":7", ":8", 1))}
+	step(t, value, rival, breakdown.StaleSpec)
+	step(t, value, Change{Whole: true, Match: 7, Body: []byte(strings.Replace(good, ":7", ":6", 1))}, breakdown.BadSpec)
+	step(t, value, Change{Whole: true, Match: 7, Body: []byte("{")}, breakdown.BadSpec)
+	patch := Change{Match: 7, Body: []byte(`{"config_version":9,"changes":{"routes":[
+	 {"name":"a","hostname":"shop.example","path_prefix":"/a/","type":"safe","give_up_ms":200,"service":"t"},
+	 {"name":"c","hostname":"shop.example","path_prefix":"/c/","type":"safe","give_up_ms":1,"service":"t"}]},
+	 "remove":{"routes":["b","unknown"]}}`)}
+	newer := step(t, value, patch, breakdown.None)
+	// A repeat of the older change is still known, whatever is in force.
+	if again := step(t, newer, first, breakdown.None); again != nil {
+		t.Fatal("a late repeat changed the value")
+	}
+	kept, fault := ReadKept(newer)
+	if fault != nil || kept.Serial != 9 {
+		t.Fatalf("%+v, %v", kept.Serial, fault)
+	}
+	var whole struct {
+		Serial ids.Serial        `json:"config_version"`
+		Routes []Route           `json:"routes"`
+		Extra  map[string]int    `json:"extra"`
+		Limits map[string]int    `json:"limits"`
+		Rest   []json.RawMessage `json:"services"`
+	}
+	if fault := json.Unmarshal(kept.Document, &whole); fault != nil {
+		t.Fatal(fault)
+	}
+	if whole.Serial != 9 || len(whole.Routes) != 2 || whole.Routes[0].Service != "t" || whole.Routes[1].Name != "c" ||
+		whole.Extra["kept"] != 1 || whole.Limits["max_body_bytes"] != 10 || len(whole.Rest) != 2 {
+		t.Fatalf("%s", kept.Document)
+	}
+}
+
+func TestPatchThatLeavesAnInvalidSpecIsRefused(t *testing.T) {
+	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, breakdown.None)
+	bodies := []string{
+		`{"config_version":9,"remove":{"services":["t"]}}`, `{"config_version":7}`, `{"config_version":9,"changes":{"routes":[{"hostname":"x"}]}}`,
+		`{"config_version":9,"changes":{"routes":7}}`, `[]`,
+	}
+	for _, body := range bodies {
+		step(t, value, Change{Match: 7, Body: []byte(body)}, breakdown.BadSpec)
+	}
+}
+
+func TestRememberedChangesAreBounded(t *testing.T) {
+	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, breakdown.None)
+	serial := 7
+	for range 2 * recentLimit {
+		body, _ := json.Marshal(map[string]int{"config_version": serial + 1})
+		value = step(t, value, Change{Match: ids.Serial(serial), Body: body}, breakdown.None)
+		serial++
+	}
+	kept, fault := ReadKept(value)
+	if fault != nil || len(kept.Recent) != recentLimit || kept.Recent[recentLimit-1].Serial != ids.Serial(serial) {
+		t.Fatalf("%d remembered, %v", len(kept.Recent), fault)
+	}
+}
