--- /dev/null
+++ b/base/boot/boot_test.go
@@ -0,0 +1,68 @@
+package boot
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "edge-1"
+ip = "10.1.0.13"
+zone = "a"
+region = "north"
+port_range = [7720,7735]
+seed_nodes = ["10.1.0.13:8166","10.2.0.30:8166"]
+field_of_the_future = "ignored"
+[listen]
+front = "10.1.0.13:8161"
+[limits]
+memory_mb = 284
+open_files = 4100
+[bounds]
+retry_window_s = 10
+grace_s = 8
+apply_within_ms = 3000.5
+new_bound = 1
+[cloud_api]
+address = "10.200.0.79:8169"
+rate_per_s = 42.0
+`
+
+func TestGoodFileIsTaken(t *testing.T) {
+	settings, fault := Parse(good)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	if settings.InnerAddress("10.9.9.9", "fleet-controller") != "10.9.9.9:7721" || settings.SeedAddresses()[1] != "10.2.0.30:7721" {
+		t.Fatalf("%v %v", settings.InnerAddress("10.9.9.9", "fleet-controller"), settings.SeedAddresses())
+	}
+	if settings.Require("front") != nil || settings.Require("front", "control") == nil {
+		t.Fatal("the listening addresses are not looked at")
+	}
+}
+
+func TestBrokenFileIsNamed(t *testing.T) {
+	cases := map[string][2]string{
+		"node_name":              {`node_name = "edge-1"`, ``},
+		"ip is":                  {`"10.1.0.13"`, `"host"`},
+		"port_range wants":       {`[7720,7735]`, `[7720]`},
+		"port_range is too":      {`[7720,7735]`, `[7720,7720]`},
+		"seed_nodes is":          {`["10.1.0.13:8166","10.2.0.30:8166"]`, `[]`},
+		"seed_nodes[1]":          {`"10.2.0.30:8166"`, `"nobody"`},
+		"listen.front":           {`"10.1.0.13:8161"`, `"x"`},
+		"limits.memory_mb":       {`memory_mb = 284`, `memory_mb = 0`},
+		"cloud_api.address":      {`"10.200.0.79:8169"`, `""`},
+		"cloud_api.rate_per_s":   {`rate_per_s = 42.0`, `rate_per_s = 0`},
+		"bounds.apply_within_ms": {`apply_within_ms = 3000.5`, ``},
+		"boot file":              {`zone = "a"`, `zone = `},
+	}
+	for name, change := range cases {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if _, fault := Parse(text); fault == nil || !strings.Contains(fault.Error(), name) {
+			t.Errorf("%s: %v", name, fault)
+		}
+	}
+	if _, fault := Read(t.TempDir() + "/none.toml"); fault == nil {
+		t.Error("a missing file is taken")
+	}
+}
--- /dev/null
+++ b/data/letin/letin_test.go
@@ -0,0 +1,99 @@
+package letin
+
+import (
+	"fmt"
+	"testing"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/census"
+	"onyxwell/control/scaler"
+	"onyxwell/control/spec"
+	"onyxwell/data/picture"
+)
+
+func some(weights ...float64) []candidate {
+	var found []candidate
+	for index, weight := range weights {
+		runner := &picture.Runner{Runner: census.Runner{ID: ids.RunnerID(fmt.Sprint("i", index))}, Region: "north"}
+		found = append(found, candidate{runner: runner, weight: weight})
+	}
+	return found
+}
+
+func TestSharesFollowTheWeights(t *testing.T) {
+	found := some(1, 2, 5)
+	counts := map[ids.RunnerID]int{}
+	for key := range 8000 {
+		counts[rendezvous(found, fmt.Sprint("part", key)).runner.ID]++
+	}
+	for id, want := range map[ids.RunnerID]int{"i0": 1000, "i1": 2000, "i2": 5000} {
+		if got := counts[id]; got < want*9/10 || got > want*11/10 {
+			t.Errorf("%s has %d, not about %d", id, got, want)
+		}
+	}
+}
+
+func TestPartsStayWhereTheyWereRead(t *testing.T) {
+	before, after := some(1, 1, 1, 1), some(1, 1, 1)
+	moved := 0
+	for key := range 1000 {
+		name := fmt.Sprint("part", key)
+		first := rendezvous(before, name).runner.ID
+		if first != "i3" && rendezvous(after, name).runner.ID != first {
+			moved++
+		}
+	}
+	if moved != 0 {
+		t.Fatalf("%d parts moved though their runner stayed", moved)
+	}
+}
+
+func TestFullRunnerIsPassedOver(t *testing.T) {
+	found := some(1, 1, 1)
+	home := rendezvous(found, "part")
+	for index := range found {
+		if found[index].runner.ID == home.runner.ID {
+			found[index].load = 2
+		}
+	}
+	if rendezvous(found, "part").runner.ID == home.runner.ID {
+		t.Fatal("a full runner still gets the request")
+	}
+}
+
+func TestAffinityIsOfTheLastSharedPart(t *testing.T) {
+	if key, keyed := affinity([]string{"a", "b", "own"}); !keyed || key != "b" {
+		t.Fatalf("%q %v", key, keyed)
+	}
+	if _, keyed := affinity([]string{"own"}); keyed {
+		t.Fatal("a prompt that shares nothing has an affinity")
+	}
+}
+
+// TestPlanDecidesTheRegion has the plan's flows pick the region, and without
+// any flow the own region.
+func TestPlanDecidesTheRegion(t *testing.T) {
+	found := some(1, 1)
+	found[1].runner.Region = "south"
+	decision := &Decision{service: "s", asking: Asking{Route: &spec.Route{}}}
+	count := func(seen *picture.Picture) int {
+		north := 0
+		for step := range 100 {
+			gate := NewGate(Options{Region: "north", Chance: func() float64 { return float64(step) / 100 }})
+			if gate.region(seen, decision, found)[0].runner.Region == "north" {
+				north++
+			}
+		}
+		return north
+	}
+	if got := count(&picture.Picture{}); got != 100 {
+		t.Errorf("without a plan %d of 100 stay", got)
+	}
+	plan := scaler.Plan{Flows: []scaler.Flow{
+		{Service: "s", Origin: "north", Target: "north", Share: 0.7}, {Service: "s", Origin: "north", Target: "south", Share: 0.3},
+		{Service: "s", Origin: "south", Target: "south", Share: 1},
+	}}
+	if got := count(&picture.Picture{Plan: plan}); got != 70 {
+		t.Errorf("with a plan %d of 100 stay, not 70", got)
+	}
+}
--- /dev/null
+++ b/data/metrics/metrics_test.go
@@ -0,0 +1,56 @@
+package metrics
+
+import (
+	"testing"
+
+	"onyxwell/base/clock"
+)
+
+func TestWhatRoutersDerive(t *testing.T) {
+	machine, board := clock.NewFake(), NewBoard()
+	board.Asked("s", "north,")
+	board.Sent("s", "i", 1, 100, machine.Now())
+	board.Sent("s", "i", 2, 50, machine.Now())
+	board.Sample()
+	board.Told("i", "3,1,8", machine.Now())
+	board.Told("i", "nonsense", machine.Now())
+	board.Began("i", 1, 100, machine.Now())
+	board.Sample()
+	board.Ended("i", Ending{Number: 1, Began: true, Finished: true, Spent: 200 * clock.Millisecond}, machine.Now())
+	board.Ended("i", Ending{Number: 2, Tokens: 50, Broken: true, Shun: clock.Second}, machine.Now())
+	ledger := board.Look("i")
+	if ledger.Running != 0 || ledger.Unanswered != 0 || ledger.Load.Running != 3 || ledger.Load.Waiting != 1 || !machine.Now().Before(ledger.Shunned) {
+		t.Fatalf("%+v", ledger)
+	}
+	samples, demands := board.Collect()
+	if len(samples) != 1 || len(demands) != 1 || demands[0].Homes != "north," || demands[0].Arrived != 1 {
+		t.Fatalf("%+v %+v", samples, demands)
+	}
+	sample := samples[0]
+	if sample.Arrived != 2 || sample.Finished != 1 || sample.Failed != 1 || sample.SpentMS != 200 || sample.Running != 2 || sample.Pending != 1.5 || sample.Busy != 3.0/8 {
+		t.Fatalf("%+v", sample)
+	}
+	if samples, demands := board.Collect(); len(samples)+len(demands) != 0 {
+		t.Fatalf("counted twice: %+v %+v", samples, demands)
+	}
+}
+
+func TestSilenceIsOfTheOldestThatWaits(t *testing.T) {
+	machine, board := clock.NewFake(), NewBoard()
+	board.Sent("s", "i", 1, 0, machine.Now())
+	machine.Move(clock.Second)
+	board.Sent("s", "i", 2, 0, machine.Now())
+	machine.Move(clock.Second)
+	if silence := board.Silence("i", machine.Now()); silence != 2*clock.Second {
+		t.Fatalf("%v", silence)
+	}
+	board.Began("i", 2, 0, machine.Now())
+	machine.Move(clock.Second)
+	if silence := board.Silence("i", machine.Now()); silence != clock.Second {
+		t.Fatalf("a sign of life does not count: %v", silence)
+	}
+	board.Ended("i", Ending{Number: 1, Finished: true}, machine.Now())
+	if silence := board.Silence("i", machine.Now()); silence != 0 {
+		t.Fatalf("%v with nothing waiting", silence)
+	}
+}
--- /dev/null
+++ b/data/warmth/warmth_test.go
@@ -0,0 +1,72 @@
+package warmth
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/fixed"
+)
+
+func TestMain(tests *testing.M) { fixed.Run(tests) }
+
+// TestColdRunnersStayUnderTheirRate has several routers send a cold runner all
+// they may: in no second does the sum go over its rate by more than one each.
+func TestColdRunnersStayUnderTheirRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(1, 10).Draw(t, "routers")
+		rate := float64(rapid.IntRange(5, 40).Draw(t, "rate"))
+		bound := Bound{PerS: rate, Sharers: routers}
+		machine := clock.NewFake()
+		var all []*Warmth
+		for range routers {
+			made := New()
+			made.List([]Entry{{ID: "i", ColdLeft: 60 * clock.Second}}, 0, machine.Now())
+			all = append(all, made)
+		}
+		var taken []clock.Instant
+		for range 300 {
+			machine.Move(clock.Span(rapid.IntRange(0, 30).Draw(t, "ms")) * clock.Millisecond)
+			router := all[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			for router.Take("i", bound, machine.Now()) {
+				taken = append(taken, machine.Now())
+			}
+		}
+		for first := range taken {
+			count := 0
+			for _, when := range taken[first:] {
+				if when.Since(taken[first]) < clock.Second {
+					count++
+				}
+			}
+			if float64(count) > rate+float64(routers) {
+				t.Fatalf("%d requests in one second at a rate of %v from %d routers", count, rate, routers)
+			}
+		}
+	})
+}
+
+func TestWhoIsCold(t *testing.T) {
+	machine := clock.NewFake()
+	made := New()
+	made.List([]Entry{{ID: "old", Warmup: 3 * clock.Second}, {ID: "cold", ColdLeft: clock.Second, Warmup: 3 * clock.Second}}, clock.Second, machine.Now())
+	if made.Cold("old", machine.Now()) || !made.Cold("cold", machine.Now()) {
+		t.Fatal("on the first list the list's own word counts")
+	}
+	made.List([]Entry{{ID: "old"}, {ID: "cold"}, {ID: "new", Warmup: 3 * clock.Second}}, clock.Second, machine.Now())
+	if made.Cold("old", machine.Now()) || !made.Cold("new", machine.Now()) {
+		t.Fatal("a runner that was not there before counts as cold")
+	}
+	machine.Move(2 * clock.Second)
+	if made.Cold("cold", machine.Now()) {
+		t.Fatal("still cold after its time and the list's lag")
+	}
+	made.Chill("old", machine.Now().Add(clock.Second))
+	if !made.Cold("old", machine.Now()) {
+		t.Fatal("not cold after word of it")
+	}
+	if !made.Take("old", Bound{}, machine.Now()) || !made.Take("unknown", Bound{PerS: 1}, machine.Now()) {
+		t.Fatal("a service without a rate, or a runner without a standing, is bounded")
+	}
+}
