--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -122,7 +122,8 @@
 	}
 	visit.time()
 	visit.asking = letin.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
-	visit.asking.Parts, visit.asking.Tokens = prompt(visit.request.Header.Get(relay.PrefixHeader))
+	visit.asking.Bytes = len(body)
+	visit.asking.Prompt(visit.request.Header.Get(relay.PrefixHeader))
 	if after := visit.request.Header.Get(relay.LastEventField); after != "" {
 		visit.last, fault = strconv.ParseInt(after, 10, 64)
 		visit.known = fault == nil
@@ -189,21 +190,3 @@
 	}
 	return int64(size)
 }
-
-// prompt reads the parts of a prompt: ids in order, and how many tokens.
-func prompt(text string) ([]string, float64) {
-	if text == "" {
-		return nil, 0
-	}
-	var parts []string
-	total := 0.0
-	for _, piece := range strings.Split(text, ",") {
-		id, count, _ := strings.Cut(strings.TrimSpace(piece), ":")
-		tokens, fault := strconv.ParseFloat(count, 64)
-		if fault == nil {
-			total += tokens
-		}
-		parts = append(parts, id)
-	}
-	return parts, total
-}
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -30,8 +30,12 @@
 	if len(found) == 0 {
 		return nil, soon
 	}
-	found = gate.region(seen, decision, found)
-	if key, keyed := affinity(decision.asking.Parts); keyed && decision.asking.Route.Sticky {
+	key, keyed := affinity(decision.asking.Parts)
+	keyed = keyed && decision.asking.Route.Sticky
+	if !keyed || !travels(decision.asking) {
+		found = gate.region(seen, decision, found)
+	}
+	if keyed {
 		return rendezvous(found, key).runner, 0
 	}
 	return gate.lighterOfTwo(found).runner, 0
@@ -114,6 +118,14 @@
 	return found
 }
 
+// worthMoving is how many tokens must be spared for each byte moved before a
+// request goes to another region for the parts that were read there.
+const worthMoving = 0.3
+
+// travels tells whether a prompt shares so much that it is cheaper to move the
+// request to where its parts were read than to read them in every region.
+func travels(asking Asking) bool { return asking.Shared >= worthMoving*float64(asking.Bytes) }
+
 // affinity is the key that keeps like prompts together: the last shared part
 // stands for all before it.
 func affinity(parts []string) (string, bool) {
--- a/data/letin/gate.go
+++ b/data/letin/gate.go
@@ -3,6 +3,9 @@
 package letin
 
 import (
+	"strconv"
+	"strings"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
@@ -39,13 +42,35 @@
 // Asking is what is known of a request when it is let in.
 type Asking struct {
 	Route *spec.Route
-	// Parts are the ids of the prompt's parts, the own part last.
+	// Parts are the ids of the prompt's parts, the own part last; Tokens counts
+	// all of them, Shared those before the own part. Bytes is the body's length.
 	Parts  []string
 	Tokens float64
+	Shared float64
+	Bytes  int
 	Since  clock.Instant
 	Limit  clock.Instant
 }
 
+// Prompt reads the parts of a prompt: ids and tokens, in order.
+//
+// Example:
+//
+//	asking.Prompt("5c1e07a2:800,e4402b7d:250")
+func (asking *Asking) Prompt(text string) {
+	if text == "" {
+		return
+	}
+	own := 0.0
+	for _, piece := range strings.Split(text, ",") {
+		id, count, _ := strings.Cut(strings.TrimSpace(piece), ":")
+		own, _ = strconv.ParseFloat(count, 64)
+		asking.Parts = append(asking.Parts, id)
+		asking.Tokens += own
+	}
+	asking.Shared = asking.Tokens - own
+}
+
 // Begin opens the decision on a request.
 //
 // Example:
--- a/data/letin/letin_test.go
+++ b/data/letin/letin_test.go
@@ -97,3 +97,19 @@
 		t.Errorf("with a plan %d of 100 stay, not 70", got)
 	}
 }
+
+// TestPromptsThatShareMuchTravel has a prompt of many shared tokens in a short
+// body go to where its parts were read, and one that shares little stay.
+func TestPromptsThatShareMuchTravel(t *testing.T) {
+	var long, short Asking
+	long.Prompt("a:500,b:5000,own:6000")
+	long.Bytes = 12000
+	short.Prompt("a:300, b:200, own:1800")
+	short.Bytes = 2400
+	if long.Shared != 5500 || long.Tokens != 11500 || len(long.Parts) != 3 || !travels(long) {
+		t.Errorf("%+v", long)
+	}
+	if short.Shared != 500 || travels(short) {
+		t.Errorf("%+v", short)
+	}
+}
