Routers open their door while the spec is on its way; census beats instead of bodies

Cause: 0.4 s of closed ports after everything was killed at once, and whole lists told though nothing changed.

--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -139,16 +139,30 @@
 	reply.Empty(http.StatusOK).Send(writer)
 }
 
-// serveFront opens the door to visitors once the first spec is known.
+// serveFront takes visitors in once a spec and the runners are known. The door
+// opens a little earlier: those who come while these are on their way wait in
+// the listener's queue rather than being turned off.
 func (made *router) serveFront(inner scope.Scope) error {
+	address := string(inner.Boot.Listen["front"])
+	listener, fault := net.Listen("tcp", address)
+	if fault != nil {
+		return fault
+	}
+	defer func() { _ = listener.Close() }()
 	select {
 	case <-inner.Done():
 		return nil
 	case <-made.frame.Ready():
-	}
-	listener, fault := net.Listen("tcp", string(inner.Boot.Listen["front"]))
-	if fault != nil {
-		return fault
+	case <-inner.Clock.After(made.pace.Connect):
+		_ = listener.Close()
+		select {
+		case <-inner.Done():
+			return nil
+		case <-made.frame.Ready():
+		}
+		if listener, fault = net.Listen("tcp", address); fault != nil {
+			return fault
+		}
 	}
 	limits := made.frame.Now().Spec.Limits
 	server := call.Server(made.front, boot.Milliseconds(limits.HeaderWaitMS), boot.Milliseconds(limits.IdleMS))
--- a/cmd/router/tasks.go
+++ b/cmd/router/tasks.go
@@ -20,7 +20,7 @@
 	// The holder tells the census once a span; a third of the time for
 	// draining without one is long.
 	patience := 3 * made.pace.Census
-	for inner.Wait(made.pace.Census / 4) {
+	for pause := clock.Span(0); inner.Wait(pause); pause = made.pace.Census / 4 {
 		if made.censusFresh(inner, patience) {
 			continue
 		}
--- a/control/census/census.go
+++ b/control/census/census.go
@@ -16,8 +16,14 @@
 	"onyxwell/control/spread"
 )
 
-// Key is the news key of the list.
-const Key = "census"
+// Key is the news key of the list, BeatKey that of the word that it still holds.
+const (
+	Key     = "census"
+	BeatKey = "census-beat"
+)
+
+// Beat says that the list of that serial was still the platform's lately.
+type Beat struct{ List ids.Serial }
 
 // Runner is one runner as the platform lists it.
 type Runner struct {
@@ -135,6 +141,7 @@
 	counter int64
 	told    clock.Instant
 	last    List
+	serial  ids.Serial
 }
 
 // Run takes the census until the scope ends.
@@ -166,16 +173,34 @@
 	}
 	now := inner.Now()
 	epoch, held := taker.Held(now)
-	if !held || (list.same(taker.last) && now.Since(taker.told) < taker.Beat) {
+	known, _ := taker.News.Get(Key)
+	same := list.same(taker.last) && known.Serial == taker.serial
+	if !held || (same && now.Since(taker.told) < taker.Beat) {
 		return
 	}
 	taker.counter++
-	taker.last, taker.told = list, now
-	if body, fault := courier.Pack(list); fault == nil {
-		taker.News.Put(spread.Item{Key: Key, Serial: SerialOf(epoch, taker.counter), Body: body})
+	taker.told = now
+	serial := SerialOf(epoch, taker.counter)
+	if same {
+		taker.tell(BeatKey, serial, Beat{List: taker.serial})
+		return
+	}
+	taker.last, taker.serial = list, serial
+	taker.tell(Key, serial, list)
+}
+
+func (taker *Taker) tell(key string, serial ids.Serial, message any) {
+	body, fault := packers[key](message)
+	if fault == nil {
+		taker.News.Put(spread.Item{Key: key, Serial: serial, Body: body})
 	}
 }
 
+var packers = map[string]func(any) ([]byte, error){
+	Key:     func(message any) ([]byte, error) { return courier.Pack(message.(List)) },
+	BeatKey: func(message any) ([]byte, error) { return courier.Pack(message.(Beat)) },
+}
+
 // SerialOf joins a duty's epoch and a count of its acts to one rising serial.
 //
 // Example:
--- a/control/spread/exchange.go
+++ b/control/spread/exchange.go
@@ -79,6 +79,10 @@
 func (spreader *Spreader) Run(inner scope.Scope) {
 	for inner.Err() == nil {
 		pause := spreader.Every*3/4 + rand.N(spreader.Every/2)
+		if len(spreader.News.Marks()) == 0 {
+			// One that knows nothing can't serve: it asks at once, and often.
+			pause = spreader.Every / 8
+		}
 		select {
 		case <-inner.Done():
 			return
--- a/data/picture/picture.go
+++ b/data/picture/picture.go
@@ -28,6 +28,7 @@
 	Spec     *spec.Spec
 	Runners  map[ids.Service][]*Runner
 	Census   clock.Instant
+	Listed   ids.Serial
 	Empty    map[ids.Zone]bool
 	Refilled map[ids.Zone]clock.Instant
 	Plan     scaler.Plan
@@ -72,7 +73,7 @@
 //	seen := frame.Now()
 func (frame *Frame) Now() *Picture { return frame.now.Load() }
 
-// Ready is closed once the first spec is known.
+// Ready is closed once a spec and a list of runners are known.
 //
 // Example:
 //
@@ -87,7 +88,7 @@
 //	news := spread.NewNews(frame.Absorb)
 func (frame *Frame) Absorb(item spread.Item) {
 	if absorb := absorbers[item.Key]; absorb != nil {
-		frame.swap(func(next *Picture) bool { return absorb(frame, next, item.Body) })
+		frame.swap(func(next *Picture) bool { return absorb(frame, next, item) })
 		return
 	}
 	if zone, found := evacuation.ZoneOf(item.Key); found {
@@ -101,28 +102,40 @@
 //
 //	frame.Take(list)
 func (frame *Frame) Take(list census.List) {
-	frame.swap(func(next *Picture) bool { frame.list(next, list); return true })
+	frame.swap(func(next *Picture) bool {
+		frame.list(next, list)
+		next.Listed = 0
+		return true
+	})
 }
 
-var absorbers = map[string]func(*Frame, *Picture, []byte) bool{
-	spec.Key: func(frame *Frame, next *Picture, body []byte) bool {
-		read, fault := spec.Read(body)
+var absorbers = map[string]func(*Frame, *Picture, spread.Item) bool{
+	spec.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
+		read, fault := spec.Read(item.Body)
 		if fault != nil || (next.Spec != nil && read.Serial <= next.Spec.Serial) {
 			return false
 		}
 		next.Spec = read
-		frame.once.Do(func() { close(frame.ready) })
 		return true
 	},
-	census.Key: func(frame *Frame, next *Picture, body []byte) bool {
-		list, fault := courier.Unpack[census.List](body)
+	census.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
+		list, fault := courier.Unpack[census.List](item.Body)
 		if fault == nil {
 			frame.list(next, list)
+			next.Listed = item.Serial
 		}
 		return fault == nil
 	},
-	scaler.Key: func(_ *Frame, next *Picture, body []byte) bool {
-		plan, fault := scaler.ReadPlan(body)
+	census.BeatKey: func(frame *Frame, next *Picture, item spread.Item) bool {
+		beat, fault := courier.Unpack[census.Beat](item.Body)
+		if fault != nil || next.Listed != beat.List {
+			return false
+		}
+		next.Census = frame.options.Clock.Now()
+		return true
+	},
+	scaler.Key: func(_ *Frame, next *Picture, item spread.Item) bool {
+		plan, fault := scaler.ReadPlan(item.Body)
 		if fault != nil {
 			return false
 		}
@@ -168,8 +181,12 @@
 	frame.lock.Lock()
 	defer frame.lock.Unlock()
 	next := *frame.now.Load()
-	if change(&next) {
-		frame.now.Store(&next)
+	if !change(&next) {
+		return
+	}
+	frame.now.Store(&next)
+	if next.Spec != nil && next.Runners != nil {
+		frame.once.Do(func() { close(frame.ready) })
 	}
 }
 
