Room: how much more load each model family bears before its requests run late

Routers tell how long first answers took for how many prompt tokens; the planner fits the family's pace, counts every runner as it stands, and tells by how many times each route alone, and all together, may grow. Asked by GET /room at a controller, or with the new program room.

--- a/cmd/fleet-controller/plan.go
+++ b/cmd/fleet-controller/plan.go
@@ -4,7 +4,6 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
-	"onyxwell/control/courier"
 	"onyxwell/control/hold"
 	"onyxwell/control/scaler"
 )
@@ -27,22 +26,15 @@
 			Window: metricWindow, Step: metricStep, Pace: planPace,
 		})
 		made.scaler.Serve(made.common.Calls)
+		made.common.Part("room", func(inner scope.Scope) error { made.estimate(inner, holder); return nil })
 		return made.scaler.Run
 	}
 }
 
 // runners reads the newest census.
 func (made *controller) runners(top scope.Scope) []scaler.Listed {
-	item, found := made.common.News.Get(census.Key)
-	if !found {
-		return nil
-	}
-	list, fault := courier.Unpack[census.List](item.Body)
-	if fault != nil {
-		return nil
-	}
 	var listed []scaler.Listed
-	for _, runner := range list.Runners {
+	for _, runner := range made.list().Runners {
 		listed = append(listed, scaler.Listed{
 			ID: runner.ID, Service: runner.Service, Version: runner.Version, Region: top.Boot.Zones[runner.Zone],
 			Ready: !runner.Draining, Cold: runner.ColdLeftMS > 0,
--- /dev/null
+++ b/cmd/fleet-controller/room.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/evacuation"
+	"onyxwell/control/hold"
+	"onyxwell/control/room"
+	"onyxwell/control/scaler"
+	"onyxwell/control/spec"
+	"onyxwell/control/spread"
+)
+
+// roomPace is how many looks at the metrics pass between two estimates.
+const roomPace = 5
+
+// estimate tells the room of every family while this controller plans.
+func (made *controller) estimate(inner scope.Scope, holder *hold.Holder) {
+	for counter := int64(1); inner.Wait(roomPace * metricStep); counter++ {
+		epoch, held := holder.Held(inner.Now())
+		if !held {
+			continue
+		}
+		seen, known := made.seen(inner)
+		if !known {
+			continue
+		}
+		body, fault := json.Marshal(room.Estimate(seen))
+		if fault != nil {
+			continue
+		}
+		made.common.News.Put(spread.Item{Key: room.Key, Serial: census.SerialOf(epoch, counter), Body: body})
+		inner.Log.Info().Str("part", "room").RawJSON("report", body).Msg("estimated")
+	}
+}
+
+// seen gathers what the estimate needs: every runner on the list, as it stands.
+func (made *controller) seen(inner scope.Scope) (room.Seen, bool) {
+	item, found := made.common.News.Get(spec.Key)
+	if !found {
+		return room.Seen{}, false
+	}
+	version, fault := spec.Read(item.Body)
+	if fault != nil {
+		return room.Seen{}, false
+	}
+	seen := room.Seen{Spec: version}
+	var units map[ids.RunnerID]float64
+	seen.Readings, units, seen.Seconds = made.scaler.Work()
+	resting := made.resting()
+	for _, runner := range made.list().Runners {
+		standing := standingOf(runner, made.emptied(runner.Zone), resting[runner.ID])
+		seen.Runners = append(seen.Runners, room.Runner{
+			ID: runner.ID, Service: runner.Service, Region: inner.Boot.Zones[runner.Zone], Slots: float64(runner.Capacity),
+			Standing: standing, UnitsPerS: units[runner.ID],
+		})
+	}
+	seen.Routers = made.routers()
+	return seen, true
+}
+
+// standings are asked in this order; the first that holds is the runner's.
+func standingOf(runner census.Runner, emptied bool, resting bool) string {
+	standings := []struct {
+		holds bool
+		name  string
+	}{{runner.Draining, "draining"}, {emptied, "emptied"}, {resting, "resting"}, {runner.ColdLeftMS > 0, "cold"}}
+	for _, standing := range standings {
+		if standing.holds {
+			return standing.name
+		}
+	}
+	return room.Ready
+}
+
+func (made *controller) list() census.List {
+	item, _ := made.common.News.Get(census.Key)
+	list, _ := courier.Unpack[census.List](item.Body)
+	return list
+}
+
+func (made *controller) emptied(zone ids.Zone) bool {
+	item, found := made.common.News.Get(evacuation.Key(zone))
+	if !found {
+		return false
+	}
+	kept, fault := evacuation.Read(item.Body)
+	return fault == nil && kept.Empty
+}
+
+func (made *controller) resting() map[ids.RunnerID]bool {
+	resting := map[ids.RunnerID]bool{}
+	item, _ := made.common.News.Get(scaler.Key)
+	if plan, fault := scaler.ReadPlan(item.Body); fault == nil {
+		for _, planned := range plan.Runners {
+			resting[planned.Runner] = planned.Resting
+		}
+	}
+	return resting
+}
+
+// routers counts the routers of each region, those that are gone too.
+func (made *controller) routers() []room.Routers {
+	var counted []room.Routers
+	places := map[ids.Region]int{}
+	for _, member := range made.common.Table.Members() {
+		if member.Role != "router" {
+			continue
+		}
+		place, known := places[member.Region]
+		if !known {
+			place = len(counted)
+			places[member.Region] = place
+			counted = append(counted, room.Routers{Region: member.Region})
+		}
+		counted[place].Known++
+		if member.State == cohort.Alive && member.Ready {
+			counted[place].Ready++
+		}
+	}
+	return counted
+}
--- /dev/null
+++ b/cmd/room/main.go
@@ -0,0 +1,126 @@
+// Room asks a fleet-controller how much room each model family has left before
+// its requests run late.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/ids"
+	"onyxwell/base/program"
+	"onyxwell/base/scope"
+	"onyxwell/control/room"
+)
+
+type commandLine struct {
+	Controller []ids.Address    `arg:"" optional:"" help:"Control addresses to ask, one after another; by default the seeds of the boot file."`
+	Boot       string           `help:"Path of the boot file." placeholder:"FILE"`
+	JSON       bool             `name:"json" help:"Print the report as it came."`
+	Limit      time.Duration    `help:"How long one controller may take." default:"2s"`
+	Version    kong.VersionFlag `help:"Print the version and stop."`
+}
+
+type asking struct{}
+
+// Outgoing makes the call.
+func (asking) Outgoing() call.Outgoing { return call.Outgoing{Method: "GET", Path: "/room"} }
+
+type heard struct {
+	body   []byte
+	report room.Report
+}
+
+// Hear reads the report.
+func (answer *heard) Hear(told call.Heard) error {
+	if told.Status != 200 {
+		return breakdown.Of(breakdown.Unready, "the controller answered %d: %s", told.Status, told.Body)
+	}
+	answer.body = told.Body
+	return json.Unmarshal(told.Body, &answer.report)
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(arguments []string, out io.Writer, errors io.Writer) int {
+	var line commandLine
+	parser, fault := kong.New(&line, kong.Name("room"), kong.Writers(out, errors), kong.Vars{"version": "room " + program.Version},
+		kong.Description("Tells how many times its load each model family can bear before its requests run late."))
+	if fault == nil {
+		_, fault = parser.Parse(arguments)
+	}
+	if fault == nil && len(line.Controller) == 0 {
+		line.Controller, fault = seeds(line.Boot)
+	}
+	if fault != nil {
+		fmt.Fprintf(errors, "room: %v\n", fault)
+		return 1
+	}
+	answer, fault := ask(line)
+	if fault != nil {
+		fmt.Fprintf(errors, "room: %v\n", fault)
+		return 1
+	}
+	if line.JSON {
+		_, _ = out.Write(append(answer.body, '\n'))
+		return 0
+	}
+	show(out, answer.report)
+	return 0
+}
+
+func seeds(path string) ([]ids.Address, error) {
+	if path == "" {
+		path = boot.Path()
+	}
+	settings, fault := boot.Read(path)
+	if fault != nil {
+		return nil, fault
+	}
+	return settings.Seeds, nil
+}
+
+func ask(line commandLine) (heard, error) {
+	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: line.Limit, Silence: line.Limit}, Idle: line.Limit, PerHost: 1})
+	var last error
+	for _, address := range line.Controller {
+		short, release := scope.New(scope.Options{}).WithLimit(line.Limit)
+		answer, fault := call.Ask[heard](short, client, address, asking{})
+		release()
+		if fault == nil {
+			return answer, nil
+		}
+		last = fmt.Errorf("%s: %w", address, fault)
+	}
+	return heard{}, last
+}
+
+func show(out io.Writer, report room.Report) {
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	for _, family := range report.Families {
+		if !family.Enough {
+			fmt.Fprintf(table, "%s\ttoo few answers seen for an estimate\n", family.Service)
+			continue
+		}
+		fmt.Fprintf(table, "%s\tload %.1f/s\tused %.0f%%\troom for %.1f times the load\n", family.Service, family.PerS, 100*family.Used, family.Together)
+		for _, route := range family.Routes {
+			fmt.Fprintf(table, "  %s\tload %.1f/s\tfirst %.0f of %.0f ms\talone %.1f times, with all others %.1f times\n",
+				route.Name, route.PerS, route.FirstMS, route.GoalMS, route.Alone, route.Together)
+		}
+		for _, region := range family.Regions {
+			fmt.Fprintf(table, "  in %s\t%d ready\t%d not\tused %.0f%%\n", region.Region, region.Ready, region.Other, 100*region.Used)
+		}
+	}
+	for _, routers := range report.Routers {
+		fmt.Fprintf(table, "routers in %s\t%d ready\tof %d\t\n", routers.Region, routers.Ready, routers.Known)
+	}
+	_ = table.Flush()
+}
--- a/cmd/router/tasks.go
+++ b/cmd/router/tasks.go
@@ -63,9 +63,10 @@
 			continue
 		}
 		now := inner.Now()
-		asked := scaler.ReportAsk{From: made.common.Address, Region: inner.Boot.Region, SpanMS: float64(now.Since(last).Milliseconds())}
+		asked := made.board.Collect()
+		asked.From, asked.Region = made.common.Address, inner.Boot.Region
+		asked.SpanMS = float64(now.Since(last).Milliseconds())
 		last = now
-		asked.Samples, asked.Demands = made.board.Collect()
 		holder := made.frame.Now().Plan.Holder
 		if holder == "" {
 			continue
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -14,7 +14,9 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/desk"
 	"onyxwell/control/evacuation"
+	"onyxwell/control/room"
 	"onyxwell/control/spec"
+	"onyxwell/control/spread"
 )
 
 // Desk takes orders.
@@ -75,6 +77,29 @@
 	return nil
 }
 
+// Rooms is the newest estimate of how much room there is.
+type Rooms struct{ Report []byte }
+
+// Reply gives the report.
+func (told Rooms) Reply() reply.Reply {
+	return reply.Raw(http.StatusOK, "application/json", told.Report)
+}
+
+// ServeRoom adds the call that tells the room of every model family.
+//
+// Example:
+//
+//	operator.ServeRoom(calls, news)
+func ServeRoom(calls *call.Table, news *spread.News) {
+	call.Handle(calls, http.MethodGet, "/room", func(scope.Scope, Nothing) (Rooms, error) {
+		item, found := news.Get(room.Key)
+		if !found {
+			return Rooms{}, breakdown.Of(breakdown.Unready, "no estimate was made yet")
+		}
+		return Rooms{Report: item.Body}, nil
+	})
+}
+
 // Done acknowledges an order.
 type Done struct{}
 
--- a/control/scaler/plan.go
+++ b/control/scaler/plan.go
@@ -6,6 +6,7 @@
 import (
 	"onyxwell/base/ids"
 	"onyxwell/control/courier"
+	"onyxwell/control/room"
 )
 
 // Key is the news key of the plan.
@@ -67,6 +68,8 @@
 	// Memory and Busy are utilisations, from 0 to 1, as far as they are known.
 	Memory float64
 	Busy   float64
+	// Units is the work sent: prompt tokens, or one a request without any.
+	Units float64
 }
 
 // Demand is what visitors of a region asked of a service.
@@ -83,6 +86,8 @@
 	SpanMS  float64
 	Samples []Sample
 	Demands []Demand
+	// Readings are how long first answers took.
+	Readings []room.Reading
 }
 
 // ReportTold answers it.
--- a/control/scaler/window.go
+++ b/control/scaler/window.go
@@ -1,8 +1,11 @@
 package scaler
 
 import (
+	"math"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/control/room"
 )
 
 // point is one look at one runner: the metrics of one span, per second where
@@ -32,6 +35,7 @@
 	points  []point
 	open    point
 	spentMS float64
+	units   float64
 }
 
 // window keeps the series of all runners.
@@ -40,6 +44,15 @@
 	step   clock.Span
 	runs   map[ids.RunnerID]*series
 	demand map[demandKey]*rate
+	// readings and units are forgotten little by little; seconds is the time
+	// that they stand for.
+	readings map[readingKey]room.Reading
+	seconds  float64
+}
+
+type readingKey struct {
+	service ids.Service
+	route   string
 }
 
 type demandKey struct {
@@ -55,7 +68,7 @@
 }
 
 func newWindow(length clock.Span, step clock.Span) *window {
-	return &window{length: length, step: step, runs: map[ids.RunnerID]*series{}, demand: map[demandKey]*rate{}}
+	return &window{length: length, step: step, runs: map[ids.RunnerID]*series{}, demand: map[demandKey]*rate{}, readings: map[readingKey]room.Reading{}}
 }
 
 // take adds a router's samples to the span that is open.
@@ -73,9 +86,14 @@
 		run.open.pending += sample.Pending
 		run.open.failed += sample.Failed
 		run.spentMS += sample.SpentMS
+		run.units += sample.Units
 		run.open.memory = max(run.open.memory, sample.Memory)
 		run.open.busy = max(run.open.busy, sample.Busy)
 	}
+	for _, reading := range report.Readings {
+		key := readingKey{service: reading.Service, route: reading.Route}
+		window.readings[key] = window.readings[key].Plus(reading)
+	}
 	for _, wanted := range report.Demands {
 		key := demandKey{service: wanted.Service, homes: wanted.Homes, origin: report.Region}
 		if window.demand[key] == nil {
@@ -85,12 +103,28 @@
 	}
 }
 
+// remembered is the part of readings and units that outlives a second.
+const remembered = 0.9
+
+// forget ages readings and units by a step.
+func (window *window) forget(seconds float64) {
+	part := math.Pow(remembered, seconds)
+	for key, reading := range window.readings {
+		window.readings[key] = reading.Scaled(part)
+	}
+	for _, run := range window.runs {
+		run.units *= part
+	}
+	window.seconds = window.seconds*part + seconds
+}
+
 // smoothing is how much of a new rate is taken over in one step.
 const smoothing = 0.3
 
 // close ends the open span and drops what is older than the window.
 func (window *window) close(now clock.Instant, spent clock.Span) {
 	seconds := max(spent.Seconds(), 0.001)
+	window.forget(seconds)
 	for id, run := range window.runs {
 		closed := run.open
 		closed.at = now
--- a/control/spec/spec.go
+++ b/control/spec/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"onyxwell/base/clock"
@@ -53,6 +54,15 @@
 	return route.Kind == Safe || (route.Kind == Streaming && route.Resumable)
 }
 
+// AtHome tells whether the route's requests may be served in a region.
+//
+// Example:
+//
+//	if !route.AtHome(runner.Region) { continue }
+func (route *Route) AtHome(region ids.Region) bool {
+	return len(route.Homes) == 0 || slices.Contains(route.Homes, region)
+}
+
 // Goal is the time within which an answer earns its full worth.
 //
 // Example:
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -66,7 +66,11 @@
 	fate, over := result.Fate, false
 	if result.Fate == relay.Answered {
 		ending.Began = true
-		options.Board.Began(runner.ID, number, visit.asking.Tokens, inner.Now())
+		first := inner.Now()
+		options.Board.Began(runner.ID, number, visit.asking.Tokens, first)
+		if visit.asking.Tokens > 0 && !visit.known {
+			options.Board.Read(decision.Service(), visit.route.Name, visit.asking.Tokens, first.Since(begin))
+		}
 		fate, over = visit.pass(inner, runner, result.Response)
 	} else {
 		relay.Discard(result.Response)
@@ -74,6 +78,9 @@
 	now := inner.Now()
 	ending.Finished = fate == relay.Answered
 	ending.Spent = now.Since(begin)
+	if ending.Finished && visit.asking.Tokens == 0 {
+		options.Board.Read(decision.Service(), visit.route.Name, 1, ending.Spent)
+	}
 	late := visit.gone || visit.request.Context().Err() != nil || !now.Before(visit.limit)
 	ending.Broken = fate != relay.Answered && broken(result, late, ending, visit.route)
 	options.Board.Ended(runner.ID, ending, now)
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -50,7 +50,7 @@
 	bound := gate.bound(service)
 	patience := max(route.Goal()/2, 50*clock.Millisecond)
 	for _, runner := range seen.Runners[decision.service] {
-		if decision.tried[runner.ID] || !seen.Open(runner) || !atHome(route, runner.Region) {
+		if decision.tried[runner.ID] || !seen.Open(runner) || !route.AtHome(runner.Region) {
 			continue
 		}
 		ledger := gate.options.Board.Look(runner.ID)
--- a/data/letin/gate.go
+++ b/data/letin/gate.go
@@ -108,18 +108,6 @@
 	return key
 }
 
-func atHome(route *spec.Route, region ids.Region) bool {
-	if len(route.Homes) == 0 {
-		return true
-	}
-	for _, home := range route.Homes {
-		if home == region {
-			return true
-		}
-	}
-	return false
-}
-
 func (gate *Gate) bound(service *spec.Service) warmth.Bound {
 	if service == nil {
 		return warmth.Bound{}
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -4,13 +4,11 @@
 
 import (
 	"hash/maphash"
-	"strconv"
-	"strings"
 	"sync"
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
-	"onyxwell/control/scaler"
+	"onyxwell/control/room"
 )
 
 const shards = 8
@@ -39,6 +37,7 @@
 	Breakdowns int
 
 	arrived, finished, failed, spentMS float64
+	units                              float64
 	runningSum, pendingSum             float64
 	looks                              float64
 	waits                              map[uint64]clock.Instant
@@ -50,6 +49,12 @@
 	shards [shards]shard
 	demand shard
 	wanted map[demandKey]float64
+	read   map[readingKey]room.Reading
+}
+
+type readingKey struct {
+	service ids.Service
+	route   string
 }
 
 type shard struct {
@@ -68,7 +73,7 @@
 //
 //	board := metrics.NewBoard()
 func NewBoard() *Board {
-	board := &Board{seed: maphash.MakeSeed(), wanted: map[demandKey]float64{}}
+	board := &Board{seed: maphash.MakeSeed(), wanted: map[demandKey]float64{}, read: map[readingKey]room.Reading{}}
 	for index := range board.shards {
 		board.shards[index].ledgers = map[ids.RunnerID]*Ledger{}
 	}
@@ -110,6 +115,22 @@
 	board.wanted[demandKey{service: service, homes: homes}]++
 }
 
+// Read notes how long a first answer took for a request of so many units.
+//
+// Example:
+//
+//	board.Read(service, route.Name, tokens, first)
+func (board *Board) Read(service ids.Service, route string, units float64, first clock.Span) {
+	milliseconds := float64(first) / float64(clock.Millisecond)
+	board.demand.lock.Lock()
+	defer board.demand.lock.Unlock()
+	key := readingKey{service: service, route: route}
+	board.read[key] = board.read[key].Plus(room.Reading{
+		Service: service, Route: route, Count: 1, Units: units, UnitsSquared: units * units,
+		FirstMS: milliseconds, Crossed: units * milliseconds,
+	})
+}
+
 // Sent notes a request that goes to a runner; the number is given back to
 // Began and Ended.
 //
@@ -122,6 +143,7 @@
 		ledger.Running++
 		ledger.Unanswered += tokens
 		ledger.arrived++
+		ledger.units += max(1, tokens)
 		ledger.Load.Sent++
 		ledger.waits[number] = now
 	})
@@ -178,29 +200,6 @@
 	})
 }
 
-// Told notes the load that a runner put in an answer: running, waiting, slots.
-//
-// Example:
-//
-//	board.Told(id, "3,0,8", now)
-func (board *Board) Told(id ids.RunnerID, text string, now clock.Instant) {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return
-	}
-	figures := [3]float64{}
-	for index, part := range parts {
-		figure, fault := strconv.ParseFloat(strings.TrimSpace(part), 64)
-		if fault != nil {
-			return
-		}
-		figures[index] = figure
-	}
-	board.with(id, func(ledger *Ledger) {
-		ledger.Load = Load{Running: figures[0], Waiting: figures[1], Slots: figures[2], At: now}
-	})
-}
-
 // Silence tells how long the oldest request at a runner has waited for a first
 // sign, if the runner gave no other sign of life since.
 //
@@ -237,48 +236,3 @@
 		part.lock.Unlock()
 	}
 }
-
-// Collect gives what was seen since the last time, and begins anew.
-//
-// Example:
-//
-//	samples, demands := board.Collect()
-func (board *Board) Collect() ([]scaler.Sample, []scaler.Demand) {
-	var samples []scaler.Sample
-	for index := range board.shards {
-		part := &board.shards[index]
-		part.lock.Lock()
-		for id, ledger := range part.ledgers {
-			if sample, any := ledger.collect(id); any {
-				samples = append(samples, sample)
-			} else if ledger.Running == 0 {
-				delete(part.ledgers, id)
-			}
-		}
-		part.lock.Unlock()
-	}
-	var demands []scaler.Demand
-	board.demand.lock.Lock()
-	defer board.demand.lock.Unlock()
-	for key, arrived := range board.wanted {
-		demands = append(demands, scaler.Demand{Service: key.service, Homes: key.homes, Arrived: arrived})
-	}
-	board.wanted = map[demandKey]float64{}
-	return samples, demands
-}
-
-func (ledger *Ledger) collect(id ids.RunnerID) (scaler.Sample, bool) {
-	looks := max(1, ledger.looks)
-	sample := scaler.Sample{
-		Runner: id, Service: ledger.Service, Arrived: ledger.arrived, Finished: ledger.finished, Failed: ledger.failed,
-		SpentMS: ledger.spentMS, Running: ledger.runningSum / looks, Pending: ledger.pendingSum / looks,
-	}
-	if ledger.Load.Slots > 0 {
-		sample.Busy = ledger.Load.Running / ledger.Load.Slots
-		sample.Memory = sample.Busy
-	}
-	any := ledger.arrived+ledger.finished+ledger.failed > 0 || ledger.Running > 0
-	ledger.arrived, ledger.finished, ledger.failed, ledger.spentMS = 0, 0, 0, 0
-	ledger.runningSum, ledger.pendingSum, ledger.looks = 0, 0, 0
-	return sample, any
-}
--- /dev/null
+++ b/data/metrics/collect.go
@@ -0,0 +1,55 @@
+package metrics
+
+import (
+	"onyxwell/base/ids"
+	"onyxwell/control/room"
+	"onyxwell/control/scaler"
+)
+
+// Collect gives what was seen since the last time, and begins anew.
+//
+// Example:
+//
+//	report := board.Collect()
+func (board *Board) Collect() scaler.ReportAsk {
+	var report scaler.ReportAsk
+	for index := range board.shards {
+		part := &board.shards[index]
+		part.lock.Lock()
+		for id, ledger := range part.ledgers {
+			if sample, any := ledger.collect(id); any {
+				report.Samples = append(report.Samples, sample)
+			} else if ledger.Running == 0 {
+				delete(part.ledgers, id)
+			}
+		}
+		part.lock.Unlock()
+	}
+	board.demand.lock.Lock()
+	defer board.demand.lock.Unlock()
+	for key, arrived := range board.wanted {
+		report.Demands = append(report.Demands, scaler.Demand{Service: key.service, Homes: key.homes, Arrived: arrived})
+	}
+	for _, reading := range board.read {
+		report.Readings = append(report.Readings, reading)
+	}
+	board.wanted, board.read = map[demandKey]float64{}, map[readingKey]room.Reading{}
+	return report
+}
+
+func (ledger *Ledger) collect(id ids.RunnerID) (scaler.Sample, bool) {
+	looks := max(1, ledger.looks)
+	sample := scaler.Sample{
+		Runner: id, Service: ledger.Service, Arrived: ledger.arrived, Finished: ledger.finished, Failed: ledger.failed,
+		Units:   ledger.units,
+		SpentMS: ledger.spentMS, Running: ledger.runningSum / looks, Pending: ledger.pendingSum / looks,
+	}
+	if ledger.Load.Slots > 0 {
+		sample.Busy = ledger.Load.Running / ledger.Load.Slots
+		sample.Memory = sample.Busy
+	}
+	any := ledger.arrived+ledger.finished+ledger.failed > 0 || ledger.Running > 0
+	ledger.arrived, ledger.finished, ledger.failed, ledger.spentMS, ledger.units = 0, 0, 0, 0, 0
+	ledger.runningSum, ledger.pendingSum, ledger.looks = 0, 0, 0
+	return sample, any
+}
--- a/data/metrics/metrics_test.go
+++ b/data/metrics/metrics_test.go
@@ -15,6 +15,8 @@
 	board.Told("i", "3,1,8", machine.Now())
 	board.Told("i", "nonsense", machine.Now())
 	board.Began("i", 1, 100, machine.Now())
+	board.Read("s", "long", 100, 40*clock.Millisecond)
+	board.Read("s", "long", 50, 20*clock.Millisecond)
 	board.Sample()
 	board.Ended("i", Ending{Number: 1, Began: true, Finished: true, Spent: 200 * clock.Millisecond}, machine.Now())
 	board.Ended("i", Ending{Number: 2, Tokens: 50, Broken: true, Shun: clock.Second}, machine.Now())
@@ -22,16 +24,20 @@
 	if ledger.Running != 0 || ledger.Unanswered != 0 || ledger.Load.Running != 3 || ledger.Load.Waiting != 1 || !machine.Now().Before(ledger.Shunned) {
 		t.Fatalf("%+v", ledger)
 	}
-	samples, demands := board.Collect()
+	report := board.Collect()
+	samples, demands := report.Samples, report.Demands
 	if len(samples) != 1 || len(demands) != 1 || demands[0].Homes != "north," || demands[0].Arrived != 1 {
 		t.Fatalf("%+v %+v", samples, demands)
 	}
+	if read := report.Readings[0]; read.Count != 2 || read.Units != 150 || read.UnitsSquared != 12500 || read.FirstMS != 60 || read.Crossed != 5000 {
+		t.Fatalf("%+v", read)
+	}
 	sample := samples[0]
-	if sample.Arrived != 2 || sample.Finished != 1 || sample.Failed != 1 || sample.SpentMS != 200 || sample.Running != 2 || sample.Pending != 1.5 || sample.Busy != 3.0/8 {
+	if sample.Arrived != 2 || sample.Finished != 1 || sample.Failed != 1 || sample.SpentMS != 200 || sample.Running != 2 || sample.Pending != 1.5 || sample.Busy != 3.0/8 || sample.Units != 150 {
 		t.Fatalf("%+v", sample)
 	}
-	if samples, demands := board.Collect(); len(samples)+len(demands) != 0 {
-		t.Fatalf("counted twice: %+v %+v", samples, demands)
+	if again := board.Collect(); len(again.Samples)+len(again.Demands)+len(again.Readings) != 0 {
+		t.Fatalf("counted twice: %+v", again)
 	}
 }
 
--- /dev/null
+++ b/data/metrics/told.go
@@ -0,0 +1,32 @@
+package metrics
+
+import (
+	"strconv"
+	"strings"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// Told notes the load that a runner put in an answer: running, waiting, slots.
+//
+// Example:
+//
+//	board.Told(id, "3,0,8", now)
+func (board *Board) Told(id ids.RunnerID, text string, now clock.Instant) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return
+	}
+	figures := [3]float64{}
+	for index, part := range parts {
+		figure, fault := strconv.ParseFloat(strings.TrimSpace(part), 64)
+		if fault != nil {
+			return
+		}
+		figures[index] = figure
+	}
+	board.with(id, func(ledger *Ledger) {
+		ledger.Load = Load{Running: figures[0], Waiting: figures[1], Slots: figures[2], At: now}
+	})
+}
