--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -105,7 +105,7 @@
 	made.duty("census", func(holder *hold.Holder) func(inner scope.Scope) {
 		taker := &census.Taker{
 			Client: platformClient(pace), News: common.News, Held: holder.Held,
-			Every: pace.Census, Beat: pace.Census,
+			Every: pace.Census, Beat: 2 * pace.Census,
 		}
 		return taker.Run
 	})
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -53,6 +53,7 @@
 	made.Spreader = &spread.Spreader{
 		News: made.News, Table: made.Table, Messenger: made.Messenger,
 		Seeds: settings.SeedAddresses(), Every: pace.Exchange, Limit: pace.Silence,
+		Hurry: !settings.FirstStart,
 	}
 	made.Spreader.Serve(made.Calls)
 	address, fault := net.ResolveUDPAddr("udp", string(made.Address))
@@ -156,7 +157,7 @@
 //
 //	common.Tell(top)
 func (daemon *Daemon) Tell(inner scope.Scope) {
-	for _, address := range daemon.Spreader.Several() {
+	for _, address := range daemon.Spreader.Several(true) {
 		go daemon.Spreader.Exchange(inner, address)
 	}
 }
--- a/control/daemon/pace.go
+++ b/control/daemon/pace.go
@@ -48,7 +48,7 @@
 	return Pace{
 		Connect:  apply / 6,
 		Silence:  touch / 2,
-		Exchange: apply / 8,
+		Exchange: apply / 6,
 		Census:   drain / 6,
 		Hold:     touch / 3,
 		Sweep:    apply / 6,
--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -17,6 +17,7 @@
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/register"
+	"onyxwell/control/revision"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
 )
@@ -25,7 +26,7 @@
 type Order struct {
 	Key    string
 	Verb   string
-	Change spec.Change
+	Change revision.Change
 }
 
 // Outcome is what came of it. A kind of None says that it was done.
@@ -197,7 +198,7 @@
 
 var publishers = map[string]func([]byte) (ids.Serial, []byte, error){
 	spec.Key: func(value []byte) (ids.Serial, []byte, error) {
-		kept, fault := spec.ReadKept(value)
+		kept, fault := revision.ReadKept(value)
 		return kept.Serial, kept.Document, fault
 	},
 	"evacuation": func(value []byte) (ids.Serial, []byte, error) {
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -14,6 +14,7 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/desk"
 	"onyxwell/control/evacuation"
+	"onyxwell/control/revision"
 	"onyxwell/control/room"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
@@ -25,7 +26,7 @@
 }
 
 // SettingsChange is PUT or PATCH /settings.
-type SettingsChange struct{ Change spec.Change }
+type SettingsChange struct{ Change revision.Change }
 
 // Read takes the version that the change builds on and the body.
 func (asked *SettingsChange) Read(incoming call.Incoming) error {
@@ -34,7 +35,7 @@
 	if fault != nil {
 		return breakdown.Of(breakdown.BadSpec, "If-Match: %q is no version", text)
 	}
-	asked.Change = spec.Change{
+	asked.Change = revision.Change{
 		Whole: incoming.Request.Method == http.MethodPut, Match: ids.Serial(match), Body: incoming.Body,
 	}
 	return nil
@@ -117,7 +118,7 @@
 		if fault != nil {
 			return SettingsTaken{}, fault
 		}
-		kept, fault := spec.ReadKept(value)
+		kept, fault := revision.ReadKept(value)
 		return SettingsTaken{Serial: kept.Serial}, fault
 	}
 	call.Handle(calls, http.MethodPut, "/settings", change)
@@ -127,7 +128,7 @@
 		if fault != nil {
 			return Settings{}, fault
 		}
-		kept, fault := spec.ReadKept(value)
+		kept, fault := revision.ReadKept(value)
 		if fault == nil && kept.Serial == 0 {
 			fault = breakdown.Of(breakdown.Unready, "no spec was taken yet")
 		}
--- a/control/spec/check.go
+++ b/control/revision/check.go
@@ -1,4 +1,7 @@
-package spec
+// Package revision checks the operator's changes to the spec and keeps the spec
+// in force. It stands apart from package spec, which routers need too: they read
+// what was checked before.
+package revision
 
 import (
 	"bytes"
@@ -10,6 +13,7 @@
 
 	"onyxwell/base/breakdown"
 	"onyxwell/base/ids"
+	"onyxwell/control/spec"
 )
 
 //go:embed schema.json
@@ -31,7 +35,7 @@
 //
 // Example:
 //
-//	os.Stdout.Write(spec.Schema())
+//	os.Stdout.Write(revision.Schema())
 func Schema() []byte { return schemaText }
 
 // Check reads a whole document and refuses an invalid one with a BadSpec
@@ -39,8 +43,8 @@
 //
 // Example:
 //
-//	version, fault := spec.Check(document)
-func Check(document []byte) (*Spec, error) {
+//	version, fault := revision.Check(document)
+func Check(document []byte) (*spec.Spec, error) {
 	loose, fault := jsonschema.UnmarshalJSON(bytes.NewReader(document))
 	if fault != nil {
 		return nil, breakdown.Of(breakdown.BadSpec, "not JSON: %v", fault)
@@ -52,7 +56,7 @@
 	if fault := schema.Validate(loose); fault != nil {
 		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
 	}
-	read, fault := Read(document)
+	read, fault := spec.Read(document)
 	if fault != nil {
 		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
 	}
@@ -65,18 +69,18 @@
 }
 
 // rules are what the schema can't say.
-var rules = []func(*Spec) error{namesOnce, placesOnce, servicesKnown, weightsAboveNothing}
+var rules = []func(*spec.Spec) error{namesOnce, placesOnce, servicesKnown, weightsAboveNothing}
 
-func namesOnce(spec *Spec) error {
+func namesOnce(version *spec.Spec) error {
 	routes := map[string]bool{}
-	for index, route := range spec.Routes {
+	for index, route := range version.Routes {
 		if routes[route.Name] {
 			return breakdown.Of(breakdown.BadSpec, "routes[%d].name: %q stands twice", index, route.Name)
 		}
 		routes[route.Name] = true
 	}
 	services := map[ids.Service]bool{}
-	for index, service := range spec.Services {
+	for index, service := range version.Services {
 		if services[service.Name] {
 			return breakdown.Of(breakdown.BadSpec, "services[%d].name: %q stands twice", index, service.Name)
 		}
@@ -85,10 +89,10 @@
 	return nil
 }
 
-func placesOnce(spec *Spec) error {
+func placesOnce(version *spec.Spec) error {
 	places := map[[2]string]bool{}
-	for index, route := range spec.Routes {
-		place := [2]string{hostOnly(route.Host), route.Prefix}
+	for index, route := range version.Routes {
+		place := [2]string{spec.HostOnly(route.Host), route.Prefix}
 		if places[place] {
 			return breakdown.Of(breakdown.BadSpec, "routes[%d].path_prefix: %q stands twice for this host", index, route.Prefix)
 		}
@@ -97,16 +101,16 @@
 	return nil
 }
 
-func servicesKnown(spec *Spec) error {
-	for index, route := range spec.Routes {
+func servicesKnown(version *spec.Spec) error {
+	for index, route := range version.Routes {
 		if route.Service == "" && len(route.Shares) == 0 {
 			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: missing", index)
 		}
-		if route.Service != "" && spec.services[route.Service] == nil {
+		if route.Service != "" && version.Service(route.Service) == nil {
 			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: %q is not known", index, route.Service)
 		}
 		for part, share := range route.Shares {
-			if spec.services[share.Service] == nil {
+			if version.Service(share.Service) == nil {
 				return breakdown.Of(breakdown.BadSpec, "routes[%d].shares[%d].service: %q is not known", index, part, share.Service)
 			}
 		}
@@ -114,8 +118,8 @@
 	return nil
 }
 
-func weightsAboveNothing(spec *Spec) error {
-	for index, route := range spec.Routes {
+func weightsAboveNothing(version *spec.Spec) error {
+	for index, route := range version.Routes {
 		total := 0.0
 		for _, part := range route.Parts() {
 			total += part.Weight
--- a/control/spec/keep.go
+++ b/control/revision/keep.go
@@ -1,4 +1,4 @@
-package spec
+package revision
 
 import (
 	"bytes"
@@ -10,9 +10,6 @@
 	"onyxwell/control/courier"
 )
 
-// Key is the register's key of the spec.
-const Key = "spec"
-
 // recentLimit is how many taken changes are remembered for repeats.
 const recentLimit = 64
 
@@ -95,7 +92,7 @@
 //
 // Example:
 //
-//	kept, fault := spec.ReadKept(value)
+//	kept, fault := revision.ReadKept(value)
 func ReadKept(value []byte) (Kept, error) {
 	if len(value) == 0 {
 		return Kept{}, nil
--- a/control/spec/patch.go
+++ b/control/revision/patch.go
@@ -1,4 +1,4 @@
-package spec
+package revision
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 //
 // Example:
 //
-//	document, fault := spec.Patch(current, change)
+//	document, fault := revision.Patch(current, change)
 func Patch(document []byte, change []byte) ([]byte, error) {
 	var asked patch
 	if fault := json.Unmarshal(change, &asked); fault != nil {
--- a/control/spec/spec_test.go
+++ b/control/revision/revision_test.go
@@ -1,4 +1,4 @@
-package spec
+package revision
 
 import (
 	"encoding/json"
@@ -7,6 +7,7 @@
 
 	"onyxwell/base/breakdown"
 	"onyxwell/base/ids"
+	"onyxwell/control/spec"
 )
 
 const good = `{"config_version":7,"extra":{"kept":1},"routes":[
@@ -93,7 +94,7 @@
 	}
 	var whole struct {
 		Serial ids.Serial        `json:"config_version"`
-		Routes []Route           `json:"routes"`
+		Routes []spec.Route      `json:"routes"`
 		Extra  map[string]int    `json:"extra"`
 		Limits map[string]int    `json:"limits"`
 		Rest   []json.RawMessage `json:"services"`
--- a/control/spec/spec.go
+++ b/control/spec/spec.go
@@ -1,5 +1,5 @@
-// Package spec reads, checks and changes the operator's configuration: routes,
-// services and limits under a rising serial.
+// Package spec reads the operator's configuration: routes, services and limits
+// under a rising serial. Package revision checks and changes it.
 package spec
 
 import (
@@ -11,6 +11,9 @@
 	"onyxwell/base/ids"
 )
 
+// Key is the key of the spec, in the register and among the news.
+const Key = "spec"
+
 // Kind is the type of a route: what may be repeated, and how it answers.
 type Kind string
 
@@ -150,7 +153,7 @@
 //	route := version.Match("shop.example", "/a/b")
 func (spec *Spec) Match(host string, path string) *Route {
 	var best *Route
-	for _, route := range spec.hosts[hostOnly(host)] {
+	for _, route := range spec.hosts[HostOnly(host)] {
 		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
 			best = route
 		}
@@ -165,7 +168,12 @@
 //	service := version.Service("readers")
 func (spec *Spec) Service(name ids.Service) *Service { return spec.services[name] }
 
-func hostOnly(host string) string {
+// HostOnly gives the host of a Host head, in lower case and without a port.
+//
+// Example:
+//
+//	spec.HostOnly("Shop.example:80") // "shop.example"
+func HostOnly(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
 	}
--- a/control/spread/exchange.go
+++ b/control/spread/exchange.go
@@ -46,6 +46,8 @@
 	Seeds []ids.Address
 	Every clock.Span
 	Limit clock.Span
+	// Hurry says that others should know news already: not at a first start.
+	Hurry bool
 	fresh atomic.Pointer[[]ids.Address]
 }
 
@@ -79,17 +81,17 @@
 func (spreader *Spreader) Run(inner scope.Scope) {
 	for inner.Err() == nil {
 		pause := spreader.Every*3/4 + rand.N(spreader.Every/2)
-		if len(spreader.News.Marks()) == 0 {
+		if spreader.Hurry && len(spreader.News.Marks()) == 0 {
 			// One that knows nothing can't serve: it asks at once, and often.
 			pause = spreader.Every / 8
 		}
 		select {
 		case <-inner.Done():
 			return
-		case <-spreader.News.wake:
-			for _, address := range spreader.Several() {
-				go spreader.Exchange(inner, address)
-			}
+		case <-spreader.News.own:
+			spreader.tell(inner, spreader.Several(true))
+		case <-spreader.News.heard:
+			spreader.tell(inner, spreader.Several(false))
 		case <-inner.Clock.After(pause):
 			if address, found := spreader.partner(); found {
 				go spreader.Exchange(inner, address)
@@ -98,6 +100,12 @@
 	}
 }
 
+func (spreader *Spreader) tell(inner scope.Scope, addresses []ids.Address) {
+	for _, address := range addresses {
+		go spreader.Exchange(inner, address)
+	}
+}
+
 // Exchange compares news and members with one other daemon.
 //
 // Example:
@@ -130,7 +138,7 @@
 func (spreader *Spreader) take(items []Item) int64 {
 	taken := int64(0)
 	for _, item := range items {
-		if spreader.News.Put(item) {
+		if spreader.News.take(item, spreader.News.heard) {
 			taken++
 		}
 	}
@@ -158,20 +166,26 @@
 	return pool[rand.IntN(len(pool))].Address, true
 }
 
-// Several picks those who are told news at once: a few of the same region and
-// one of every other.
+// fanout is how many of its own region a daemon tells at once.
+const fanout = 2
+
+// Several picks those who are told at once: a few of the same region, and for
+// what this daemon made itself, one of every other region.
 //
 // Example:
 //
-//	for _, address := range spreader.Several() { spreader.Exchange(top, address) }
-func (spreader *Spreader) Several() []ids.Address {
+//	for _, address := range spreader.Several(true) { spreader.Exchange(top, address) }
+func (spreader *Spreader) Several(wide bool) []ids.Address {
 	near, far, _ := spreader.others()
 	rand.Shuffle(len(near), func(left, right int) { near[left], near[right] = near[right], near[left] })
 	rand.Shuffle(len(far), func(left, right int) { far[left], far[right] = far[right], far[left] })
 	var chosen []ids.Address
-	for _, member := range near[:min(3, len(near))] {
+	for _, member := range near[:min(fanout, len(near))] {
 		chosen = append(chosen, member.Address)
 	}
+	if !wide {
+		return chosen
+	}
 	regions := map[ids.Region]bool{}
 	for _, member := range far {
 		if !regions[member.Region] {
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -30,7 +30,8 @@
 	// Fresh is told each item that is new here, in rising order of serial for
 	// each key; set it before the first Put.
 	Fresh func(item Item)
-	wake  chan struct{}
+	own   chan struct{}
+	heard chan struct{}
 }
 
 // NewNews makes an empty store of news.
@@ -42,15 +43,19 @@
 	if fresh == nil {
 		fresh = func(Item) {}
 	}
-	return &News{items: map[string]Item{}, Fresh: fresh, wake: make(chan struct{}, 1)}
+	return &News{items: map[string]Item{}, Fresh: fresh, own: make(chan struct{}, 1), heard: make(chan struct{}, 1)}
 }
 
-// Put takes an item; it tells whether it was newer than what was known.
+// Put takes an item that this daemon made; it tells whether it was newer than
+// what was known.
 //
 // Example:
 //
 //	news.Put(spread.Item{Key: "spec", Serial: 7, Body: document})
-func (news *News) Put(item Item) bool {
+func (news *News) Put(item Item) bool { return news.take(item, news.own) }
+
+// take keeps an item and wakes those who pass on what was made or heard.
+func (news *News) take(item Item, wake chan struct{}) bool {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	known, found := news.items[item.Key]
@@ -60,7 +65,7 @@
 	news.items[item.Key] = item
 	news.Fresh(item)
 	select {
-	case news.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 	return true
