Doubted runners stay out until a test finds them well; unable routers leave the directory

Now a runner that broke down is asked for its health until it is well, and a router that reaches no runner for some route says so; the directory names others, or none where others are out of its own reach.

--- /dev/null
+++ b/cmd/router/doubt.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/breakdown"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/data/picture"
+	"onyxwell/data/relay"
+)
+
+// health asks a runner whether it is well.
+type health struct{ path string }
+
+// Outgoing makes the call.
+func (asked health) Outgoing() call.Outgoing {
+	return call.Outgoing{Method: http.MethodGet, Path: asked.path}
+}
+
+// condition is what a runner said of itself.
+type condition struct {
+	id   ids.RunnerID
+	cold clock.Span
+}
+
+// Hear takes a well runner, or one that is only full, for alive.
+func (told *condition) Hear(heard call.Heard) error {
+	full := heard.Status == http.StatusServiceUnavailable && heard.Header.Get(reply.NotRunHeader) != ""
+	if heard.Status != http.StatusOK && !full {
+		return breakdown.Of(breakdown.RunnerLost, "the runner answered %d", heard.Status)
+	}
+	told.id = ids.RunnerID(heard.Header.Get(relay.RunnerHeader))
+	if left, fault := strconv.ParseFloat(heard.Header.Get(relay.ColdHeader), 64); fault == nil {
+		told.cold = boot.Milliseconds(left)
+	}
+	return nil
+}
+
+// looksAtDoubt is how many looks at doubted runners and at what is reachable
+// there are in the time for connecting.
+const looksAtDoubt = 8
+
+// doubts tests runners that broke down until they are well again, and tells
+// the directory when this router reaches no runner for some route.
+func (made *router) doubts(inner scope.Scope) error {
+	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence}, Idle: made.pace.Connect, PerHost: 1})
+	unable := 0
+	for inner.Wait(made.pace.Connect / looksAtDoubt) {
+		now := inner.Now()
+		for _, id := range made.board.Due(now, made.pace.Connect/4) {
+			go made.test(inner, client, id)
+		}
+		if made.reaches(now) {
+			unable = 0
+		} else {
+			unable++
+		}
+		// A moment without runners is no reason to send visitors away.
+		made.common.Table.Announce(func(self *cohort.Member) { self.Unable = unable > looksAtDoubt/2 })
+	}
+	return nil
+}
+
+func (made *router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
+	seen := made.frame.Now()
+	runner := seen.Find(id)
+	if runner == nil || seen.Spec == nil || seen.Spec.Service(runner.Service) == nil {
+		made.board.Drop(id)
+		return
+	}
+	path := seen.Spec.Service(runner.Service).HealthPath
+	short, release := inner.WithLimit(made.pace.Connect)
+	defer release()
+	told, fault := call.Ask[condition](short, client, runner.Address, health{path: path})
+	if fault != nil || (told.id != "" && told.id != id) {
+		return
+	}
+	now := inner.Now()
+	if told.cold > 0 {
+		made.warmth.Chill(id, now.Add(told.cold))
+	}
+	made.board.Vouch(id, now)
+}
+
+// reaches tells whether every service that has routes has a runner that can be
+// sent to now.
+func (made *router) reaches(now clock.Instant) bool {
+	seen := made.frame.Now()
+	if seen.Spec == nil || seen.Runners == nil {
+		return true
+	}
+	wanted := map[ids.Service]bool{}
+	for index := range seen.Spec.Routes {
+		for _, part := range seen.Spec.Routes[index].Parts() {
+			wanted[part.Service] = wanted[part.Service] || part.Weight > 0
+		}
+	}
+	for service, any := range wanted {
+		if any && !made.reachesOne(seen, service, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (made *router) reachesOne(seen *picture.Picture, service ids.Service, now clock.Instant) bool {
+	for _, runner := range seen.Runners[service] {
+		if seen.Open(runner) && !made.board.Look(runner.ID).Doubted && made.board.Silence(runner.ID, now) < made.pace.Connect {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -125,6 +125,7 @@
 	common.Part("front", made.serveFront)
 	common.Part("census", made.lookAfterCensus)
 	common.Part("report", made.report)
+	common.Part("doubts", made.doubts)
 }
 
 func (made *router) readiness(writer http.ResponseWriter, request *http.Request) {
--- a/control/cohort/table.go
+++ b/control/cohort/table.go
@@ -25,12 +25,14 @@
 
 // Member is one daemon as the others know it.
 type Member struct {
-	Address     ids.Address
-	Role        string
-	Zone        ids.Zone
-	Region      ids.Region
-	Front       ids.Address
-	Ready       bool
+	Address ids.Address
+	Role    string
+	Zone    ids.Zone
+	Region  ids.Region
+	Front   ids.Address
+	Ready   bool
+	// Unable says that a router reaches no runner for some of its routes.
+	Unable      bool
 	Incarnation ids.Incarnation
 	State       State
 }
--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -67,18 +67,33 @@
 	func(cohort.Member, Lookup) bool { return true },
 }
 
-// Choose picks the routers of the closest circle that has enough of them.
+// Choose picks the routers of the closest circle that has enough of them. Those
+// that reach no runners are passed over; where only such are left while others
+// are out of reach, there is no answer, so that the visitor asks a directory
+// elsewhere.
 //
 // Example:
 //
 //	addresses := directory.Choose(directory.Lookup{Region: region, Zone: zone})
 func (directory Directory) Choose(asked Lookup) []ids.Address {
-	var ready []cohort.Member
+	var able, unable []cohort.Member
+	cut := false
 	for _, member := range directory.Table.Members() {
-		if member.State == cohort.Alive && member.Ready && member.Front != "" {
-			ready = append(ready, member)
+		serving := member.State == cohort.Alive && member.Ready && member.Front != ""
+		if serving && member.Unable {
+			unable = append(unable, member)
+		} else if serving {
+			able = append(able, member)
 		}
+		cut = cut || (member.Front != "" && (member.State == cohort.Removed || member.State == cohort.Suspect))
 	}
+	if len(able) == 0 && !cut {
+		able = unable
+	}
+	return directory.closest(able, asked)
+}
+
+func (directory Directory) closest(ready []cohort.Member, asked Lookup) []ids.Address {
 	for _, near := range nearness {
 		var chosen []ids.Address
 		for _, member := range ready {
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -49,3 +49,25 @@
 		t.Fatalf("%+v", reply)
 	}
 }
+
+// TestRegionThatReachesNoRunners has the routers of a region reach no runners:
+// visitors are sent to others; where these are out of this directory's reach,
+// it gives no answer, and only where there are no others does it list them.
+func TestRegionThatReachesNoRunners(t *testing.T) {
+	table := cohort.NewTable(clock.NewFake(), cohort.Member{Address: "c", Role: "fleet-controller"})
+	unable := router("a", "z1", "r1")
+	unable.Unable = true
+	table.Merge([]cohort.Member{unable})
+	directory, asked := Directory{Table: table, Fewest: 1}, Lookup{Zone: "z1", Region: "r1"}
+	if got := directory.Choose(asked); !slices.Equal(got, []ids.Address{"fa"}) {
+		t.Fatalf("%v, though there is nobody else", got)
+	}
+	table.Merge([]cohort.Member{router("e", "z3", "r2")})
+	if got := directory.Choose(asked); !slices.Equal(got, []ids.Address{"fe"}) {
+		t.Fatalf("%v, not the router that reaches runners", got)
+	}
+	table.Judge("e", cohort.Removed)
+	if got := directory.Choose(asked); len(got) != 0 {
+		t.Fatalf("%v, though others may do better", got)
+	}
+}
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/clock"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
@@ -60,7 +59,7 @@
 	}
 	number := visit.front.number.Add(1)
 	options.Board.Sent(decision.Service(), runner.ID, number, visit.asking.Tokens, begin)
-	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens, Shun: visit.shun()}
+	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens}
 	result := options.Sender.Send(inner, trip)
 	visit.hear(runner, result.Response)
 	fate, over := result.Fate, false
@@ -104,11 +103,6 @@
 	return true
 }
 
-// shun is the first pause after a breakdown of a runner.
-func (visit *visit) shun() clock.Span {
-	return boot.Milliseconds(visit.front.options.Scope.Boot.Bounds.InTouchMS) / 16
-}
-
 // hear takes what a runner says of itself in an answer's head.
 func (visit *visit) hear(runner *picture.Runner, response *http.Response) {
 	if response == nil {
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -41,6 +41,9 @@
 	return gate.lighterOfTwo(found).runner, 0
 }
 
+// shortWait is how long a request waits before it asks again.
+const shortWait = 20 * clock.Millisecond
+
 // candidates are the runners that are listed, at home, open, awake and within
 // what cold ones may get.
 func (gate *Gate) candidates(seen *picture.Picture, service *spec.Service, decision *Decision, now clock.Instant) ([]candidate, clock.Span) {
@@ -54,7 +57,9 @@
 			continue
 		}
 		ledger := gate.options.Board.Look(runner.ID)
-		if now.Before(ledger.Shunned) || gate.options.Board.Silence(runner.ID, now) > patience {
+		if ledger.Doubted || gate.options.Board.Silence(runner.ID, now) > patience {
+			// Its test may be over in a moment.
+			soon = shortWait
 			continue
 		}
 		if service != nil && service.MaxConnections > 0 &&
@@ -62,7 +67,7 @@
 			continue
 		}
 		if !gate.options.Warmth.Open(runner.ID, bound, now) {
-			soon = 20 * clock.Millisecond
+			soon = shortWait
 			continue
 		}
 		planned, known := seen.Planned[runner.ID]
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -32,9 +32,11 @@
 	// Heard is when the runner last gave a sign of life, Asked when the oldest
 	// request that still waits for one was sent.
 	Heard clock.Instant
-	// Shunned is until when nothing new is sent, after breakdowns in a row.
-	Shunned    clock.Instant
-	Breakdowns int
+	// Doubted says that the runner broke down and gave no sign of life since:
+	// nothing new is sent to it until a test has found it well.
+	Doubted bool
+	tests   int
+	due     clock.Instant
 
 	arrived, finished, failed, spentMS float64
 	units                              float64
@@ -157,7 +159,7 @@
 func (board *Board) Began(id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
 	board.with(id, func(ledger *Ledger) {
 		ledger.Unanswered = max(0, ledger.Unanswered-tokens)
-		ledger.Heard = now
+		ledger.Heard, ledger.Doubted = now, false
 		delete(ledger.waits, number)
 	})
 }
@@ -172,7 +174,6 @@
 	Finished bool
 	Broken   bool
 	Spent    clock.Span
-	Shun     clock.Span
 }
 
 // Ended notes the end of a request.
@@ -190,12 +191,13 @@
 		if ending.Finished {
 			ledger.finished++
 			ledger.spentMS += float64(ending.Spent.Milliseconds())
-			ledger.Heard, ledger.Breakdowns, ledger.Shunned = now, 0, 0
+			ledger.Heard, ledger.Doubted = now, false
 		}
 		if ending.Broken {
 			ledger.failed++
-			ledger.Breakdowns++
-			ledger.Shunned = now.Add(ending.Shun * clock.Span(min(ledger.Breakdowns, 4)))
+			if !ledger.Doubted {
+				ledger.Doubted, ledger.tests, ledger.due = true, 0, now
+			}
 		}
 	})
 }
--- a/data/metrics/collect.go
+++ b/data/metrics/collect.go
@@ -19,7 +19,7 @@
 		for id, ledger := range part.ledgers {
 			if sample, any := ledger.collect(id); any {
 				report.Samples = append(report.Samples, sample)
-			} else if ledger.Running == 0 {
+			} else if ledger.Running == 0 && !ledger.Doubted {
 				delete(part.ledgers, id)
 			}
 		}
--- a/data/picture/picture.go
+++ b/data/picture/picture.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// Find gives the listed runner of an id; nil where there is none.
+//
+// Example:
+//
+//	runner := seen.Find(id)
+func (seen *Picture) Find(id ids.RunnerID) *Runner {
+	for _, runners := range seen.Runners {
+		for _, runner := range runners {
+			if runner.ID == id {
+				return runner
+			}
+		}
+	}
+	return nil
+}
+
 // Usable tells whether a runner may be sent requests now: listed, ready, and
 // in a zone that is not being emptied.
 //
