--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -57,6 +57,8 @@
 	Pass clock.Span
 	// Limit is how long an order may take in all.
 	Limit clock.Span
+	// Pause is how long a taker waits first; by default a random part of Pass.
+	Pause func() clock.Span
 }
 
 // Desk acts on orders or passes them on.
@@ -72,6 +74,9 @@
 //
 //	front := desk.New(desk.Options{Address: address, Keeper: keeper, Acceptor: voter})
 func New(options Options) *Desk {
+	if options.Pause == nil {
+		options.Pause = func() clock.Span { return rand.N(options.Pass / 4) }
+	}
 	return &Desk{options: options, silent: map[ids.Address]clock.Instant{}}
 }
 
@@ -110,7 +115,7 @@
 		}
 	}
 	// Two takers of one key hold each other up: each waits a little first.
-	if !short.Wait(rand.N(desk.options.Pass / 4)) {
+	if !short.Wait(desk.options.Pause()) {
 		return nil, breakdown.Of(breakdown.Unsettled, "out of time")
 	}
 	return desk.act(short, order)
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -195,9 +195,7 @@
 		}
 		if ending.Broken {
 			ledger.failed++
-			if !ledger.Doubted {
-				ledger.Doubted, ledger.tests, ledger.due = true, 0, now
-			}
+			ledger.doubt(now)
 		}
 	})
 }
--- a/data/metrics/doubt.go
+++ b/data/metrics/doubt.go
@@ -28,6 +28,21 @@
 	return found
 }
 
+// Doubt doubts a runner on other evidence than a request's.
+//
+// Example:
+//
+//	board.Doubt(id, now)
+func (board *Board) Doubt(id ids.RunnerID, now clock.Instant) {
+	board.with(id, func(ledger *Ledger) { ledger.doubt(now) })
+}
+
+func (ledger *Ledger) doubt(now clock.Instant) {
+	if !ledger.Doubted {
+		ledger.Doubted, ledger.tests, ledger.due = true, 0, now
+	}
+}
+
 // Vouch ends the doubt about a runner that a test found well.
 //
 // Example:
