--- a/control/cohort/table.go
+++ b/control/cohort/table.go
@@ -12,46 +12,6 @@
 	"onyxwell/control/courier"
 )
 
-// State is a member's standing.
-type State int64
-
-// The states; of two reports of one incarnation the higher state counts.
-const (
-	Alive State = iota
-	Suspect
-	Left
-	Removed
-)
-
-// Member is one daemon as the others know it.
-type Member struct {
-	Address ids.Address
-	Role    string
-	Zone    ids.Zone
-	Region  ids.Region
-	Front   ids.Address
-	Ready   bool
-	// Unable says that a router reaches no runner for some of its routes.
-	Unable      bool
-	Incarnation ids.Incarnation
-	State       State
-}
-
-// Present tells whether the member may be spoken to.
-//
-// Example:
-//
-//	if member.Present() { exchange(member) }
-func (member Member) Present() bool { return member.State == Alive || member.State == Suspect }
-
-// newer tells whether this report overrides the other.
-func (member Member) newer(other Member) bool {
-	if member.Incarnation != other.Incarnation {
-		return member.Incarnation > other.Incarnation
-	}
-	return member.State > other.State
-}
-
 type seen struct {
 	Member
 	since clock.Instant
