Controllers keep the members they know on disk; a region is doubted only once it had answered

Why: shares of the retry budget and of cold runners go by how many routers there could be. After everything was down at once a daemon knew nobody, and each router could have taken the whole extra for its own.

--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -7,6 +7,7 @@
 	"onyxwell/base/call"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
+	"onyxwell/control/cohort"
 	"onyxwell/control/daemon"
 	"onyxwell/control/desk"
 	"onyxwell/control/directory"
@@ -69,8 +70,14 @@
 	if fault != nil {
 		return nil, fault
 	}
+	disk := journal.Folder(top.Boot.DataFolder)
+	members := &cohort.Keeper{Table: made.common.Table, Disk: disk, Name: "members"}
+	if fault := members.Load(); fault != nil {
+		top.Log.Warn().Str("part", "members").Err(fault).Msg("the members of before can't be read")
+	}
+	made.common.Part("members", func(inner scope.Scope) error { members.Run(inner, made.pace.Hold); return nil })
 	made.own, fault = seat.Open(top, seat.Options{
-		Address: made.common.Address, Disk: journal.Folder(top.Boot.DataFolder), First: top.Boot.FirstStart,
+		Address: made.common.Address, Disk: disk, First: top.Boot.FirstStart,
 		Seeds: top.Boot.SeedAddresses(), Table: made.common.Table, Messenger: made.common.Messenger,
 		Patience: made.pace.Hold, Limit: 2 * made.pace.Order, HoldSpan: made.pace.Hold,
 	})
--- a/cmd/router/doubt.go
+++ b/cmd/router/doubt.go
@@ -51,10 +51,10 @@
 // the directory when this router reaches no runner for some route.
 func (made *router) doubts(inner scope.Scope) error {
 	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence}, Idle: made.pace.Connect, PerHost: 1})
-	unable, lost := 0, map[ids.Region]bool{}
+	unable, answered := 0, map[ids.Region]bool{}
 	for inner.Wait(made.pace.Connect / looksAtDoubt) {
 		now := inner.Now()
-		lost = made.doubtRegions(lost, now)
+		answered = made.doubtRegions(answered, now)
 		for _, id := range made.board.Due(now, made.pace.Connect/4) {
 			go made.test(inner, client, id)
 		}
@@ -70,21 +70,21 @@
 }
 
 // doubtRegions doubts all runners of a region as soon as no daemon there
-// answers any more: tests find out faster than visitors would.
-func (made *router) doubtRegions(before map[ids.Region]bool, now clock.Instant) map[ids.Region]bool {
-	lost := map[ids.Region]bool{}
+// answers any more: tests find out faster than visitors would. It gives the
+// regions that answer now.
+func (made *router) doubtRegions(answered map[ids.Region]bool, now clock.Instant) map[ids.Region]bool {
+	answers := map[ids.Region]bool{}
 	for _, member := range made.common.Table.Members() {
-		silent, known := lost[member.Region]
-		lost[member.Region] = (silent || !known) && member.State != cohort.Alive
+		answers[member.Region] = answers[member.Region] || member.State == cohort.Alive
 	}
 	for _, runners := range made.frame.Now().Runners {
 		for _, runner := range runners {
-			if lost[runner.Region] && !before[runner.Region] {
+			if answered[runner.Region] && !answers[runner.Region] {
 				made.board.Doubt(runner.ID, now)
 			}
 		}
 	}
-	return lost
+	return answers
 }
 
 func (made *router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
--- a/cmd/router/doubt_test.go
+++ b/cmd/router/doubt_test.go
@@ -42,19 +42,22 @@
 	made, machine := newRouter(t, census.Runner{ID: "near", Service: "s", Zone: "n"}, census.Runner{ID: "far", Service: "s", Zone: "s"})
 	members := []cohort.Member{{Address: "x", Region: "south", Incarnation: 1}, {Address: "y", Region: "south", Incarnation: 1}}
 	made.common.Table.Merge(members)
-	lost := made.doubtRegions(nil, machine.Now())
+	answered := made.doubtRegions(nil, machine.Now())
+	if made.board.Look("far").Doubted {
+		t.Fatal("doubted before anything was heard of the region")
+	}
 	made.common.Table.Judge("x", cohort.Suspect)
-	lost = made.doubtRegions(lost, machine.Now())
+	answered = made.doubtRegions(answered, machine.Now())
 	if made.board.Look("far").Doubted {
 		t.Fatal("doubted while a daemon there answers")
 	}
 	made.common.Table.Judge("y", cohort.Removed)
-	lost = made.doubtRegions(lost, machine.Now())
+	answered = made.doubtRegions(answered, machine.Now())
 	if !made.board.Look("far").Doubted || made.board.Look("near").Doubted {
 		t.Fatal("not the runners of the lost region are doubted")
 	}
 	made.board.Vouch("far", machine.Now())
-	made.doubtRegions(lost, machine.Now())
+	made.doubtRegions(answered, machine.Now())
 	if made.board.Look("far").Doubted {
 		t.Fatal("a runner that a test found well is doubted again")
 	}
--- a/control/cohort/cohort_test.go
+++ b/control/cohort/cohort_test.go
@@ -7,6 +7,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
+	"onyxwell/control/journal"
 )
 
 func table(machine clock.Clock, address ids.Address) *Table {
@@ -155,3 +156,26 @@
 		t.Fatal("a member that others reach is suspected")
 	}
 }
+
+func TestMembersOutliveTheirDaemon(t *testing.T) {
+	disk := journal.Folder(t.TempDir())
+	first := table(clock.NewFake(), "a")
+	first.Merge([]Member{{Address: "b", Role: "router", Ready: true, Incarnation: 9}})
+	if fault := (&Keeper{Table: first, Disk: disk, Name: "members"}).Save(); fault != nil {
+		t.Fatal(fault)
+	}
+	second := table(clock.NewFake(), "a")
+	if fault := (&Keeper{Table: second, Disk: disk, Name: "members"}).Load(); fault != nil {
+		t.Fatal(fault)
+	}
+	if member, known := second.Find("b"); !known || member.Present() || member.Ready {
+		t.Fatalf("%+v %v", member, known)
+	}
+	if self := second.Self(); self.State != Alive {
+		t.Fatalf("a daemon took its own old record for true: %+v", self)
+	}
+	second.Merge([]Member{{Address: "b", Role: "router", Ready: true, Incarnation: 1}})
+	if member, _ := second.Find("b"); !member.Ready {
+		t.Fatalf("a member that is back stays removed: %+v", member)
+	}
+}
--- /dev/null
+++ b/control/cohort/keep.go
@@ -0,0 +1,85 @@
+package cohort
+
+import (
+	"onyxwell/base/clock"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+	"onyxwell/control/journal"
+)
+
+// Keeper writes the members that a daemon knows to its disk, so that it still
+// knows them after everything was down at once: shares of common bounds depend
+// on how many routers there could be.
+type Keeper struct {
+	Table *Table
+	Disk  journal.Disk
+	Name  string
+	told  int64
+}
+
+// Load takes what the disk holds. Nobody is known to be there until it is heard
+// of, so all stand as removed, in the oldest of lives.
+//
+// Example:
+//
+//	fault := keeper.Load()
+func (keeper *Keeper) Load() error {
+	body, fault := keeper.Disk.Read(keeper.Name)
+	if fault != nil || len(body) == 0 {
+		return fault
+	}
+	kept, fault := courier.Unpack[list](body)
+	if fault != nil {
+		// A torn file is as good as none: the members will be heard of again.
+		return nil
+	}
+	for index := range kept.Members {
+		kept.Members[index].State, kept.Members[index].Incarnation, kept.Members[index].Ready = Removed, 0, false
+	}
+	keeper.Table.Merge(kept.Members)
+	return nil
+}
+
+// Save writes the members if they changed since the last time.
+//
+// Example:
+//
+//	fault := keeper.Save()
+func (keeper *Keeper) Save() error {
+	sum := keeper.Table.Sum()
+	if sum == keeper.told {
+		return nil
+	}
+	body, fault := courier.Pack(list{Members: keeper.Table.Members()})
+	if fault != nil {
+		return fault
+	}
+	file, fault := keeper.Disk.Create(keeper.Name + ".new")
+	if fault != nil {
+		return fault
+	}
+	if _, fault = file.Write(body); fault == nil {
+		fault = file.Sync()
+	}
+	_ = file.Close()
+	if fault == nil {
+		fault = keeper.Disk.Rename(keeper.Name+".new", keeper.Name)
+	}
+	if fault == nil {
+		keeper.told = sum
+	}
+	return fault
+}
+
+// Run saves now and then until the scope ends.
+//
+// Example:
+//
+//	keeper.Run(top, 2*clock.Second)
+func (keeper *Keeper) Run(inner scope.Scope, every clock.Span) {
+	for inner.Wait(every) {
+		if fault := keeper.Save(); fault != nil {
+			inner.Log.Warn().Str("part", "members").Err(fault).Msg("the members are not saved")
+		}
+	}
+}
--- a/data/relay/sender.go
+++ b/data/relay/sender.go
@@ -93,7 +93,9 @@
 	request = request.WithContext(httptrace.WithClientTrace(inner, trace))
 	response, fault := sender.transport.RoundTrip(request)
 	if fault != nil {
-		if link == nil || errors.Is(fault, errStale) || link.written.Load() == before {
+		// A sending whose time ended may still be on its way out.
+		untouched := link != nil && inner.Err() == nil && link.written.Load() == before
+		if link == nil || errors.Is(fault, errStale) || untouched {
 			return Result{Fate: Unsent, Fault: fault}
 		}
 		return Result{Fate: Doubtful, Fault: fault}
