--- a/cmd/router/doubt_test.go
+++ b/cmd/router/doubt_test.go
@@ -73,7 +73,7 @@
 		t.Fatal("a doubted and a draining runner are reach enough")
 	}
 	made.board.Vouch("one", machine.Now())
-	made.board.Sent("s", "one", 1, 0, machine.Now())
+	made.board.Sent("one", metrics.Sending{Service: "s", Number: 1, Tokens: 0}, machine.Now())
 	machine.Move(2 * clock.Second)
 	if made.reaches(machine.Now()) {
 		t.Fatal("a silent runner is reach enough")
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -58,7 +58,9 @@
 		trip.LastEvent = strconv.FormatInt(visit.last, 10)
 	}
 	number := visit.front.number.Add(1)
-	options.Board.Sent(decision.Service(), runner.ID, number, visit.asking.Tokens, begin)
+	options.Board.Sent(runner.ID, metrics.Sending{
+		Service: decision.Service(), Number: number, Tokens: visit.asking.Tokens, Urgency: visit.route.Urgency,
+	}, begin)
 	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens}
 	result := options.Sender.Send(inner, trip)
 	visit.hear(runner, result.Response)
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -173,7 +173,7 @@
 	}
 	made := reply.Of(kind, detail)
 	if kind.Answer().Status == http.StatusServiceUnavailable && visit.route != nil {
-		made = made.After(max(visit.route.Goal()/8, 20*clock.Millisecond))
+		made = made.After(max(comeBack(kind, visit.route.Goal()), 20*clock.Millisecond))
 	}
 	if visit.front.leaving.Load() {
 		made = made.Close()
@@ -181,6 +181,15 @@
 	made.Send(visit.writer)
 }
 
+// comeBack is when a visitor may find things better: soon where a runner is
+// missing, later where there are too many requests.
+func comeBack(kind breakdown.Kind, goal clock.Span) clock.Span {
+	if kind == breakdown.Crowded {
+		return goal / 2
+	}
+	return goal / 8
+}
+
 func headBytes(request *http.Request) int64 {
 	size := len(request.Method) + len(request.RequestURI) + len(request.Host) + 20
 	for name, values := range request.Header {
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -30,6 +30,10 @@
 	if len(found) == 0 {
 		return nil, soon
 	}
+	if found = gate.timely(decision.asking.Route, found, now); len(found) == 0 {
+		decision.crowded = true
+		return nil, 0
+	}
 	key, keyed := affinity(decision.asking.Parts)
 	keyed = keyed && decision.asking.Route.Sticky
 	if !keyed || !travels(decision.asking) {
@@ -90,6 +94,30 @@
 	return found, soon
 }
 
+const (
+	// fewestWaiting is how many must wait at a runner before their wait counts.
+	fewestWaiting = 2
+	// timelyPart is the part of the goal that others may have waited already.
+	timelyPart = 0.6
+)
+
+// timely leaves out the runners at which requests of the same urgency have
+// waited so long that another would miss its goal. Where that is all of them,
+// what is let in would only make everybody late.
+func (gate *Gate) timely(route *spec.Route, found []candidate, now clock.Instant) []candidate {
+	if route.GoalMS <= 0 {
+		return found
+	}
+	limit := clock.Span(timelyPart * float64(route.Goal()))
+	kept := found[:0:0]
+	for _, able := range found {
+		if count, oldest := gate.options.Board.Queue(able.runner.ID, route.Urgency, now); count < fewestWaiting || oldest <= limit {
+			kept = append(kept, able)
+		}
+	}
+	return kept
+}
+
 // region narrows the choice to one region: by the plan's shares, or the own
 // region first, as long as the runners there are not the fuller ones by far.
 func (gate *Gate) region(seen *picture.Picture, decision *Decision, found []candidate) []candidate {
--- a/data/letin/decision.go
+++ b/data/letin/decision.go
@@ -39,6 +39,7 @@
 	arrived bool
 	ran     bool
 	garbled bool
+	crowded bool
 }
 
 // Service is the service that the request goes to.
@@ -70,7 +71,11 @@
 		if pause > 0 && now.Add(pause).Since(decision.asking.Since) < route.Goal()/4 {
 			return Order{Act: Wait, Span: pause}
 		}
-		return decision.finally(breakdown.NoRunner, breakdown.RunnerLost)
+		promise := breakdown.NoRunner
+		if decision.crowded {
+			promise = breakdown.Crowded
+		}
+		return decision.finally(promise, breakdown.RunnerLost)
 	}
 	if decision.arrived && !decision.gate.options.Budget.Spend(decision.service, now) {
 		return decision.finally(breakdown.BudgetSpent, breakdown.RunnerLost)
--- a/data/letin/letin_test.go
+++ b/data/letin/letin_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"testing"
 
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/census"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
+	"onyxwell/data/metrics"
 	"onyxwell/data/picture"
 )
 
@@ -113,3 +115,31 @@
 		t.Errorf("%+v", short)
 	}
 }
+
+// TestNobodyIsLetInToBeLate has requests wait at runners for ever longer: those
+// where the next would be late are left out, one that waits alone is no sign.
+func TestNobodyIsLetInToBeLate(t *testing.T) {
+	machine, board := clock.NewFake(), metrics.NewBoard()
+	gate := NewGate(Options{Board: board})
+	route := &spec.Route{GoalMS: 1000, Urgency: 1}
+	found := some(1, 1, 1)
+	send := func(id ids.RunnerID, number uint64, urgency int) {
+		board.Sent(id, metrics.Sending{Number: number, Urgency: urgency}, machine.Now())
+	}
+	send("i0", 1, 1)
+	send("i0", 2, 1)
+	send("i1", 3, 1)
+	send("i2", 4, 0)
+	send("i2", 5, 0)
+	if kept := gate.timely(route, found, machine.Now()); len(kept) != 3 {
+		t.Fatalf("%d of 3 before anybody waited", len(kept))
+	}
+	machine.Move(700 * clock.Millisecond)
+	kept := gate.timely(route, found, machine.Now())
+	if len(kept) != 2 || kept[0].runner.ID != "i1" || kept[1].runner.ID != "i2" {
+		t.Fatalf("%d kept", len(kept))
+	}
+	if kept := gate.timely(&spec.Route{}, found, machine.Now()); len(kept) != 3 {
+		t.Fatal("a route without a goal is held to one")
+	}
+}
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -42,7 +42,13 @@
 	units                              float64
 	runningSum, pendingSum             float64
 	looks                              float64
-	waits                              map[uint64]clock.Instant
+	waits                              map[uint64]waiting
+}
+
+// waiting is a request that has no sign of an answer yet.
+type waiting struct {
+	since   clock.Instant
+	urgency int
 }
 
 // Board holds the ledgers of all runners, in shards with a lock each.
@@ -88,7 +94,7 @@
 	defer part.lock.Unlock()
 	ledger := part.ledgers[id]
 	if ledger == nil {
-		ledger = &Ledger{waits: map[uint64]clock.Instant{}}
+		ledger = &Ledger{waits: map[uint64]waiting{}}
 		part.ledgers[id] = ledger
 	}
 	act(ledger)
@@ -133,21 +139,29 @@
 	})
 }
 
-// Sent notes a request that goes to a runner; the number is given back to
-// Began and Ended.
+// Sending is a request that goes to a runner; its number is given back to Began
+// and Ended.
+type Sending struct {
+	Service ids.Service
+	Number  uint64
+	Tokens  float64
+	Urgency int
+}
+
+// Sent notes a request that goes to a runner.
 //
 // Example:
 //
-//	board.Sent(runner, number, tokens, now)
-func (board *Board) Sent(service ids.Service, id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
+//	board.Sent(runner.ID, metrics.Sending{Service: service, Number: number}, now)
+func (board *Board) Sent(id ids.RunnerID, sending Sending, now clock.Instant) {
 	board.with(id, func(ledger *Ledger) {
-		ledger.Service = service
+		ledger.Service = sending.Service
 		ledger.Running++
-		ledger.Unanswered += tokens
+		ledger.Unanswered += sending.Tokens
 		ledger.arrived++
-		ledger.units += max(1, tokens)
+		ledger.units += max(1, sending.Tokens)
 		ledger.Load.Sent++
-		ledger.waits[number] = now
+		ledger.waits[sending.Number] = waiting{since: now, urgency: sending.Urgency}
 	})
 }
 
@@ -200,25 +214,6 @@
 	})
 }
 
-// Silence tells how long the oldest request at a runner has waited for a first
-// sign, if the runner gave no other sign of life since.
-//
-// Example:
-//
-//	if board.Silence(id, now) > patience { avoid(id) }
-func (board *Board) Silence(id ids.RunnerID, now clock.Instant) clock.Span {
-	silence := clock.Span(0)
-	board.with(id, func(ledger *Ledger) {
-		for _, since := range ledger.waits {
-			if since.Before(ledger.Heard) {
-				since = ledger.Heard
-			}
-			silence = max(silence, now.Since(since))
-		}
-	})
-	return silence
-}
-
 // Sample adds one look at how many are running; looks are averaged.
 //
 // Example:
--- a/data/metrics/metrics_test.go
+++ b/data/metrics/metrics_test.go
@@ -9,8 +9,8 @@
 func TestWhatRoutersDerive(t *testing.T) {
 	machine, board := clock.NewFake(), NewBoard()
 	board.Asked("s", "north,")
-	board.Sent("s", "i", 1, 100, machine.Now())
-	board.Sent("s", "i", 2, 50, machine.Now())
+	board.Sent("i", Sending{Service: "s", Number: 1, Tokens: 100}, machine.Now())
+	board.Sent("i", Sending{Service: "s", Number: 2, Tokens: 50}, machine.Now())
 	board.Sample()
 	board.Told("i", "3,1,8", machine.Now())
 	board.Told("i", "nonsense", machine.Now())
@@ -43,9 +43,9 @@
 
 func TestSilenceIsOfTheOldestThatWaits(t *testing.T) {
 	machine, board := clock.NewFake(), NewBoard()
-	board.Sent("s", "i", 1, 0, machine.Now())
+	board.Sent("i", Sending{Service: "s", Number: 1, Tokens: 0}, machine.Now())
 	machine.Move(clock.Second)
-	board.Sent("s", "i", 2, 0, machine.Now())
+	board.Sent("i", Sending{Service: "s", Number: 2, Tokens: 0}, machine.Now())
 	machine.Move(clock.Second)
 	if silence := board.Silence("i", machine.Now()); silence != 2*clock.Second {
 		t.Fatalf("%v", silence)
@@ -64,7 +64,7 @@
 func TestDoubtLastsUntilATestOrASignOfLife(t *testing.T) {
 	machine, board := clock.NewFake(), NewBoard()
 	fail := func() {
-		board.Sent("s", "i", 9, 0, machine.Now())
+		board.Sent("i", Sending{Service: "s", Number: 9, Tokens: 0}, machine.Now())
 		board.Ended("i", Ending{Number: 9, Broken: true}, machine.Now())
 	}
 	fail()
@@ -88,7 +88,7 @@
 		t.Fatal("doubted though a test found it well")
 	}
 	fail()
-	board.Sent("s", "i", 10, 0, machine.Now())
+	board.Sent("i", Sending{Service: "s", Number: 10, Tokens: 0}, machine.Now())
 	board.Began("i", 10, 0, machine.Now())
 	if board.Look("i").Doubted {
 		t.Fatal("doubted after a sign of life")
