--- /dev/null
+++ b/data/answer/slow_test.go
@@ -0,0 +1,55 @@
+package answer
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"onyxwell/data/script"
+)
+
+// TestBodyThatNeverComesIsTooSlow sends a head and no body: the visitor is told
+// so once the spec's time is over, and no runner hears of it.
+func TestBodyThatNeverComesIsTooSlow(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	house.spec(2, strings.Replace(document, `"idle_ms":15000`, `"idle_ms":1`, 1))
+	link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	defer link.Close()
+	_, _ = io.WriteString(link, "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\nContent-Length: 5\r\n\r\nha")
+	response, fault := http.ReadResponse(bufio.NewReader(link), nil)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusRequestTimeout || !response.Close || arrivals(runner) != 0 {
+		t.Fatalf("%d, %d arrivals", response.StatusCode, arrivals(runner))
+	}
+}
+
+// TestCutBodyReachesNobody breaks off in the middle of a body.
+func TestCutBodyReachesNobody(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	_, _ = io.WriteString(link, "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\nContent-Length: 5\r\n\r\nha")
+	_ = link.(*net.TCPConn).CloseWrite()
+	response, fault := http.ReadResponse(bufio.NewReader(link), nil)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	defer link.Close()
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusBadRequest || arrivals(runner) != 0 {
+		t.Fatalf("%d, %d arrivals", response.StatusCode, arrivals(runner))
+	}
+}
