--- /dev/null
+++ b/cmd/replay/main.go
@@ -0,0 +1,89 @@
+// Replay plays a recorded day of requests against routers and tells the
+// outcomes by route.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"onyxwell/base/ids"
+	"onyxwell/base/program"
+	"onyxwell/base/scope"
+	"onyxwell/replay"
+)
+
+type commandLine struct {
+	Day     string           `arg:"" help:"The recorded day: a file of JSON lines, or - for standard input."`
+	Router  []ids.Address    `required:"" help:"Front addresses of routers, drawn by chance for each request."`
+	Speed   float64          `help:"How many times as fast as recorded." default:"1"`
+	Limit   time.Duration    `help:"How long one request may take." default:"15s"`
+	JSON    bool             `name:"json" help:"Print the outcomes as JSON."`
+	Version kong.VersionFlag `help:"Print the version and stop."`
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+func run(arguments []string, input io.Reader, out io.Writer, errors io.Writer) int {
+	var line commandLine
+	parser, fault := kong.New(&line, kong.Name("replay"), kong.Writers(out, errors), kong.Vars{"version": "replay " + program.Version},
+		kong.Description("Plays a recorded day of requests against routers and tells the outcomes by route."))
+	if fault == nil {
+		_, fault = parser.Parse(arguments)
+	}
+	if fault == nil && line.Speed <= 0 {
+		fault = fmt.Errorf("--speed wants a number above 0")
+	}
+	var records []replay.Record
+	if fault == nil {
+		records, fault = read(line.Day, input)
+	}
+	if fault != nil {
+		fmt.Fprintf(errors, "replay: %v\n", fault)
+		return 1
+	}
+	outcomes := replay.Play(scope.New(scope.Options{}), records, replay.Options{
+		Routers: line.Router, Speed: line.Speed, Limit: line.Limit, Client: replay.NewClient(64),
+	})
+	return show(out, outcomes, line.JSON)
+}
+
+func read(path string, input io.Reader) ([]replay.Record, error) {
+	if path == "-" {
+		return replay.Read(input)
+	}
+	file, fault := os.Open(path)
+	if fault != nil {
+		return nil, fault
+	}
+	defer file.Close()
+	records, fault := replay.Read(file)
+	if fault != nil {
+		return nil, fmt.Errorf("%s: %w", path, fault)
+	}
+	return records, nil
+}
+
+func show(out io.Writer, outcomes []replay.Outcome, asJSON bool) int {
+	if asJSON {
+		if fault := json.NewEncoder(out).Encode(outcomes); fault != nil {
+			return 1
+		}
+		return 0
+	}
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "route\trequests\tbroken\tfirst p50 ms\tfirst p99 ms\tstatuses")
+	for _, outcome := range outcomes {
+		statuses, _ := json.Marshal(outcome.Statuses)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%.1f\t%s\n", outcome.Route, outcome.Count, outcome.Broken, outcome.P50MS, outcome.P99MS,
+			strings.Trim(string(statuses), "{}"))
+	}
+	_ = table.Flush()
+	return 0
+}
--- /dev/null
+++ b/replay/record.go
@@ -0,0 +1,106 @@
+// Package replay plays a recorded day of requests against a running system and
+// tells the outcomes by route.
+package replay
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"onyxwell/base/clock"
+)
+
+// Record is one request of a recorded day: a line of JSON.
+type Record struct {
+	// AtMS is when it was sent, counted from the day's begin.
+	AtMS    float64           `json:"at_ms"`
+	Method  string            `json:"method"`
+	Host    string            `json:"host"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    string            `json:"body"`
+	// Route names the group that its outcome is counted under; by default the
+	// host and the first part of the path.
+	Route string `json:"route"`
+}
+
+// At is when the request was sent.
+//
+// Example:
+//
+//	top.Wait(record.At())
+func (record Record) At() clock.Span { return clock.Span(record.AtMS * float64(clock.Millisecond)) }
+
+// group names the route that the outcome is counted under.
+func (record Record) group() string {
+	if record.Route != "" {
+		return record.Route
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(record.Path, "/"), "/")
+	return record.Host + "/" + first + "/"
+}
+
+// lineLimit is the longest line of a record.
+const lineLimit = 16 << 20
+
+// Read reads a recorded day. The first broken record ends it, named by its
+// line.
+//
+// Example:
+//
+//	records, fault := replay.Read(file)
+func Read(source io.Reader) ([]Record, error) {
+	lines := bufio.NewScanner(source)
+	lines.Buffer(make([]byte, 64<<10), lineLimit)
+	var records []Record
+	number := 0
+	for lines.Scan() {
+		number++
+		text := strings.TrimSpace(lines.Text())
+		if text == "" {
+			continue
+		}
+		record, fault := parse(text)
+		if fault != nil {
+			return nil, fmt.Errorf("line %d: %w", number, fault)
+		}
+		if len(records) > 0 && record.AtMS < records[len(records)-1].AtMS {
+			return nil, fmt.Errorf("line %d: at_ms goes back", number)
+		}
+		records = append(records, record)
+	}
+	if fault := lines.Err(); fault != nil {
+		return nil, fmt.Errorf("line %d: %w", number+1, fault)
+	}
+	return records, nil
+}
+
+func parse(text string) (Record, error) {
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.DisallowUnknownFields()
+	var record Record
+	if fault := decoder.Decode(&record); fault != nil {
+		return record, fault
+	}
+	if decoder.More() {
+		return record, fmt.Errorf("more than one record")
+	}
+	for _, rule := range recordRules {
+		if !rule.holds(record) {
+			return record, fmt.Errorf("%s", rule.text)
+		}
+	}
+	return record, nil
+}
+
+var recordRules = []struct {
+	holds func(Record) bool
+	text  string
+}{
+	{func(record Record) bool { return record.AtMS >= 0 }, "at_ms is below 0"},
+	{func(record Record) bool { return record.Method != "" }, "method is missing"},
+	{func(record Record) bool { return record.Host != "" }, "host is missing"},
+	{func(record Record) bool { return strings.HasPrefix(record.Path, "/") }, "path begins with no slash"},
+}
