--- a/control/seat/line.go
+++ b/control/seat/line.go
@@ -11,31 +11,34 @@
 
 // Promise carries the message to a voter.
 func (seat *Seat) Promise(inner scope.Scope, address ids.Address, asked register.PromiseAsk) (register.PromiseTold, error) {
-	if address == seat.options.Address {
-		return seat.Acceptor.Promise(asked), nil
-	}
-	told, fault := courier.Send[register.PromiseTold](inner, seat.options.Messenger, address, "promise", asked)
-	seat.mend(inner, address, told.Verdict, told.Generation, fault)
-	return told, fault
+	return carry(seat, inner, address, "promise", asked, seat.Acceptor.Promise, func(told register.PromiseTold) (register.Verdict, int64) {
+		return told.Verdict, told.Generation
+	})
 }
 
 // Accept carries the message to a voter.
 func (seat *Seat) Accept(inner scope.Scope, address ids.Address, asked register.AcceptAsk) (register.AcceptTold, error) {
-	if address == seat.options.Address {
-		return seat.Acceptor.Accept(asked), nil
-	}
-	told, fault := courier.Send[register.AcceptTold](inner, seat.options.Messenger, address, "accept", asked)
-	seat.mend(inner, address, told.Verdict, told.Generation, fault)
-	return told, fault
+	return carry(seat, inner, address, "accept", asked, seat.Acceptor.Accept, verdictOf)
 }
 
 // Confirm carries the message to a voter.
 func (seat *Seat) Confirm(inner scope.Scope, address ids.Address, asked register.ConfirmAsk) (register.AcceptTold, error) {
+	return carry(seat, inner, address, "confirm", asked, seat.Acceptor.Confirm, verdictOf)
+}
+
+func verdictOf(told register.AcceptTold) (register.Verdict, int64) {
+	return told.Verdict, told.Generation
+}
+
+// carry asks the own voter in place and others by message.
+func carry[Asked, Told any](seat *Seat, inner scope.Scope, address ids.Address, name string, asked Asked,
+	own func(Asked) Told, verdict func(Told) (register.Verdict, int64)) (Told, error) {
 	if address == seat.options.Address {
-		return seat.Acceptor.Confirm(asked), nil
+		return own(asked), nil
 	}
-	told, fault := courier.Send[register.AcceptTold](inner, seat.options.Messenger, address, "confirm", asked)
-	seat.mend(inner, address, told.Verdict, told.Generation, fault)
+	told, fault := courier.Send[Told](inner, seat.options.Messenger, address, name, asked)
+	said, generation := verdict(told)
+	seat.mend(inner, address, said, generation, fault)
 	return told, fault
 }
 
