Voters sized by what may be lost at one time, grown from the seeds

Seats wanted are twice the tolerated machines and one more, spread over zones and regions. A further seat learns before it is seated and votes at once, so that the others stay a majority meanwhile (a seat that learnt only afterwards left the model without one when a disk was lost at that moment). Until grown, an order is answered only when it is on one more disk than may be lost. Controllers without a vote pass orders on to one that has it.

--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -80,6 +80,7 @@
 		Address: made.common.Address, Disk: disk, First: top.Boot.FirstStart,
 		Seeds: top.Boot.SeedAddresses(), Table: made.common.Table, Messenger: made.common.Messenger,
 		Patience: made.pace.Hold, Limit: 2 * made.pace.Order, HoldSpan: made.pace.Hold,
+		Seats: seat.Wanted(top.Boot), Zones: top.Boot.Zones,
 	})
 	if fault != nil {
 		return nil, fault
@@ -89,7 +90,7 @@
 		Address: made.common.Address, Line: made.own, Voters: made.own.Acceptor.Voters,
 		Seen:         func(key string) int64 { return made.own.Acceptor.Slot(key).Promised.Number },
 		Chosen:       func(key string, accepted register.Accepted) { made.front.Chosen(key, accepted) },
-		MessageLimit: made.pace.Silence,
+		MessageLimit: made.pace.Silence, Copies: seat.Copies(top.Boot),
 	})
 	made.own.Seek(made.keeper)
 	made.front = desk.New(desk.Options{
--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -27,6 +27,9 @@
 	Key    string
 	Verb   string
 	Change revision.Change
+	// Forwarded says that a controller without a vote passed it on: whoever gets
+	// it brings it to the owner.
+	Forwarded bool
 }
 
 // Outcome is what came of it. A kind of None says that it was done.
@@ -89,6 +92,10 @@
 	courier.Handle(calls, "order", func(inner scope.Scope, order Order) (Outcome, error) {
 		short, release := inner.WithLimit(desk.options.Limit)
 		defer release()
+		if order.Forwarded {
+			order.Forwarded = false
+			return outcomeOf(desk.Do(short, order)), nil
+		}
 		return outcomeOf(desk.act(short, order)), nil
 	})
 }
@@ -104,6 +111,9 @@
 	if desk.options.Keeper.Owns(order.Key) {
 		return desk.act(short, order)
 	}
+	if !desk.options.Acceptor.Voting() {
+		return desk.forward(short, order)
+	}
 	if owner, found := desk.owner(short, order.Key); found {
 		outcome, fault := desk.pass(short, owner, order)
 		kind := breakdown.Kind(outcome.Kind)
@@ -121,6 +131,27 @@
 	return desk.act(short, order)
 }
 
+// forward brings an order to a voter: one without a vote does not know who owns
+// a key, and would take it over for each call. While voters give no clear
+// answer, the next is asked.
+func (desk *Desk) forward(inner scope.Scope, order Order) ([]byte, error) {
+	order.Forwarded = true
+	seats := desk.options.Acceptor.Voters().Seats
+	for _, index := range rand.Perm(len(seats)) {
+		member, known := desk.options.Table.Find(seats[index].Address)
+		if inner.Err() != nil || (known && member.State != cohort.Alive) {
+			continue
+		}
+		brief, release := inner.WithLimit(2 * desk.options.Pass)
+		outcome, fault := courier.Send[Outcome](brief, desk.options.Messenger, seats[index].Address, "order", order)
+		release()
+		if kind := breakdown.Kind(outcome.Kind); fault == nil && kind != breakdown.Unsettled && kind != breakdown.Internal {
+			return outcome.Value, outcome.fault()
+		}
+	}
+	return nil, breakdown.Of(breakdown.Unsettled, "no voter answered")
+}
+
 func (desk *Desk) pass(inner scope.Scope, owner ids.Address, order Order) (Outcome, error) {
 	brief, release := inner.WithLimit(desk.options.Pass)
 	defer release()
--- a/control/register/join.go
+++ b/control/register/join.go
@@ -1,6 +1,8 @@
 package register
 
 import (
+	"errors"
+
 	"onyxwell/base/breakdown"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
@@ -9,7 +11,7 @@
 
 // Reach is how a joiner asks others for what they hold, and mends them.
 type Reach interface {
-	Copy(inner scope.Scope, address ids.Address) (CopyTold, error)
+	Copy(inner scope.Scope, address ids.Address, asked CopyAsk) (CopyTold, error)
 	Learn(inner scope.Scope, address ids.Address, slots []Slot) error
 }
 
@@ -23,11 +25,18 @@
 	// away for so long that its seat may be taken.
 	Others func() []ids.Address
 	Gone   func(address ids.Address) bool
+	// Wanted is how many seats there should be; Fits tells whether a seat here
+	// beside the others leaves no zone or region with too many of them.
+	Wanted int
+	Fits   func(others []ids.Address) bool
 }
 
+// ErrNoSeat says that all seats that are wanted are taken by others.
+var ErrNoSeat = errors.New("register: no seat is free")
+
 // Join takes the next step towards a seat: find the voters, take the place of
-// this machine's older disk or of a voter that is gone, learn what the others
-// hold, and only then vote.
+// this machine's older disk, of a voter that is gone, or a further one while
+// fewer than wanted are there, learn what the others hold, and only then vote.
 //
 // Example:
 //
@@ -43,16 +52,20 @@
 	own := Seat{Address: joiner.Address, Incarnation: joiner.Acceptor.Incarnation(), Learning: true}
 	index, found := joiner.place(voters)
 	if !found {
-		return breakdown.Of(breakdown.Unsettled, "no seat is free")
+		return ErrNoSeat
 	}
-	if seated := voters.Seats[index]; seated.Incarnation == own.Incarnation && !seated.Learning {
+	if index == len(voters.Seats) {
+		return joiner.further(inner, voters, own)
+	}
+	seated := voters.Seats[index]
+	if seated.Address == own.Address && seated.Incarnation == own.Incarnation && !seated.Learning {
 		return nil
 	}
-	if voters.Seats[index] != own && !joiner.reached(inner, voters, index) {
+	if seated != own && joiner.reached(inner, voters, index) < needed(len(voters.Seats)) {
 		return breakdown.Of(breakdown.Unsettled, "too few others to take a seat")
 	}
-	if voters.Seats[index] == own {
-		if !joiner.learn(inner, voters) {
+	if seated == own {
+		if !joiner.learn(inner, voters, needed(len(voters.Seats))) {
 			// A voter that missed the change of voters, and promised a taker
 			// since, can't be mended by copies: the key is written again.
 			return joiner.Keeper.Settle(inner, CohortKey)
@@ -63,43 +76,58 @@
 	return fault
 }
 
+// further adds a seat. A disk that never voted has no votes to remember, so it
+// learns before it is seated and votes from then on: a seat that learnt only
+// afterwards would leave the others short of a majority meanwhile.
+func (joiner *Joiner) further(inner scope.Scope, voters Voters, own Seat) error {
+	grown := len(voters.Seats) + 1
+	if joiner.reached(inner, voters, len(voters.Seats)) < quorum(grown) {
+		return breakdown.Of(breakdown.Unsettled, "too few others for a further seat")
+	}
+	if !joiner.learn(inner, voters, needed(grown)) {
+		return breakdown.Of(breakdown.Unsettled, "too few others to learn from")
+	}
+	own.Learning = false
+	_, fault := joiner.Keeper.Change(inner, CohortKey, seating(voters, len(voters.Seats), own))
+	return fault
+}
+
 // LearnVoters takes the voters that another controller knows.
 //
 // Example:
 //
 //	joiner.LearnVoters(short, address)
 func (joiner *Joiner) LearnVoters(inner scope.Scope, address ids.Address) {
-	told, fault := joiner.Reach.Copy(inner, address)
+	told, fault := joiner.Reach.Copy(inner, address, CopyAsk{Key: CohortKey})
 	if fault != nil {
 		return
 	}
 	for _, slot := range told.Slots {
-		if slot.Key == CohortKey {
-			slot.Promised = ids.Epoch{}
-			_ = joiner.Acceptor.Learn([]Slot{slot})
-		}
+		slot.Promised = ids.Epoch{}
+		_ = joiner.Acceptor.Learn([]Slot{slot})
 	}
 }
 
-// Mend repairs whichever side of a refused message knows only older voters.
+// Mend repairs whichever side of a refused message knows only older voters; of
+// one generation two takers may have proposed different ones.
 //
 // Example:
 //
 //	joiner.Mend(short, address, told.Generation)
 func (joiner *Joiner) Mend(inner scope.Scope, address ids.Address, theirs int64) {
 	own := joiner.Acceptor.Voters().Generation
-	if theirs > own {
+	if theirs >= own {
 		joiner.LearnVoters(inner, address)
 	}
-	if theirs < own {
+	if theirs <= own {
 		slot := joiner.Acceptor.Slot(CohortKey)
 		slot.Promised = ids.Epoch{}
 		_ = joiner.Reach.Learn(inner, address, []Slot{slot})
 	}
 }
 
-// seating replaces one seat; the change is dropped where the voters are no
-// longer those that it was made for.
+// seating replaces one seat, or adds one behind the last; the change is dropped
+// where the voters are no longer those that it was made for.
 func seating(known Voters, index int, own Seat) Step {
 	return func(current []byte) ([]byte, error) {
 		voters, fault := courier.Unpack[Voters](current)
@@ -108,56 +136,68 @@
 		}
 		next := Voters{Generation: voters.Generation + 1}
 		next.Seats = append(next.Seats, voters.Seats...)
+		if index == len(next.Seats) {
+			next.Seats = append(next.Seats, own)
+		}
 		next.Seats[index] = own
 		return courier.Pack(next)
 	}
 }
 
-// place finds the seat to ask for: this machine's own, or one whose voter has
-// been gone for long while nobody else is learning.
+// place finds the seat to ask for: this machine's own, or while nobody else is
+// learning, that of a voter that has been gone for long, or a further one. The
+// seat may lie where too many stand already only if it was so before.
 func (joiner *Joiner) place(voters Voters) (int, bool) {
-	gone, found := 0, false
+	gone, found, learning := 0, false, false
+	var others []ids.Address
 	for index, voter := range voters.Seats {
 		if voter.Address == joiner.Address {
 			return index, true
 		}
+		others = append(others, voter.Address)
 		if joiner.Gone(voter.Address) {
 			gone, found = index, true
-		} else if voter.Learning {
-			return 0, false
+		} else {
+			learning = learning || voter.Learning
 		}
 	}
+	if learning {
+		return 0, false
+	}
+	if !found && len(others) < joiner.Wanted && joiner.Fits(others) {
+		return len(others), true
+	}
 	return gone, found
 }
 
 // needed is how many other voters a new seat must learn from, so that every
-// majority which its vote could have been part of is met.
-func needed(voters Voters) int { return len(voters.Seats) - (len(voters.Seats)/2 + 1) + 1 }
+// majority which its vote could have been part of is met. Where as many disks
+// are blank as leave a majority, that is every disk which is not.
+func needed(seats int) int { return seats - quorum(seats) + 1 }
 
-// reached tells whether enough of the other voters answer now; a seat that is
-// taken without them would leave the voters short.
-func (joiner *Joiner) reached(inner scope.Scope, voters Voters, index int) bool {
+// reached counts the other voters that answer now; a seat that is taken while
+// too few do would leave the voters short.
+func (joiner *Joiner) reached(inner scope.Scope, voters Voters, index int) int {
 	found := 0
 	for place, voter := range voters.Seats {
 		if place == index || voter.Learning {
 			continue
 		}
-		if told, fault := joiner.Reach.Copy(inner, voter.Address); fault == nil && told.Voting {
+		if told, fault := joiner.Reach.Copy(inner, voter.Address, CopyAsk{Key: CohortKey}); fault == nil && told.Voting {
 			found++
 		}
 	}
-	return found >= needed(voters)
+	return found
 }
 
-// learn copies from enough other voters and takes the newest of each key.
-func (joiner *Joiner) learn(inner scope.Scope, voters Voters) bool {
-	missing := needed(voters)
+// learn copies from so many other voters and takes the newest of each key.
+func (joiner *Joiner) learn(inner scope.Scope, voters Voters, missing int) bool {
 	var slots []Slot
 	for _, voter := range voters.Seats {
 		if voter.Address == joiner.Address || voter.Learning {
 			continue
 		}
-		told, fault := joiner.Reach.Copy(inner, voter.Address)
+		told, fault := joiner.Reach.Copy(inner, voter.Address, CopyAsk{})
 		if fault != nil || !told.Voting || told.Mark != voters.Mark() || told.Incarnation != voter.Incarnation {
 			continue
 		}
--- a/control/register/learn.go
+++ b/control/register/learn.go
@@ -50,18 +50,35 @@
 	return Seat{}, false
 }
 
-// Copy gives all that the voter holds.
+// Copy gives what the voter holds, and how it stands itself.
 //
 // Example:
 //
 //	all := voter.Copy(register.CopyAsk{})
-func (acceptor *Acceptor) Copy(CopyAsk) CopyTold {
+func (acceptor *Acceptor) Copy(asked CopyAsk) CopyTold {
 	acceptor.lock.Lock()
 	defer acceptor.lock.Unlock()
-	return CopyTold{
+	told := CopyTold{
 		Incarnation: acceptor.incarnation, Generation: acceptor.voters.Generation,
-		Mark: acceptor.voters.Mark(), Voting: acceptor.voting(), Slots: acceptor.sorted(),
+		Mark: acceptor.voters.Mark(), Voting: acceptor.voting(),
 	}
+	if asked.Key == "" {
+		told.Slots = acceptor.sorted()
+	} else if held, found := acceptor.slots[asked.Key]; found {
+		told.Slots = []Slot{held}
+	}
+	return told
+}
+
+// Voting tells whether this disk votes now.
+//
+// Example:
+//
+//	if !voter.Voting() { join() }
+func (acceptor *Acceptor) Voting() bool {
+	acceptor.lock.Lock()
+	defer acceptor.lock.Unlock()
+	return acceptor.voting()
 }
 
 // Voters gives the voters as this voter knows them.
--- a/control/register/message.go
+++ b/control/register/message.go
@@ -106,8 +106,9 @@
 	Epoch ids.Epoch
 }
 
-// CopyAsk asks for all that a voter holds.
-type CopyAsk struct{ Nothing bool }
+// CopyAsk asks for what a voter holds: under one key, or under all where none
+// is named.
+type CopyAsk struct{ Key string }
 
 // CopyTold is all that a voter holds.
 type CopyTold struct {
@@ -141,11 +142,19 @@
 // majority tells whether the votes are more than half of the seats; a seat
 // that is learning counts as one that did not vote.
 func majority(seats []Seat, votes map[ids.Address]bool) bool {
+	return enough(seats, votes, 0)
+}
+
+// enough tells whether the votes are a majority, and at least so many copies.
+func enough(seats []Seat, votes map[ids.Address]bool, copies int) bool {
 	granted := 0
 	for _, seat := range seats {
 		if votes[seat.Address] && !seat.Learning {
 			granted++
 		}
 	}
-	return 2*granted > len(seats)
+	return granted >= max(quorum(len(seats)), copies)
 }
+
+// quorum is how many of so many seats are a majority.
+func quorum(seats int) int { return seats/2 + 1 }
--- a/control/register/model_test.go
+++ b/control/register/model_test.go
@@ -63,6 +63,8 @@
 	acked  string
 	writes int
 	calm   bool
+	// losses is how many disks may be lost at one time.
+	losses int
 }
 
 func (world *world) draw(odds int) bool {
@@ -128,8 +130,8 @@
 	return told, fault
 }
 
-func (line line) Copy(_ scope.Scope, address ids.Address) (CopyTold, error) {
-	return carry(line.world, line.from, address, func(voter *Acceptor) CopyTold { return voter.Copy(CopyAsk{}) })
+func (line line) Copy(_ scope.Scope, address ids.Address, asked CopyAsk) (CopyTold, error) {
+	return carry(line.world, line.from, address, func(voter *Acceptor) CopyTold { return voter.Copy(asked) })
 }
 
 func (line line) Learn(_ scope.Scope, address ids.Address, slots []Slot) error {
@@ -156,7 +158,7 @@
 	subject.keeper = NewKeeper(Options{
 		Address: subject.address, Line: road, Voters: acceptor.Voters,
 		Seen:         func(key string) int64 { return acceptor.Slot(key).Promised.Number },
-		MessageLimit: 1, Spawn: func(send func()) { send() },
+		MessageLimit: 1, Spawn: func(send func()) { send() }, Copies: world.losses + 1,
 	})
 	subject.joiner = &Joiner{
 		Address: subject.address, Acceptor: acceptor, Keeper: subject.keeper, Reach: road,
@@ -169,20 +171,24 @@
 			}
 			return others
 		},
-		Gone: func(address ids.Address) bool { return world.find(address).gone },
+		Gone:   func(address ids.Address) bool { return world.find(address).gone },
+		Wanted: 2*world.losses + 1,
+		Fits:   func([]ids.Address) bool { return true },
 	}
 }
 
-func newWorld(t *rapid.T) *world {
-	made := &world{t: t, scope: scope.New(scope.Options{}), cuts: map[[2]ids.Address]bool{}}
+// newWorld makes three voters and as many further machines as the seats that
+// so many losses want, and one more.
+func newWorld(t *rapid.T, losses int) *world {
+	made := &world{t: t, scope: scope.New(scope.Options{}), cuts: map[[2]ids.Address]bool{}, losses: losses}
 	voters := Voters{Generation: 1}
 	for _, name := range []ids.Address{"a", "b", "c"} {
 		voters.Seats = append(voters.Seats, Seat{Address: name})
 	}
-	for index := range 4 {
+	for index := range 2*losses + 2 {
 		subject := &machine{address: ids.Address(fmt.Sprintf("%c", 'a'+index)), disk: &disk{draw: made.draw}}
 		made.machines = append(made.machines, subject)
-		made.formed = index == 3
+		made.formed = index >= 3
 		made.start(subject)
 		if index < 3 {
 			if fault := subject.acceptor.Form(voters); fault != nil {
--- a/control/register/owner.go
+++ b/control/register/owner.go
@@ -183,15 +183,17 @@
 // write puts a value on a majority of disks.
 func (keeper *Keeper) write(inner scope.Scope, state *owned, key string, value []byte) error {
 	next := Accepted{Epoch: state.epoch, Sequence: state.current.Sequence + 1, Value: value}
-	sets := [][]Seat{state.voters.Seats}
+	sets, copies := [][]Seat{state.voters.Seats}, keeper.options.Copies
 	if key == CohortKey {
+		// A seat must be filled also while too few disks are there for orders.
+		copies = 0
 		voters, fault := courier.Unpack[Voters](value)
 		if fault != nil {
 			return breakdown.Of(breakdown.Internal, "voters: %v", fault)
 		}
 		sets = append(sets, voters.Seats)
 	}
-	fault := keeper.rounds(inner, state, sets, func(message scope.Scope, seat Seat) (Verdict, int64) {
+	fault := keeper.rounds(inner, state, sets, copies, func(message scope.Scope, seat Seat) (Verdict, int64) {
 		told, fault := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: next})
 		return verdictOf(told.Verdict, fault), told.Promised.Number
 	})
@@ -206,7 +208,7 @@
 
 // confirm asks a majority whether this keeper is still the owner.
 func (keeper *Keeper) confirm(inner scope.Scope, state *owned, key string) error {
-	fault := keeper.rounds(inner, state, [][]Seat{state.voters.Seats}, func(message scope.Scope, seat Seat) (Verdict, int64) {
+	fault := keeper.rounds(inner, state, [][]Seat{state.voters.Seats}, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
 		told, fault := keeper.options.Line.Confirm(message, seat.Address, ConfirmAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
 		return verdictOf(told.Verdict, fault), told.Promised.Number
 	})
--- a/control/register/register_test.go
+++ b/control/register/register_test.go
@@ -42,20 +42,22 @@
 	return true
 }
 
-// bearable tells whether one more disk may be lost: all other voters are up,
-// whole, and know the same voters.
+// bearable tells whether one more disk may be lost: a majority of the seats is
+// left that is up, whole, and knows the same voters; where the seats are all
+// there, that is as many disks at one time as may be lost.
 func (world *world) bearable(subject *machine) bool {
+	whole := 0
 	for _, other := range world.machines {
 		if other == subject {
 			continue
 		}
 		seat, seated := world.newest().seat(other.address)
-		whole := other.up && !seat.Learning && seat.Incarnation == other.acceptor.Incarnation()
-		if seated && !(whole && other.acceptor.Voters().Mark() == world.newest().Mark()) {
-			return false
+		sound := other.up && !seat.Learning && seat.Incarnation == other.acceptor.Incarnation()
+		if seated && sound && other.acceptor.Voters().Mark() == world.newest().Mark() {
+			whole++
 		}
 	}
-	return true
+	return whole >= quorum(len(world.newest().Seats))
 }
 
 func (world *world) newest() Voters {
@@ -102,7 +104,7 @@
 }
 
 func (world *world) join(subject *machine) {
-	if !subject.up || subject.busy || subject.acceptor.Copy(CopyAsk{}).Voting {
+	if !subject.up || subject.busy || subject.acceptor.Voting() {
 		return
 	}
 	subject.busy = true
@@ -114,13 +116,15 @@
 // out and brought in, with disks that refuse and owners that duel: what was
 // acknowledged stays, and of two changes on one value only one wins.
 func TestNothingAcknowledgedIsLost(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		world := newWorld(t)
-		for range rapid.IntRange(5, 60).Draw(t, "length") {
-			world.happen()
-		}
-		world.settle()
-	})
+	for losses := 1; losses <= 2; losses++ {
+		rapid.Check(t, func(t *rapid.T) {
+			world := newWorld(t, losses)
+			for range rapid.IntRange(5, 60).Draw(t, "length") {
+				world.happen()
+			}
+			world.settle()
+		})
+	}
 }
 
 // settle ends all trouble; within some rounds the key must be served again.
@@ -141,7 +145,7 @@
 		}
 	}
 	for _, seat := range world.newest().Seats {
-		if holder := world.find(seat.Address); seat.Learning || !holder.acceptor.Copy(CopyAsk{}).Voting {
+		if holder := world.find(seat.Address); seat.Learning || !holder.acceptor.Voting() {
 			world.t.Fatalf("the seat of %s is not filled after all trouble ended: %+v", seat.Address, world.newest())
 		}
 	}
@@ -154,7 +158,7 @@
 // come back: its write must not be acknowledged on top of the other's.
 func TestStaleOwnerIsFenced(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		world := newWorld(t)
+		world := newWorld(t, 1)
 		world.calm = true
 		first, second := world.machines[0], world.machines[1]
 		if !world.write(first, false) || !world.write(second, false) {
@@ -174,7 +178,7 @@
 // it may vote again only once it learnt from both others.
 func TestLostDiskLearnsFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		world := newWorld(t)
+		world := newWorld(t, 1)
 		world.calm = true
 		world.machines[2].up = false
 		if !world.write(world.machines[0], false) {
@@ -193,7 +197,7 @@
 		for range 4 {
 			world.join(wiped)
 		}
-		if !wiped.acceptor.Copy(CopyAsk{}).Voting {
+		if !wiped.acceptor.Voting() {
 			t.Fatal("the new disk never got its seat")
 		}
 		if !world.write(world.machines[2], false) {
--- a/control/register/rounds.go
+++ b/control/register/rounds.go
@@ -16,8 +16,9 @@
 }
 
 // rounds sends a message to every seat of the sets and returns once each set
-// has a majority of grants, or can't get it any more, or the scope ends.
-func (keeper *Keeper) rounds(inner scope.Scope, state *owned, sets [][]Seat, send func(scope.Scope, Seat) (Verdict, int64)) error {
+// has a majority of grants (and so many copies, where that is more), or can't
+// get it any more, or the scope ends.
+func (keeper *Keeper) rounds(inner scope.Scope, state *owned, sets [][]Seat, copies int, send func(scope.Scope, Seat) (Verdict, int64)) error {
 	seats := union(sets)
 	votes := make(chan vote, len(seats))
 	for _, seat := range seats {
@@ -42,10 +43,10 @@
 		case <-inner.Done():
 			return breakdown.Of(breakdown.Unsettled, "the voters did not answer in time")
 		}
-		if allHave(sets, granted) {
+		if allHave(sets, granted, copies) {
 			return nil
 		}
-		if lost(sets, refused) {
+		if lost(sets, refused, copies) {
 			return breakdown.Of(breakdown.Unsettled, "too many voters refused")
 		}
 	}
@@ -60,7 +61,7 @@
 		var lock sync.Mutex
 		var newest Accepted
 		sets := [][]Seat{state.voters.Seats}
-		fault := keeper.rounds(inner, state, sets, func(message scope.Scope, seat Seat) (Verdict, int64) {
+		fault := keeper.rounds(inner, state, sets, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
 			told, fault := keeper.options.Line.Promise(message, seat.Address, PromiseAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
 			verdict := verdictOf(told.Verdict, fault)
 			lock.Lock()
@@ -108,23 +109,23 @@
 	return seats
 }
 
-func allHave(sets [][]Seat, granted map[ids.Address]bool) bool {
+func allHave(sets [][]Seat, granted map[ids.Address]bool, copies int) bool {
 	for _, set := range sets {
-		if len(set) > 0 && !majority(set, granted) {
+		if len(set) > 0 && !enough(set, granted, copies) {
 			return false
 		}
 	}
 	return true
 }
 
-// lost tells whether some set can't reach a majority any more.
-func lost(sets [][]Seat, refused map[ids.Address]bool) bool {
+// lost tells whether some set can't grant enough any more.
+func lost(sets [][]Seat, refused map[ids.Address]bool, copies int) bool {
 	for _, set := range sets {
 		open := map[ids.Address]bool{}
 		for _, seat := range set {
 			open[seat.Address] = !refused[seat.Address]
 		}
-		if len(set) > 0 && !majority(set, open) {
+		if len(set) > 0 && !enough(set, open, copies) {
 			return true
 		}
 	}
--- a/control/seat/line.go
+++ b/control/seat/line.go
@@ -1,6 +1,8 @@
 package seat
 
 import (
+	"errors"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
@@ -49,9 +51,9 @@
 	}
 }
 
-// Copy asks a controller for all that it holds.
-func (seat *Seat) Copy(inner scope.Scope, address ids.Address) (register.CopyTold, error) {
-	return courier.Send[register.CopyTold](inner, seat.options.Messenger, address, "copy", register.CopyAsk{})
+// Copy asks a controller for what it holds.
+func (seat *Seat) Copy(inner scope.Scope, address ids.Address, asked register.CopyAsk) (register.CopyTold, error) {
+	return courier.Send[register.CopyTold](inner, seat.options.Messenger, address, "copy", asked)
 }
 
 // Learn brings newer copies to a voter.
@@ -69,9 +71,13 @@
 	seat.joiner = &register.Joiner{
 		Address: seat.options.Address, Acceptor: seat.Acceptor, Keeper: keeper,
 		Reach: seat, Others: seat.controllers, Gone: seat.isGone,
+		Wanted: seat.options.Seats, Fits: seat.fits,
 	}
 }
 
+// standBy is by how much longer one that finds no free seat waits.
+const standBy = 4
+
 // Run strives for a seat until the scope ends; a disk that votes has nothing
 // to do here.
 //
@@ -80,13 +86,18 @@
 //	own.Run(top, 300*clock.Millisecond)
 func (seat *Seat) Run(inner scope.Scope, every clock.Span) {
 	for inner.Err() == nil {
+		pause := every
 		if !seat.Voting() {
 			short, release := inner.WithLimit(seat.options.Limit)
 			fault := seat.joiner.Join(short)
 			release()
 			inner.Log.Info().Str("part", "seat").Err(fault).Msg("asked for a seat")
+			if errors.Is(fault, register.ErrNoSeat) {
+				// One that stands by looks on at leisure.
+				pause = standBy * every
+			}
 		}
-		if !inner.Wait(every) {
+		if !inner.Wait(pause) {
 			return
 		}
 	}
--- a/control/seat/seat.go
+++ b/control/seat/seat.go
@@ -29,6 +29,10 @@
 	Patience clock.Span
 	Limit    clock.Span
 	HoldSpan clock.Span
+	// Seats is how many voters are wanted; Zones gives the zones there are, with
+	// their regions, over which they are spread.
+	Seats int
+	Zones map[ids.Zone]ids.Region
 }
 
 // Seat is a controller's voter and the way to the others.
@@ -99,7 +103,7 @@
 // Example:
 //
 //	if !own.Voting() { join() }
-func (seat *Seat) Voting() bool { return seat.Acceptor.Copy(register.CopyAsk{}).Voting }
+func (seat *Seat) Voting() bool { return seat.Acceptor.Voting() }
 
 // Close ends the journal.
 //
--- /dev/null
+++ b/control/seat/spread.go
@@ -0,0 +1,51 @@
+package seat
+
+import (
+	"onyxwell/base/boot"
+	"onyxwell/base/ids"
+)
+
+// Wanted is how many voters bear the loss of so many machines at one time: one
+// more than twice as many, and never fewer than three.
+//
+// Example:
+//
+//	seat.Options{Seats: seat.Wanted(top.Boot)}
+func Wanted(settings *boot.Boot) int { return max(3, 2*settings.Tolerate.Machines+1) }
+
+// Copies is how many disks must hold an order before it is answered: one more
+// than may be lost at one time. Where fewer controllers than seeds are usual
+// are named, there are no more than these.
+//
+// Example:
+//
+//	register.Options{Copies: seat.Copies(top.Boot)}
+func Copies(settings *boot.Boot) int {
+	if seeds := len(settings.Seeds); seeds < 3 {
+		return min(seeds, settings.Tolerate.Machines+1)
+	}
+	return settings.Tolerate.Machines + 1
+}
+
+// fits tells whether a voter here beside the others leaves every zone and
+// region with no more than its even share of the seats.
+func (seat *Seat) fits(others []ids.Address) bool {
+	self := seat.options.Table.Self()
+	regions := map[ids.Region]bool{}
+	for _, region := range seat.options.Zones {
+		regions[region] = true
+	}
+	inZone, inRegion := 1, 1
+	for _, address := range others {
+		member, known := seat.options.Table.Find(address)
+		if known && member.Zone == self.Zone {
+			inZone++
+		}
+		if known && member.Region == self.Region {
+			inRegion++
+		}
+	}
+	return inZone <= evenShare(seat.options.Seats, len(seat.options.Zones)) && inRegion <= evenShare(seat.options.Seats, len(regions))
+}
+
+func evenShare(seats int, places int) int { return (seats + max(1, places) - 1) / max(1, places) }
