--- a/cmd/fleet-controller/room.go
+++ b/cmd/fleet-controller/room.go
@@ -6,7 +6,6 @@
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
-	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/hold"
@@ -107,21 +106,8 @@
 // routers counts the routers of each region, those that are gone too.
 func (made *controller) routers() []room.Routers {
 	var counted []room.Routers
-	places := map[ids.Region]int{}
-	for _, member := range made.common.Table.Members() {
-		if member.Role != "router" {
-			continue
-		}
-		place, known := places[member.Region]
-		if !known {
-			place = len(counted)
-			places[member.Region] = place
-			counted = append(counted, room.Routers{Region: member.Region})
-		}
-		counted[place].Known++
-		if member.State == cohort.Alive && member.Ready {
-			counted[place].Ready++
-		}
+	for _, region := range made.common.Zones.Regions() {
+		counted = append(counted, room.Routers{Region: region.Name, Known: region.Known, Ready: region.Ready})
 	}
 	return counted
 }
--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -71,7 +71,7 @@
 		return nil, fault
 	}
 	disk := journal.Folder(top.Boot.DataFolder)
-	members := &cohort.Keeper{Table: made.common.Table, Disk: disk, Name: "members"}
+	members := &cohort.Keeper{Table: made.common.Table, Disk: disk, Name: "members", Sizes: made.common.Zones.Sizes, Sized: made.common.Zones.Learn}
 	if fault := members.Load(); fault != nil {
 		top.Log.Warn().Str("part", "members").Err(fault).Msg("the members of before can't be read")
 	}
@@ -125,7 +125,7 @@
 		return common.ServeHTTP(inner, top.Boot.Listen["control"], orders)
 	})
 	lookups := call.NewTable(top, 1<<16)
-	directory.Directory{Table: common.Table, Fewest: 1}.Serve(lookups)
+	directory.Directory{Table: common.Table, Elsewhere: common.Zones.Elsewhere, Zones: top.Boot.Zones, Fewest: 1}.Serve(lookups)
 	common.Part("directory", func(inner scope.Scope) error {
 		return common.ServeHTTP(inner, top.Boot.Listen["directory"], lookups)
 	})
--- a/cmd/router/doubt.go
+++ b/cmd/router/doubt.go
@@ -103,7 +103,7 @@
 	}
 	now := inner.Now()
 	if told.cold > 0 {
-		made.warmth.Chill(id, now.Add(told.cold))
+		made.warmth.Chill(id, now.Add(told.cold), now)
 	}
 	made.board.Vouch(id, now)
 }
--- a/cmd/router/doubt_test.go
+++ b/cmd/router/doubt_test.go
@@ -26,7 +26,7 @@
 func newRouter(t *testing.T, runners ...census.Runner) (*router, *clock.Fake) {
 	t.Helper()
 	machine := clock.NewFake()
-	made := &router{board: metrics.NewBoard(), warmth: warmth.New(), pace: daemon.Pace{Connect: clock.Second}}
+	made := &router{board: metrics.NewBoard(), warmth: warmth.New(chance), pace: daemon.Pace{Connect: clock.Second}}
 	made.common = &daemon.Daemon{Table: cohort.NewTable(machine, cohort.Member{Address: "self", Role: role, Region: "north"})}
 	made.frame = picture.NewFrame(picture.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.frame.Absorb(spread.Item{Key: "spec", Serial: 1, Body: []byte(document)})
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -60,7 +60,7 @@
 }
 
 func build(top scope.Scope) (*router, error) {
-	made := &router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New()}
+	made := &router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New(chance)}
 	made.frame = picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones, Listed: made.listed(top)})
 	var fault error
 	made.common, fault = daemon.New(top, role, made.frame.Absorb)
@@ -73,7 +73,7 @@
 	})
 	gate := letin.NewGate(letin.Options{
 		Scope: top, Frame: made.frame, Board: made.board, Budget: tries, Warmth: made.warmth,
-		Region: top.Boot.Region, Sharers: made.sharers, Chance: chance,
+		Region: top.Boot.Region, Sharers: made.common.Zones.Sharers, Routers: made.sharers, Chance: chance,
 	})
 	sender := relay.NewSender(relay.Options{
 		Clock: top.Clock, Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence},
@@ -86,16 +86,8 @@
 	return made, nil
 }
 
-// sharers is how many routers there could be: all that were ever heard of.
-func (made *router) sharers() int {
-	count := 0
-	for _, member := range made.common.Table.Members() {
-		if member.Role == role {
-			count++
-		}
-	}
-	return max(1, count)
-}
+// sharers is how many routers there could be.
+func (made *router) sharers() int { return made.common.Zones.Routers() }
 
 // listed keeps the warmth of runners up with each new list.
 func (made *router) listed(top scope.Scope) func(*picture.Picture) {
--- a/cmd/router/tasks.go
+++ b/cmd/router/tasks.go
@@ -9,8 +9,6 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
-	"onyxwell/control/courier"
-	"onyxwell/control/scaler"
 )
 
 // lookAfterCensus asks the platform where no census came for long: slowly, so
@@ -67,15 +65,7 @@
 		asked.From, asked.Region = made.common.Address, inner.Boot.Region
 		asked.SpanMS = float64(now.Since(last).Milliseconds())
 		last = now
-		holder := made.frame.Now().Plan.Holder
-		if holder == "" {
-			continue
-		}
-		go func() {
-			short, release := inner.WithLimit(made.pace.Silence)
-			defer release()
-			_, _ = courier.Send[scaler.ReportTold](short, made.common.Messenger, holder, "report", asked)
-		}()
+		go made.common.Report(inner, asked)
 	}
 	return nil
 }
--- a/control/cohort/cohort_test.go
+++ b/control/cohort/cohort_test.go
@@ -59,11 +59,11 @@
 func TestEqualTablesHaveEqualSums(t *testing.T) {
 	first, second := table(clock.NewFake(), "a"), table(clock.NewFake(), "b")
 	first.Merge([]Member{second.Self()})
-	if first.Sum() == second.Sum() {
+	if first.Sums() == second.Sums() {
 		t.Fatal("tables that differ have one sum")
 	}
 	second.Merge(first.Members())
-	if first.Sum() != second.Sum() {
+	if first.Sums() != second.Sums() {
 		t.Fatal("equal tables differ in their sums")
 	}
 }
--- a/control/cohort/keep.go
+++ b/control/cohort/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"onyxwell/base/clock"
+	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
 	"onyxwell/control/journal"
@@ -14,7 +15,22 @@
 	Table *Table
 	Disk  journal.Disk
 	Name  string
-	told  int64
+	// Sizes gives what else is kept with the members: how many routers the other
+	// zones had; Sized is told of them when they are read back.
+	Sizes func() []Size
+	Sized func([]Size)
+	told  Sums
+}
+
+// Size is how many routers a zone is known to have had.
+type Size struct {
+	Zone    ids.Zone
+	Routers int64
+}
+
+type kept struct {
+	Members []Member
+	Sizes   []Size
 }
 
 // Load takes what the disk holds. Nobody is known to be there until it is heard
@@ -28,15 +44,18 @@
 	if fault != nil || len(body) == 0 {
 		return fault
 	}
-	kept, fault := courier.Unpack[list](body)
+	read, fault := courier.Unpack[kept](body)
 	if fault != nil {
 		// A torn file is as good as none: the members will be heard of again.
 		return nil
 	}
-	for index := range kept.Members {
-		kept.Members[index].State, kept.Members[index].Incarnation, kept.Members[index].Ready = Removed, 0, false
+	for index := range read.Members {
+		read.Members[index].State, read.Members[index].Incarnation, read.Members[index].Ready = Removed, 0, false
+	}
+	keeper.Table.Merge(read.Members)
+	if keeper.Sized != nil {
+		keeper.Sized(read.Sizes)
 	}
-	keeper.Table.Merge(kept.Members)
 	return nil
 }
 
@@ -46,11 +65,15 @@
 //
 //	fault := keeper.Save()
 func (keeper *Keeper) Save() error {
-	sum := keeper.Table.Sum()
-	if sum == keeper.told {
+	sums := keeper.Table.Sums()
+	if sums == keeper.told {
 		return nil
 	}
-	body, fault := courier.Pack(list{Members: keeper.Table.Members()})
+	whole := kept{Members: keeper.Table.Members()}
+	if keeper.Sizes != nil {
+		whole.Sizes = keeper.Sizes()
+	}
+	body, fault := courier.Pack(whole)
 	if fault != nil {
 		return fault
 	}
@@ -66,7 +89,7 @@
 		fault = keeper.Disk.Rename(keeper.Name+".new", keeper.Name)
 	}
 	if fault == nil {
-		keeper.told = sum
+		keeper.told = sums
 	}
 	return fault
 }
--- a/control/cohort/probe.go
+++ b/control/cohort/probe.go
@@ -156,7 +156,7 @@
 
 func (prober *Prober) post(to ids.Address, datagram Datagram) {
 	datagram.From = prober.Table.Self().Address
-	datagram.Reports = prober.Table.untold(4)
+	datagram.Reports = prober.Table.untold(4, to)
 	if body, fault := courier.Pack(datagram); fault == nil {
 		prober.Send(to, body)
 	}
@@ -210,11 +210,14 @@
 	return target, true
 }
 
+// others are those whom this daemon probes: the members of its zone, and where
+// it is of the backbone, the backbone of the other zones.
 func (prober *Prober) others(without ids.Address) []Member {
-	self := prober.Table.Self().Address
+	self := prober.Table.Self()
 	var found []Member
 	for _, member := range prober.Table.Members() {
-		if member.Present() && member.Address != self && member.Address != without {
+		probed := member.Zone == self.Zone || self.Backbone()
+		if probed && member.Present() && member.Address != self.Address && member.Address != without {
 			found = append(found, member)
 		}
 	}
--- /dev/null
+++ b/control/cohort/relays.go
@@ -0,0 +1,84 @@
+package cohort
+
+import (
+	"hash/fnv"
+	"sort"
+	"strings"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// Relays gives the daemons that pass news on for a zone, the first choice first.
+// For the own zone every member works them out by itself; those of other zones
+// say of themselves that they are. Nothing rests on agreement: news only rises,
+// so two views of who relays cost bytes and no more.
+//
+// Example:
+//
+//	for _, relay := range table.Relays(zone) { if push(relay) { break } }
+func (table *Table) Relays(zone ids.Zone, count int) []Member {
+	var able []Member
+	own := zone == table.Self().Zone
+	for _, member := range table.Members() {
+		if member.Zone == zone && member.State == Alive && (own || member.Backbone()) {
+			able = append(able, member)
+		}
+	}
+	rank(able)
+	return pickMachines(able, count)
+}
+
+// Elect has the daemon say of itself whether it relays for its zone; one that
+// has only just begun, and may know nobody yet, waits.
+//
+// Example:
+//
+//	table.Elect(2, patience)
+func (table *Table) Elect(count int, patience clock.Span) {
+	self := table.Self()
+	if table.clock.Now().Since(table.born) < patience || !self.Present() {
+		return
+	}
+	chosen := false
+	for _, relay := range table.Relays(self.Zone, count) {
+		chosen = chosen || relay.Address == self.Address
+	}
+	table.Announce(func(self *Member) { self.Relay = chosen })
+}
+
+// rank orders members by how well they relay: machines with more link first,
+// then those that already serve control and so carry no requests, then by a
+// hash that spreads the work over zones.
+func rank(members []Member) {
+	sort.Slice(members, func(left, right int) bool {
+		one, other := members[left], members[right]
+		if one.LinkMbps != other.LinkMbps {
+			return one.LinkMbps > other.LinkMbps
+		}
+		if one.Core != other.Core {
+			return one.Core
+		}
+		return hashOf(one.Address) < hashOf(other.Address)
+	})
+}
+
+// pickMachines takes the first so many members that stand on different machines.
+func pickMachines(members []Member, count int) []Member {
+	taken := map[string]bool{}
+	var chosen []Member
+	for _, member := range members {
+		machine, _, _ := strings.Cut(string(member.Address), ":")
+		if !taken[machine] && len(chosen) < count {
+			taken[machine] = true
+			chosen = append(chosen, member)
+		}
+	}
+	return chosen
+}
+
+func hashOf(address ids.Address) uint64 {
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(address))
+	return digest.Sum64()
+}
--- a/control/cohort/table.go
+++ b/control/cohort/table.go
@@ -1,5 +1,7 @@
 // Package cohort is how the daemons know each other: probes to a few members
-// in turn, second opinions through third parties, suspicion before removal.
+// in turn, second opinions through third parties, suspicion before removal. A
+// daemon knows all members of its own zone, and of other zones the backbone:
+// those that serve control and those that relay.
 package cohort
 
 import (
@@ -16,15 +18,29 @@
 	Member
 	since clock.Instant
 	told  int
+	mark  int64
+	// left is when a member ceased to be of the backbone: other zones are told so
+	// for a while, so that older reports don't bring it back there.
+	left   clock.Instant
+	former bool
 }
 
 // Table holds the members that a daemon knows, itself included.
 type Table struct {
-	lock    sync.Mutex
-	clock   clock.Clock
-	self    Member
-	members map[ids.Address]*seen
-	sum     int64
+	lock     sync.Mutex
+	clock    clock.Clock
+	born     clock.Instant
+	self     Member
+	members  map[ids.Address]*seen
+	sums     Sums
+	snapshot []Member
+}
+
+// Sums are digests of the members that are present: equal sums mean equal
+// tables. Daemons of one zone compare both, others only that of the backbone.
+type Sums struct {
+	Zone     int64
+	Backbone int64
 }
 
 // NewTable makes a table that knows only its own daemon.
@@ -34,7 +50,7 @@
 //	table := cohort.NewTable(top.Clock, cohort.Member{Address: address, Role: "router"})
 func NewTable(machine clock.Clock, self Member) *Table {
 	self.Incarnation = max(self.Incarnation, 1)
-	table := &Table{clock: machine, self: self, members: map[ids.Address]*seen{}}
+	table := &Table{clock: machine, born: machine.Now(), self: self, members: map[ids.Address]*seen{}}
 	table.put(self)
 	return table
 }
@@ -82,6 +98,9 @@
 			continue
 		}
 		known := table.members[report.Address]
+		if known == nil && !table.kept(report) {
+			continue
+		}
 		if known == nil || report.newer(known.Member) {
 			table.put(report)
 			news = true
@@ -90,6 +109,11 @@
 	return news
 }
 
+// kept tells whether a member belongs into this table.
+func (table *Table) kept(member Member) bool {
+	return member.Zone == table.self.Zone || member.Backbone()
+}
+
 func (table *Table) refute(report Member) bool {
 	if !report.newer(table.self) && report == table.self {
 		return false
@@ -119,7 +143,8 @@
 	table.put(report)
 }
 
-// Members gives all members in the order of their addresses.
+// Members gives all members in the order of their addresses; the list is shared
+// and must not be changed.
 //
 // Example:
 //
@@ -127,7 +152,18 @@
 func (table *Table) Members() []Member {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	return table.sorted()
+	if table.snapshot != nil {
+		return table.snapshot
+	}
+	members := make([]Member, 0, len(table.members))
+	for _, known := range table.members {
+		if table.kept(known.Member) {
+			members = append(members, known.Member)
+		}
+	}
+	sort.Slice(members, func(left, right int) bool { return members[left].Address < members[right].Address })
+	table.snapshot = members
+	return members
 }
 
 // Find gives the member at an address.
@@ -160,61 +196,54 @@
 	return table.clock.Now().Since(known.since)
 }
 
-// Sum is a digest of the whole table: equal sums mean equal tables.
+// Sums gives the digests of the table.
 //
 // Example:
 //
-//	if told.Sum != table.Sum() { sendMembers() }
-func (table *Table) Sum() int64 {
+//	if told.Sums.Backbone != table.Sums().Backbone { sendMembers() }
+func (table *Table) Sums() Sums {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	return table.sum
+	return table.sums
 }
 
+// put replaces what is known of a member; the sums change by that member alone.
 func (table *Table) put(member Member) {
+	table.snapshot = nil
 	known := table.members[member.Address]
-	if known == nil || known.State != member.State {
-		table.members[member.Address] = &seen{Member: member, since: table.clock.Now()}
+	if known == nil {
+		known = &seen{}
+		table.members[member.Address] = known
 	} else {
-		known.Member, known.told = member, 0
+		table.add(known)
 	}
-	digest := fnv.New64a()
-	body, _ := courier.Pack(list{Members: table.sorted()})
-	_, _ = digest.Write(body)
-	table.sum = int64(digest.Sum64())
-}
-
-type list struct{ Members []Member }
-
-func (table *Table) sorted() []Member {
-	members := make([]Member, 0, len(table.members))
-	for _, known := range table.members {
-		members = append(members, known.Member)
+	if known.State != member.State || known.Incarnation == 0 {
+		known.since = table.clock.Now()
 	}
-	sort.Slice(members, func(left, right int) bool { return members[left].Address < members[right].Address })
-	return members
+	if known.Backbone() && !member.Backbone() {
+		known.former, known.left = true, table.clock.Now()
+	}
+	known.Member, known.told, known.mark = member, 0, markOf(member)
+	table.add(known)
 }
 
-// untold gives up to count reports that were told least often.
-func (table *Table) untold(count int) []Member {
-	table.lock.Lock()
-	defer table.lock.Unlock()
-	var fresh []*seen
-	for _, known := range table.members {
-		if known.told < 4 {
-			fresh = append(fresh, known)
-		}
+// add puts a member's mark into the sums, or takes it out again: marks are
+// joined by exclusive or.
+func (table *Table) add(known *seen) {
+	if !known.Present() {
+		return
 	}
-	sort.Slice(fresh, func(left, right int) bool {
-		if fresh[left].told != fresh[right].told {
-			return fresh[left].told < fresh[right].told
-		}
-		return fresh[left].Address < fresh[right].Address
-	})
-	var reports []Member
-	for _, known := range fresh[:min(count, len(fresh))] {
-		known.told++
-		reports = append(reports, known.Member)
+	if known.Zone == table.self.Zone {
+		table.sums.Zone ^= known.mark
+	}
+	if known.Backbone() {
+		table.sums.Backbone ^= known.mark
 	}
-	return reports
+}
+
+func markOf(member Member) int64 {
+	digest := fnv.New64a()
+	body, _ := courier.Pack(member)
+	_, _ = digest.Write(body)
+	return int64(digest.Sum64())
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/thejerf/suture/v4"
 
@@ -17,9 +18,14 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
+	"onyxwell/control/scaler"
 	"onyxwell/control/spread"
+	"onyxwell/control/zoneview"
 )
 
+// Carrier is the role that carries requests.
+const Carrier = "router"
+
 // Daemon is the common part of a router and a fleet-controller.
 type Daemon struct {
 	Scope     scope.Scope
@@ -29,9 +35,14 @@
 	Messenger *courier.Courier
 	Calls     *call.Table
 	Spreader  *spread.Spreader
+	Zones     *zoneview.Watcher
 	prober    *cohort.Prober
 	tree      *suture.Supervisor
 	socket    *net.UDPConn
+	sum       scaler.Sum
+	lock      sync.Mutex
+	planned   ids.Serial
+	holder    ids.Address
 }
 
 // New makes the common part for a role. Fresh is told each item of news.
@@ -45,15 +56,22 @@
 	made := &Daemon{Scope: top, Address: settings.InnerAddress(settings.IP, role)}
 	made.Table = cohort.NewTable(top.Clock, cohort.Member{
 		Address: made.Address, Role: role, Zone: settings.Zone, Region: settings.Region,
-		Front: settings.Listen["front"],
+		Front: settings.Listen["front"], Core: settings.Listen["control"] != "" && role != Carrier,
+		LinkMbps: int64(settings.Limits.LinkMbps),
+	})
+	made.Zones = &zoneview.Watcher{Table: made.Table, Zones: settings.Zones, Role: Carrier}
+	made.News = spread.NewNews(func(item spread.Item) {
+		made.Zones.Absorb(item)
+		fresh(item)
 	})
-	made.News = spread.NewNews(fresh)
+	made.Zones.News = made.News
 	made.Messenger = courier.New(pace.Connect, pace.Silence)
 	made.Calls = call.NewTable(top, settings.Limits.MemoryMB<<20/8)
 	made.Spreader = &spread.Spreader{
 		News: made.News, Table: made.Table, Messenger: made.Messenger,
 		Seeds: settings.SeedAddresses(), Every: pace.Exchange, Limit: pace.Silence,
 		Hurry: !settings.FirstStart,
+		Zones: settings.Zones, Relays: pace.Relays, Fanout: pace.Fanout,
 	}
 	made.Spreader.Serve(made.Calls)
 	address, fault := net.ResolveUDPAddr("udp", string(made.Address))
@@ -71,6 +89,14 @@
 	made.Part("inner", func(inner scope.Scope) error { return made.ServeHTTP(inner, made.Address, made.Calls) })
 	made.Part("probe", func(inner scope.Scope) error { made.prober.Run(inner); return nil })
 	made.Part("datagrams", made.receive)
+	made.serveSums()
+	made.Part("relays", func(inner scope.Scope) error {
+		for inner.Wait(pace.View) {
+			made.Table.Elect(pace.Relays, pace.Probe.Suspicion)
+			made.Zones.Look()
+		}
+		return nil
+	})
 	made.Part("spread", func(inner scope.Scope) error { made.Spreader.Run(inner); return nil })
 	return made, nil
 }
@@ -157,7 +183,7 @@
 //
 //	common.Tell(top)
 func (daemon *Daemon) Tell(inner scope.Scope) {
-	for _, address := range daemon.Spreader.Several(true) {
+	for _, address := range daemon.Spreader.Several() {
 		go daemon.Spreader.Exchange(inner, address)
 	}
 }
--- a/control/daemon/pace.go
+++ b/control/daemon/pace.go
@@ -26,6 +26,12 @@
 	// Order is how long an operator's order may take in all.
 	Order clock.Span
 	Probe cohort.Pace
+	// View is the time between two looks at who relays and what a zone looks like.
+	View clock.Span
+	// Relays is how many daemons of a zone pass news on, Fanout to how many others
+	// each does at most.
+	Relays int
+	Fanout int
 }
 
 // PaceOf works the paces out from the bounds: news must be everywhere well
@@ -46,6 +52,9 @@
 		touch = apply
 	}
 	return Pace{
+		View:     apply / 12,
+		Relays:   2,
+		Fanout:   8,
 		Connect:  apply / 6,
 		Silence:  touch / 2,
 		Exchange: apply / 6,
--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -1,4 +1,4 @@
-// Package directory tells visitors which routers to go to: those of their own
+// Package directory tells clients which routers to go to: those of their own
 // zone where there are any, then those of their region, then all others.
 package directory
 
@@ -10,9 +10,10 @@
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
+	"onyxwell/control/zoneview"
 )
 
-// listLimit is how many addresses a visitor reads.
+// listLimit is how many addresses a client reads.
 const listLimit = 64
 
 // Lookup is GET /lookup.
@@ -21,7 +22,7 @@
 	Zone   ids.Zone
 }
 
-// Read takes where the visitor is.
+// Read takes where the client is.
 func (asked *Lookup) Read(incoming call.Incoming) error {
 	query := incoming.Request.URL.Query()
 	asked.Region, asked.Zone = ids.Region(query.Get("region")), ids.Zone(query.Get("zone"))
@@ -42,13 +43,25 @@
 	return reply.JSON(http.StatusOK, told)
 }
 
-// Directory answers from the members that this daemon knows.
+// Directory answers from the members of its own zone that this daemon knows,
+// and from what the relays of the other zones tell of theirs.
 type Directory struct {
 	Table *cohort.Table
+	// Elsewhere gives the routers of the other zones that are in reach, and the
+	// zones that are not.
+	Elsewhere func() (reached []zoneview.Fronts, cut []ids.Zone)
+	Zones     map[ids.Zone]ids.Region
 	// Fewest is how many routers a near choice must have to be enough.
 	Fewest int
 }
 
+// place is a router that a client may go to.
+type place struct {
+	front  ids.Address
+	zone   ids.Zone
+	region ids.Region
+}
+
 // Serve adds the directory's call to a table.
 //
 // Example:
@@ -60,32 +73,30 @@
 	})
 }
 
-// nearness are the circles around a visitor, the closest first.
-var nearness = []func(cohort.Member, Lookup) bool{
-	func(member cohort.Member, asked Lookup) bool { return member.Zone == asked.Zone },
-	func(member cohort.Member, asked Lookup) bool { return member.Region == asked.Region },
-	func(cohort.Member, Lookup) bool { return true },
+// nearness are the circles around a client, the closest first.
+var nearness = []func(place, Lookup) bool{
+	func(router place, asked Lookup) bool { return router.zone == asked.Zone },
+	func(router place, asked Lookup) bool { return router.region == asked.Region },
+	func(place, Lookup) bool { return true },
 }
 
 // Choose picks the routers of the closest circle that has enough of them. Those
 // that reach no runners are passed over; where only such are left while others
-// are out of reach, there is no answer, so that the visitor asks a directory
+// are out of reach, there is no answer, so that the client asks a directory
 // elsewhere.
 //
 // Example:
 //
 //	addresses := directory.Choose(directory.Lookup{Region: region, Zone: zone})
 func (directory Directory) Choose(asked Lookup) []ids.Address {
-	var able, unable []cohort.Member
-	cut := false
-	for _, member := range directory.Table.Members() {
-		serving := member.State == cohort.Alive && member.Ready && member.Front != ""
-		if serving && member.Unable {
-			unable = append(unable, member)
-		} else if serving {
-			able = append(able, member)
+	able, unable, cut := directory.own()
+	if directory.Elsewhere != nil {
+		reached, away := directory.Elsewhere()
+		for _, fronts := range reached {
+			able = append(able, directory.places(fronts.Zone, fronts.Able)...)
+			unable = append(unable, directory.places(fronts.Zone, fronts.Unable)...)
 		}
-		cut = cut || (member.Front != "" && (member.State == cohort.Removed || member.State == cohort.Suspect))
+		cut = cut || len(away) > 0
 	}
 	if len(able) == 0 && !cut {
 		able = unable
@@ -93,12 +104,40 @@
 	return directory.closest(able, asked)
 }
 
-func (directory Directory) closest(ready []cohort.Member, asked Lookup) []ids.Address {
+// own gives the routers of the directory's zone: those that serve, those that
+// reach no runners, and whether some are out of reach.
+func (directory Directory) own() (able []place, unable []place, cut bool) {
+	zone := directory.Table.Self().Zone
+	for _, member := range directory.Table.Members() {
+		if member.Zone != zone || member.Front == "" {
+			continue
+		}
+		found := place{front: member.Front, zone: member.Zone, region: member.Region}
+		serving := member.State == cohort.Alive && member.Ready
+		if serving && member.Unable {
+			unable = append(unable, found)
+		} else if serving {
+			able = append(able, found)
+		}
+		cut = cut || member.State == cohort.Removed || member.State == cohort.Suspect
+	}
+	return able, unable, cut
+}
+
+func (directory Directory) places(zone ids.Zone, fronts []ids.Address) []place {
+	var found []place
+	for _, front := range fronts {
+		found = append(found, place{front: front, zone: zone, region: directory.Zones[zone]})
+	}
+	return found
+}
+
+func (directory Directory) closest(ready []place, asked Lookup) []ids.Address {
 	for _, near := range nearness {
 		var chosen []ids.Address
-		for _, member := range ready {
-			if near(member, asked) && len(chosen) < listLimit {
-				chosen = append(chosen, member.Front)
+		for _, router := range ready {
+			if near(router, asked) && len(chosen) < listLimit {
+				chosen = append(chosen, router.front)
 			}
 		}
 		if len(chosen) >= min(directory.Fewest, len(ready)) && len(chosen) > 0 {
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -7,19 +7,43 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+	"onyxwell/control/zoneview"
 )
 
-func router(address ids.Address, zone ids.Zone, region ids.Region) cohort.Member {
-	return cohort.Member{Address: address, Role: "router", Zone: zone, Region: region, Front: "f" + address, Ready: true, Incarnation: 1}
+var zones = map[ids.Zone]ids.Region{"z1": "r1", "z2": "r1", "z3": "r2"}
+
+func router(address ids.Address, zone ids.Zone) cohort.Member {
+	return cohort.Member{Address: address, Role: "router", Zone: zone, Region: zones[zone], Front: "f" + address, Ready: true, Incarnation: 1}
 }
 
-func TestCloseRoutersComeFirst(t *testing.T) {
-	table := cohort.NewTable(clock.NewFake(), cohort.Member{Address: "c", Role: "fleet-controller", Ready: true})
-	members := []cohort.Member{
-		router("a", "z1", "r1"), router("b", "z1", "r1"), router("d", "z2", "r1"), router("e", "z3", "r2"),
+func relay(address ids.Address, zone ids.Zone) cohort.Member {
+	return cohort.Member{Address: address, Zone: zone, Region: zones[zone], Relay: true, Incarnation: 1}
+}
+
+// directoryIn makes a directory in a zone that hears news of the others.
+func directoryIn(zone ids.Zone) (Directory, *spread.News) {
+	self := cohort.Member{Address: "c", Role: "fleet-controller", Zone: zone, Region: zones[zone], Ready: true, Core: true}
+	table, news := cohort.NewTable(clock.NewFake(), self), spread.NewNews(nil)
+	watcher := &zoneview.Watcher{Table: table, News: news, Zones: zones, Role: "router"}
+	return Directory{Table: table, Elsewhere: watcher.Elsewhere, Zones: zones, Fewest: 1}, news
+}
+
+func tell(t *testing.T, news *spread.News, serial ids.Serial, fronts zoneview.Fronts) {
+	t.Helper()
+	body, fault := courier.Pack(fronts)
+	if fault != nil {
+		t.Fatal(fault)
 	}
-	table.Merge(members)
-	directory := Directory{Table: table, Fewest: 1}
+	news.Put(spread.Item{Key: zoneview.FrontsPrefix + string(fronts.Zone), Serial: serial, Body: body})
+}
+
+func TestCloseRoutersComeFirst(t *testing.T) {
+	directory, news := directoryIn("z1")
+	directory.Table.Merge([]cohort.Member{router("a", "z1"), router("b", "z1"), relay("r2", "z2"), relay("r3", "z3")})
+	tell(t, news, 1, zoneview.Fronts{Zone: "z2", Able: []ids.Address{"fd"}})
+	tell(t, news, 1, zoneview.Fronts{Zone: "z3", Able: []ids.Address{"fe"}})
 	expect := func(asked Lookup, want ...ids.Address) {
 		t.Helper()
 		if got := directory.Choose(asked); !slices.Equal(got, want) {
@@ -27,46 +51,55 @@
 		}
 	}
 	expect(Lookup{Zone: "z1", Region: "r1"}, "fa", "fb")
+	expect(Lookup{Zone: "z2", Region: "r1"}, "fd")
 	expect(Lookup{Zone: "z9", Region: "r1"}, "fa", "fb", "fd")
 	expect(Lookup{Zone: "z9", Region: "r9"}, "fa", "fb", "fd", "fe")
 	for _, gone := range []func(*cohort.Member){
 		func(member *cohort.Member) { member.State = cohort.Suspect },
 		func(member *cohort.Member) { member.Ready = false; member.Incarnation = 2 },
 	} {
-		member := router("a", "z1", "r1")
+		member := router("a", "z1")
 		gone(&member)
-		table.Merge([]cohort.Member{member})
+		directory.Table.Merge([]cohort.Member{member})
 		expect(Lookup{Zone: "z1", Region: "r1"}, "fb")
 	}
-	table.Judge("b", cohort.Removed)
+	directory.Table.Judge("b", cohort.Removed)
 	expect(Lookup{Zone: "z1", Region: "r1"}, "fd")
+	// A zone whose relays are gone is not gone to, whatever was told of it.
+	directory.Table.Judge("r2", cohort.Suspect)
+	expect(Lookup{Zone: "z2", Region: "r1"}, "fe")
 }
 
 func TestNobodyReadyIsNoAnswer(t *testing.T) {
-	table := cohort.NewTable(clock.NewFake(), cohort.Member{Address: "c", Role: "fleet-controller"})
-	found := Found{Addresses: Directory{Table: table, Fewest: 1}.Choose(Lookup{})}
+	directory, _ := directoryIn("z1")
+	found := Found{Addresses: directory.Choose(Lookup{})}
 	if reply := found.Reply(); reply.Status != 503 {
 		t.Fatalf("%+v", reply)
 	}
 }
 
 // TestRegionThatReachesNoRunners has the routers of a region reach no runners:
-// visitors are sent to others; where these are out of this directory's reach,
+// clients are sent to others; where these are out of this directory's reach,
 // it gives no answer, and only where there are no others does it list them.
 func TestRegionThatReachesNoRunners(t *testing.T) {
-	table := cohort.NewTable(clock.NewFake(), cohort.Member{Address: "c", Role: "fleet-controller"})
-	unable := router("a", "z1", "r1")
+	directory, news := directoryIn("z1")
+	unable := router("a", "z1")
 	unable.Unable = true
-	table.Merge([]cohort.Member{unable})
-	directory, asked := Directory{Table: table, Fewest: 1}, Lookup{Zone: "z1", Region: "r1"}
+	directory.Table.Merge([]cohort.Member{unable})
+	asked := Lookup{Zone: "z1", Region: "r1"}
 	if got := directory.Choose(asked); !slices.Equal(got, []ids.Address{"fa"}) {
 		t.Fatalf("%v, though there is nobody else", got)
 	}
-	table.Merge([]cohort.Member{router("e", "z3", "r2")})
+	directory.Table.Merge([]cohort.Member{relay("r3", "z3")})
+	tell(t, news, 1, zoneview.Fronts{Zone: "z3", Unable: []ids.Address{"fu"}})
+	if got := directory.Choose(asked); !slices.Equal(got, []ids.Address{"fa"}) {
+		t.Fatalf("%v, though there is nobody better", got)
+	}
+	tell(t, news, 2, zoneview.Fronts{Zone: "z3", Able: []ids.Address{"fe"}})
 	if got := directory.Choose(asked); !slices.Equal(got, []ids.Address{"fe"}) {
 		t.Fatalf("%v, not the router that reaches runners", got)
 	}
-	table.Judge("e", cohort.Removed)
+	directory.Table.Judge("r3", cohort.Removed)
 	if got := directory.Choose(asked); len(got) != 0 {
 		t.Fatalf("%v, though others may do better", got)
 	}
--- a/control/spread/exchange.go
+++ b/control/spread/exchange.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 
 	"onyxwell/base/call"
@@ -15,13 +14,14 @@
 // ExchangeAsk opens a comparison.
 type ExchangeAsk struct {
 	From  cohort.Member
-	Sum   int64
+	Sums  cohort.Sums
 	Marks []Mark
 }
 
 // ExchangeTold answers with what is newer and what is wanted.
 type ExchangeTold struct {
-	Sum     int64
+	From    cohort.Member
+	Sums    cohort.Sums
 	Members []cohort.Member
 	Items   []Item
 	Wanted  []string
@@ -37,7 +37,8 @@
 // GiveTold answers it.
 type GiveTold struct{ Taken int64 }
 
-// Spreader exchanges news and members with others.
+// Spreader passes news on: what was made here goes down the tier of relays at
+// once, and digests are compared with others now and then.
 type Spreader struct {
 	News      *News
 	Table     *cohort.Table
@@ -48,7 +49,20 @@
 	Limit clock.Span
 	// Hurry says that others should know news already: not at a first start.
 	Hurry bool
+	// Zones gives all zones with their regions, Relays is how many daemons of
+	// each pass news on.
+	Zones  map[ids.Zone]ids.Region
+	Relays int
+	// Fanout is how many others a daemon pushes to at most.
+	Fanout int
+	// Carry sends a push to a daemon; by default the messenger does. Tests carry
+	// it without a network.
+	Carry func(inner scope.Scope, taker ids.Address, asked PushAsk) error
+	// Spawn runs what goes on beside; tests run it in place.
+	Spawn func(act func())
 	fresh atomic.Pointer[[]ids.Address]
+	// Counts are what was pushed, for the operator.
+	Counts Counts
 }
 
 // Serve adds the spreader's messages to a table of calls.
@@ -59,10 +73,10 @@
 func (spreader *Spreader) Serve(calls *call.Table) {
 	courier.Handle(calls, "exchange", func(_ scope.Scope, asked ExchangeAsk) (ExchangeTold, error) {
 		spreader.Table.Merge([]cohort.Member{asked.From})
-		items, wanted := spreader.News.Compare(asked.Marks)
-		told := ExchangeTold{Sum: spreader.Table.Sum(), Items: items, Wanted: wanted}
-		if told.Sum != asked.Sum {
-			told.Members = spreader.Table.Members()
+		items, wanted := spreader.News.Compare(asked.Marks, spreader.both(asked.From))
+		told := ExchangeTold{From: spreader.Table.Self(), Sums: spreader.Table.Sums(), Items: items, Wanted: wanted}
+		if spreader.Table.Differs(asked.From.Zone, asked.Sums) {
+			told.Members = spreader.Table.Told(asked.From.Zone)
 		}
 		return told, nil
 	})
@@ -70,29 +84,33 @@
 		spreader.Table.Merge(asked.Members)
 		return GiveTold{Taken: spreader.take(asked.Items)}, nil
 	})
+	courier.Handle(calls, "push", func(inner scope.Scope, asked PushAsk) (PushTold, error) {
+		return spreader.pushed(inner, asked), nil
+	})
+}
+
+// both tells whether this daemon and the other are of the backbone, and so
+// compare what only the backbone holds.
+func (spreader *Spreader) both(other cohort.Member) bool {
+	return spreader.Table.Self().Backbone() && other.Backbone()
 }
 
-// Run exchanges with a partner now and then, and with a few at once whenever
-// something new was learnt here.
+// Run exchanges with a partner now and then, and pushes whatever is new.
 //
 // Example:
 //
 //	spreader.Run(top)
 func (spreader *Spreader) Run(inner scope.Scope) {
 	for inner.Err() == nil {
-		pause := spreader.Every*3/4 + rand.N(spreader.Every/2)
-		if spreader.Hurry && len(spreader.News.Marks()) == 0 {
-			// One that knows nothing can't serve: it asks at once, and often.
-			pause = spreader.Every / 8
-		}
 		select {
 		case <-inner.Done():
 			return
 		case <-spreader.News.own:
-			spreader.tell(inner, spreader.Several(true))
+			items := spreader.News.gather(spreader.News.own)
+			go spreader.Push(inner, items, spreader.everywhere())
 		case <-spreader.News.heard:
-			spreader.tell(inner, spreader.Several(false))
-		case <-inner.Clock.After(pause):
+			spreader.passOn(inner, spreader.News.gather(spreader.News.heard))
+		case <-inner.Clock.After(spreader.pause()):
 			if address, found := spreader.partner(); found {
 				go spreader.Exchange(inner, address)
 			}
@@ -100,12 +118,6 @@
 	}
 }
 
-func (spreader *Spreader) tell(inner scope.Scope, addresses []ids.Address) {
-	for _, address := range addresses {
-		go spreader.Exchange(inner, address)
-	}
-}
-
 // Exchange compares news and members with one other daemon.
 //
 // Example:
@@ -114,21 +126,23 @@
 func (spreader *Spreader) Exchange(inner scope.Scope, address ids.Address) {
 	short, release := inner.WithLimit(spreader.Limit)
 	defer release()
-	asked := ExchangeAsk{From: spreader.Table.Self(), Sum: spreader.Table.Sum(), Marks: spreader.News.Marks()}
+	self := spreader.Table.Self()
+	partner, known := spreader.Table.Find(address)
+	asked := ExchangeAsk{From: self, Sums: spreader.Table.Sums(), Marks: spreader.News.Marks(known && spreader.both(partner))}
 	told, fault := courier.Send[ExchangeTold](short, spreader.Messenger, address, "exchange", asked)
 	if fault != nil {
 		return
 	}
-	spreader.Table.Merge(told.Members)
+	spreader.Table.Merge(append(told.Members, told.From))
 	spreader.take(told.Items)
 	give := GiveAsk{}
 	for _, key := range told.Wanted {
-		if item, found := spreader.News.Get(key); found {
+		if item, found := spreader.News.travelling(key); found {
 			give.Items = append(give.Items, item)
 		}
 	}
-	if told.Sum != spreader.Table.Sum() {
-		give.Members = spreader.Table.Members()
+	if spreader.Table.Differs(told.From.Zone, told.Sums) {
+		give.Members = spreader.Table.Told(told.From.Zone)
 	}
 	if len(give.Items)+len(give.Members) > 0 {
 		_, _ = courier.Send[GiveTold](short, spreader.Messenger, address, "give", give)
@@ -138,94 +152,9 @@
 func (spreader *Spreader) take(items []Item) int64 {
 	taken := int64(0)
 	for _, item := range items {
-		if spreader.News.take(item, spreader.News.heard) {
+		if spreader.News.hear(item, spreader.News.heard) {
 			taken++
 		}
 	}
 	return taken
 }
-
-// partner picks a member, mostly of the same region; while none is known, and
-// now and then after that, a seed; now and then one that was removed, which may
-// be back and know nobody.
-func (spreader *Spreader) partner() (ids.Address, bool) {
-	near, far, gone := spreader.others()
-	if len(gone) > 0 && rand.IntN(16) == 0 {
-		return gone[rand.IntN(len(gone))].Address, true
-	}
-	if seeds := spreader.seeds(); len(seeds) > 0 && (len(near)+len(far) == 0 || rand.IntN(16) == 0) {
-		return seeds[rand.IntN(len(seeds))], true
-	}
-	pool := near
-	if len(near) == 0 || (len(far) > 0 && rand.IntN(4) == 0) {
-		pool = far
-	}
-	if len(pool) == 0 {
-		return "", false
-	}
-	return pool[rand.IntN(len(pool))].Address, true
-}
-
-// fanout is how many of its own region a daemon tells at once.
-const fanout = 2
-
-// Several picks those who are told at once: a few of the same region, and for
-// what this daemon made itself, one of every other region.
-//
-// Example:
-//
-//	for _, address := range spreader.Several(true) { spreader.Exchange(top, address) }
-func (spreader *Spreader) Several(wide bool) []ids.Address {
-	near, far, _ := spreader.others()
-	rand.Shuffle(len(near), func(left, right int) { near[left], near[right] = near[right], near[left] })
-	rand.Shuffle(len(far), func(left, right int) { far[left], far[right] = far[right], far[left] })
-	var chosen []ids.Address
-	for _, member := range near[:min(fanout, len(near))] {
-		chosen = append(chosen, member.Address)
-	}
-	if !wide {
-		return chosen
-	}
-	regions := map[ids.Region]bool{}
-	for _, member := range far {
-		if !regions[member.Region] {
-			regions[member.Region] = true
-			chosen = append(chosen, member.Address)
-		}
-	}
-	return chosen
-}
-
-// others sorts the members: those of this region, those of others, and those
-// that were removed but never said that they leave.
-func (spreader *Spreader) others() (near []cohort.Member, far []cohort.Member, gone []cohort.Member) {
-	self := spreader.Table.Self()
-	for _, member := range spreader.Table.Members() {
-		pool := &far
-		if !member.Present() {
-			pool = &gone
-		} else if member.Region == self.Region {
-			pool = &near
-		}
-		if member.Address != self.Address && member.State != cohort.Left {
-			*pool = append(*pool, member)
-		}
-	}
-	return near, far, gone
-}
-
-// Reseed replaces the seeds.
-//
-// Example:
-//
-//	spreader.Reseed(fresh.SeedAddresses())
-func (spreader *Spreader) Reseed(seeds []ids.Address) {
-	spreader.fresh.Store(&seeds)
-}
-
-func (spreader *Spreader) seeds() []ids.Address {
-	if fresh := spreader.fresh.Load(); fresh != nil {
-		return *fresh
-	}
-	return spreader.Seeds
-}
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -5,16 +5,19 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 
 	"onyxwell/base/ids"
 )
 
-// Item is one piece of news; of one key the highest serial counts.
+// Item is one piece of news; of one key the highest serial counts. Packed says
+// that the body is compressed, as it travels between daemons.
 type Item struct {
 	Key    string
 	Serial ids.Serial
 	Body   []byte
+	Packed bool
 }
 
 // Mark names an item without its body.
@@ -26,7 +29,9 @@
 // News holds the newest item of each key.
 type News struct {
 	lock  sync.Mutex
-	items map[string]Item
+	items map[string]held
+	// fresh are the keys made or heard here that were not yet pushed on.
+	fresh map[chan struct{}]map[string]bool
 	// Fresh is told each item that is new here, in rising order of serial for
 	// each key; set it before the first Put.
 	Fresh func(item Item)
@@ -43,7 +48,15 @@
 	if fresh == nil {
 		fresh = func(Item) {}
 	}
-	return &News{items: map[string]Item{}, Fresh: fresh, own: make(chan struct{}, 1), heard: make(chan struct{}, 1)}
+	made := &News{items: map[string]held{}, Fresh: fresh, own: make(chan struct{}, 1), heard: make(chan struct{}, 1)}
+	made.fresh = map[chan struct{}]map[string]bool{made.own: {}, made.heard: {}}
+	return made
+}
+
+// held is an item as it is read here and as it travels.
+type held struct {
+	Item
+	wire Item
 }
 
 // Put takes an item that this daemon made; it tells whether it was newer than
@@ -52,10 +65,23 @@
 // Example:
 //
 //	news.Put(spread.Item{Key: "spec", Serial: 7, Body: document})
-func (news *News) Put(item Item) bool { return news.take(item, news.own) }
+func (news *News) Put(item Item) bool {
+	return news.take(held{Item: item, wire: packed(item)}, news.own)
+}
+
+// hear takes an item that came from another daemon. One that can't be unpacked
+// is dropped. Only what came by comparing digests wakes this daemon: what was
+// pushed is on its way to the others already.
+func (news *News) hear(item Item, wake chan struct{}) bool {
+	plain, fault := unpacked(item)
+	if fault != nil {
+		return false
+	}
+	return news.take(held{Item: plain, wire: item}, wake)
+}
 
 // take keeps an item and wakes those who pass on what was made or heard.
-func (news *News) take(item Item, wake chan struct{}) bool {
+func (news *News) take(item held, wake chan struct{}) bool {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	known, found := news.items[item.Key]
@@ -63,7 +89,11 @@
 		return false
 	}
 	news.items[item.Key] = item
-	news.Fresh(item)
+	news.Fresh(item.Item)
+	if wake == nil {
+		return true
+	}
+	news.fresh[wake][item.Key] = true
 	select {
 	case wake <- struct{}{}:
 	default:
@@ -71,6 +101,19 @@
 	return true
 }
 
+// gather gives what is to be passed on, as it travels: of each key the newest.
+func (news *News) gather(wake chan struct{}) []Item {
+	news.lock.Lock()
+	defer news.lock.Unlock()
+	var items []Item
+	for key := range news.fresh[wake] {
+		items = append(items, news.items[key].wire)
+	}
+	clear(news.fresh[wake])
+	sort.Slice(items, func(left, right int) bool { return items[left].Key < items[right].Key })
+	return items
+}
+
 // Get gives the item of a key.
 //
 // Example:
@@ -80,19 +123,68 @@
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	item, found := news.items[key]
-	return item, found
+	return item.Item, found
+}
+
+// travelling gives the item of a key as it travels.
+func (news *News) travelling(key string) (Item, bool) {
+	news.lock.Lock()
+	defer news.lock.Unlock()
+	item, found := news.items[key]
+	return item.wire, found
+}
+
+// Empty tells whether nothing is known yet.
+//
+// Example:
+//
+//	if news.Empty() { askAtOnce() }
+func (news *News) Empty() bool {
+	news.lock.Lock()
+	defer news.lock.Unlock()
+	return len(news.items) == 0
 }
 
-// Marks names all items.
+// Under gives the items whose keys begin so, in the order of their keys.
 //
 // Example:
 //
-//	digest := news.Marks()
-func (news *News) Marks() []Mark {
+//	for _, item := range news.Under("view/") { ... }
+func (news *News) Under(prefix string) []Item {
+	news.lock.Lock()
+	defer news.lock.Unlock()
+	var items []Item
+	for key, item := range news.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item.Item)
+		}
+	}
+	sort.Slice(items, func(left, right int) bool { return items[left].Key < items[right].Key })
+	return items
+}
+
+// BackbonePrefix begins the keys that only the backbone passes on.
+const BackbonePrefix = "view/"
+
+// concerns tells whether a daemon should hold an item of that key.
+func concerns(key string, backbone bool) bool {
+	return backbone || !strings.HasPrefix(key, BackbonePrefix)
+}
+
+// Marks names the items that a daemon of the backbone, or any other, should
+// hold.
+//
+// Example:
+//
+//	digest := news.Marks(partner.Backbone())
+func (news *News) Marks(backbone bool) []Mark {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	var marks []Mark
-	for _, item := range news.items {
+	for key, item := range news.items {
+		if !concerns(key, backbone) {
+			continue
+		}
 		marks = append(marks, Mark{Key: item.Key, Serial: item.Serial})
 	}
 	sort.Slice(marks, func(left, right int) bool { return marks[left].Key < marks[right].Key })
@@ -100,12 +192,12 @@
 }
 
 // Compare gives the items that are newer here than the marks say, and the keys
-// of those that are newer there.
+// of those that are newer there. The items are as they travel.
 //
 // Example:
 //
-//	items, wanted := news.Compare(asked.Marks)
-func (news *News) Compare(marks []Mark) (items []Item, wanted []string) {
+//	items, wanted := news.Compare(asked.Marks, asked.From.Backbone())
+func (news *News) Compare(marks []Mark, backbone bool) (items []Item, wanted []string) {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	theirs := map[string]ids.Serial{}
@@ -116,8 +208,8 @@
 		}
 	}
 	for key, item := range news.items {
-		if serial, found := theirs[key]; !found || serial < item.Serial {
-			items = append(items, item)
+		if serial, found := theirs[key]; concerns(key, backbone) && (!found || serial < item.Serial) {
+			items = append(items, item.wire)
 		}
 	}
 	sort.Slice(items, func(left, right int) bool { return items[left].Key < items[right].Key })
--- /dev/null
+++ b/control/spread/partner.go
@@ -0,0 +1,115 @@
+package spread
+
+import (
+	"math/rand/v2"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
+)
+
+// pause is the time until the next exchange.
+func (spreader *Spreader) pause() clock.Span {
+	if spreader.Hurry && spreader.News.Empty() {
+		// One that knows nothing can't serve: it asks at once, and often.
+		return spreader.Every / 8
+	}
+	return spreader.Every*3/4 + rand.N(spreader.Every/2)
+}
+
+// Odds of whom a daemon exchanges with: one exchange of so many.
+const (
+	oddsGone         = 16
+	oddsSeed         = 32
+	oddsFarBackbone  = 4
+	oddsFarOtherwise = 16
+)
+
+// partner picks a member, mostly of the same zone; while none is known, and
+// now and then after that, a seed; now and then one that was removed, which may
+// be back and know nobody. This is what mends all that the tier loses, and it
+// goes on where there are no relays.
+func (spreader *Spreader) partner() (ids.Address, bool) {
+	near, far, gone := spreader.others()
+	if len(gone) > 0 && rand.IntN(oddsGone) == 0 {
+		return gone[rand.IntN(len(gone))].Address, true
+	}
+	if seeds := spreader.seeds(); len(seeds) > 0 && (len(near)+len(far) == 0 || rand.IntN(oddsSeed) == 0) {
+		return seeds[rand.IntN(len(seeds))], true
+	}
+	odds := oddsFarOtherwise
+	if spreader.Table.Self().Backbone() {
+		odds = oddsFarBackbone
+	}
+	pool := near
+	if len(near) == 0 || (len(far) > 0 && (rand.IntN(odds) == 0 || spreader.News.Empty())) {
+		pool = far
+	}
+	if len(pool) == 0 {
+		return "", false
+	}
+	return pool[rand.IntN(len(pool))].Address, true
+}
+
+// Several picks those who are told at once of a change in this daemon itself:
+// the relays of its zone, and one more of it.
+//
+// Example:
+//
+//	for _, address := range spreader.Several() { spreader.Exchange(top, address) }
+func (spreader *Spreader) Several() []ids.Address {
+	self := spreader.Table.Self()
+	var chosen []ids.Address
+	taken := map[ids.Address]bool{self.Address: true}
+	add := func(member cohort.Member) {
+		if !taken[member.Address] {
+			taken[member.Address] = true
+			chosen = append(chosen, member.Address)
+		}
+	}
+	for _, relay := range spreader.Table.Relays(self.Zone, spreader.Relays) {
+		add(relay)
+	}
+	near, far, _ := spreader.others()
+	if len(near) > 0 {
+		add(near[rand.IntN(len(near))])
+	}
+	if len(far) > 0 && self.Backbone() {
+		add(far[rand.IntN(len(far))])
+	}
+	return chosen
+}
+
+// others sorts the members: those of this zone, those of others, and those
+// that were removed but never said that they leave.
+func (spreader *Spreader) others() (near []cohort.Member, far []cohort.Member, gone []cohort.Member) {
+	self := spreader.Table.Self()
+	for _, member := range spreader.Table.Members() {
+		pool := &far
+		if !member.Present() {
+			pool = &gone
+		} else if member.Zone == self.Zone {
+			pool = &near
+		}
+		if member.Address != self.Address && member.State != cohort.Left {
+			*pool = append(*pool, member)
+		}
+	}
+	return near, far, gone
+}
+
+// Reseed replaces the seeds.
+//
+// Example:
+//
+//	spreader.Reseed(fresh.SeedAddresses())
+func (spreader *Spreader) Reseed(seeds []ids.Address) {
+	spreader.fresh.Store(&seeds)
+}
+
+func (spreader *Spreader) seeds() []ids.Address {
+	if fresh := spreader.fresh.Load(); fresh != nil {
+		return *fresh
+	}
+	return spreader.Seeds
+}
--- /dev/null
+++ b/control/spread/push.go
@@ -0,0 +1,162 @@
+package spread
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/courier"
+)
+
+// Duty is what a daemon is asked to reach with the news that it is handed:
+// regions by one relay in each, zones likewise, and members itself. Each daemon
+// splits its duty over a few others, so nobody sends to more than the fan-out.
+type Duty struct {
+	Regions []ids.Region
+	Zones   []ids.Zone
+	Members []ids.Address
+	// Backbone says that of a zone's members only the backbone wants the news.
+	Backbone bool
+}
+
+// PushAsk hands news down the tier.
+type PushAsk struct {
+	From  ids.Address
+	Items []Item
+	Duty  Duty
+}
+
+// PushTold answers it: how many of the items were new.
+type PushTold struct{ Taken int64 }
+
+// Counts are what went through the tier here.
+type Counts struct{ Pushed, Failed, Relayed atomic.Int64 }
+
+// everywhere is the duty of the daemon that made an item.
+func (spreader *Spreader) everywhere() Duty {
+	regions := map[ids.Region]bool{}
+	duty := Duty{}
+	for _, region := range spreader.Zones {
+		if !regions[region] {
+			regions[region] = true
+			duty.Regions = append(duty.Regions, region)
+		}
+	}
+	slices.Sort(duty.Regions)
+	return duty
+}
+
+// passOn hands what came by comparing digests to the zone: a relay pushes it to
+// the members, any other daemon has a relay compare with it.
+func (spreader *Spreader) passOn(inner scope.Scope, items []Item) {
+	self := spreader.Table.Self()
+	if self.Relay {
+		spreader.spawn(func() { spreader.Push(inner, items, Duty{Zones: []ids.Zone{self.Zone}}) })
+		return
+	}
+	for _, relay := range spreader.Table.Relays(self.Zone, 1) {
+		go spreader.Exchange(inner, relay.Address)
+	}
+}
+
+// pushed takes news that was handed down and goes on with the duty at once,
+// before the answer is sent: the sender need not wait for it.
+func (spreader *Spreader) pushed(inner scope.Scope, asked PushAsk) PushTold {
+	told := PushTold{}
+	for _, item := range asked.Items {
+		if spreader.News.hear(item, nil) {
+			told.Taken++
+		}
+	}
+	if len(asked.Duty.Regions)+len(asked.Duty.Zones)+len(asked.Duty.Members) > 0 {
+		spreader.Counts.Relayed.Add(1)
+		spreader.spawn(func() { spreader.Push(inner.Detached(), asked.Items, spreader.without(asked)) })
+	}
+	return told
+}
+
+// without leaves the sender out of a duty: it has the news.
+func (spreader *Spreader) without(asked PushAsk) Duty {
+	duty := asked.Duty
+	duty.Members = slices.DeleteFunc(slices.Clone(duty.Members), func(member ids.Address) bool { return member == asked.From })
+	return duty
+}
+
+// Push brings items to all that the duty names, and returns when each part was
+// handed on or given up: what is given up is mended by comparing digests.
+//
+// Example:
+//
+//	spreader.Push(top, items, spread.Duty{Zones: []ids.Zone{zone}})
+func (spreader *Spreader) Push(inner scope.Scope, items []Item, duty Duty) {
+	narrow, wide := splitItems(items)
+	if len(narrow) > 0 && len(wide) > 0 && !duty.Backbone {
+		spreader.Push(inner, wide, duty)
+		items = narrow
+	}
+	duty.Backbone = duty.Backbone || (len(narrow) > 0 && len(items) == len(narrow))
+	if len(items) == 0 {
+		return
+	}
+	var group sync.WaitGroup
+	for _, part := range spreader.split(duty) {
+		group.Add(1)
+		spreader.spawn(func() {
+			defer group.Done()
+			spreader.handOver(inner, items, part)
+		})
+	}
+	group.Wait()
+}
+
+// splitItems tells what only the backbone holds from the rest.
+func splitItems(items []Item) (narrow []Item, wide []Item) {
+	for _, item := range items {
+		if concerns(item.Key, false) {
+			wide = append(wide, item)
+		} else {
+			narrow = append(narrow, item)
+		}
+	}
+	return narrow, wide
+}
+
+// handOver sends one part to the first taker that answers soon; where none does,
+// the rest of the duty is split anew.
+func (spreader *Spreader) handOver(inner scope.Scope, items []Item, piece part) {
+	for _, taker := range piece.takers[:min(mostTakers, len(piece.takers))] {
+		short, release := inner.WithLimit(spreader.Every)
+		asked := PushAsk{From: spreader.Table.Self().Address, Items: items, Duty: piece.duty(taker)}
+		fault := spreader.send(short, taker, asked)
+		release()
+		if fault == nil {
+			spreader.Counts.Pushed.Add(1)
+			return
+		}
+		spreader.Counts.Failed.Add(1)
+		if inner.Err() != nil {
+			return
+		}
+	}
+	if len(piece.rest.Regions)+len(piece.rest.Zones)+len(piece.rest.Members) > 0 {
+		spreader.Push(inner, items, piece.rest)
+	}
+}
+
+func (spreader *Spreader) spawn(act func()) {
+	if spreader.Spawn != nil {
+		spreader.Spawn(act)
+		return
+	}
+	go act()
+}
+
+func (spreader *Spreader) send(inner scope.Scope, taker ids.Address, asked PushAsk) error {
+	if spreader.Carry != nil {
+		return spreader.Carry(inner, taker, asked)
+	}
+	_, fault := courier.Send[PushTold](inner, spreader.Messenger, taker, "push", asked)
+	return fault
+}
--- a/control/spread/spread_test.go
+++ b/control/spread/spread_test.go
@@ -51,9 +51,9 @@
 			all[where].Put(Item{Key: fmt.Sprint(index % 4), Serial: ids.Serial(index + 1), Body: []byte{byte(index)}})
 		}
 		exchange := func(from *News, to *News) {
-			items, wanted := to.Compare(from.Marks())
+			items, wanted := to.Compare(from.Marks(true), true)
 			for _, item := range items {
-				from.Put(item)
+				from.hear(item, nil)
 			}
 			for _, key := range wanted {
 				item, _ := from.Get(key)
@@ -66,7 +66,7 @@
 			}
 		}
 		for index := 1; index < len(all); index++ {
-			if items, wanted := all[index].Compare(all[0].Marks()); len(items)+len(wanted) != 0 {
+			if items, wanted := all[index].Compare(all[0].Marks(true), true); len(items)+len(wanted) != 0 {
 				t.Fatalf("%d still differs from the first: %v %v", index, items, wanted)
 			}
 		}
--- /dev/null
+++ b/control/spread/tier_test.go
@@ -0,0 +1,208 @@
+package spread
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+)
+
+// estate is many daemons without a network: each zone has one that serves
+// control and so many routers.
+type estate struct {
+	clock   *clock.Fake
+	scope   scope.Scope
+	daemons map[ids.Address]*Spreader
+	order   []ids.Address
+	dead    map[ids.Address]bool
+	loss    float64
+	chance  *rand.Rand
+	sent    map[ids.Address]int
+	bytes   map[ids.Address]int
+}
+
+const relaysOfZone = 2
+
+func newEstate(regions int, zonesOfRegion int, routers int) *estate {
+	made := &estate{
+		clock: clock.NewFake(), daemons: map[ids.Address]*Spreader{}, dead: map[ids.Address]bool{},
+		chance: rand.New(rand.NewPCG(7, 11)), sent: map[ids.Address]int{}, bytes: map[ids.Address]int{},
+	}
+	made.scope = scope.New(scope.Options{Clock: made.clock})
+	zones := map[ids.Zone]ids.Region{}
+	for region := range regions {
+		for zone := range zonesOfRegion {
+			zones[ids.Zone(fmt.Sprintf("r%d-z%d", region, zone))] = ids.Region(fmt.Sprintf("r%d", region))
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		region := zones[zone]
+		for index := range routers + 1 {
+			self := cohort.Member{Zone: zone, Region: region, Address: ids.Address(fmt.Sprintf("%s-%d:1", zone, index)), Core: index == 0, LinkMbps: 10}
+			if index == 0 {
+				self.LinkMbps = 100
+			}
+			made.add(self, zones)
+		}
+	}
+	made.acquaint()
+	return made
+}
+
+func (estate *estate) add(self cohort.Member, zones map[ids.Zone]ids.Region) {
+	spreader := &Spreader{
+		News: NewNews(nil), Table: cohort.NewTable(estate.clock, self), Zones: zones,
+		Relays: relaysOfZone, Fanout: 8, Every: clock.Second, Limit: clock.Second,
+		Spawn: func(act func()) { act() },
+	}
+	spreader.Carry = func(inner scope.Scope, taker ids.Address, asked PushAsk) error {
+		estate.sent[self.Address]++
+		for _, item := range asked.Items {
+			estate.bytes[self.Address] += len(item.Body)
+		}
+		if estate.dead[taker] || estate.dead[self.Address] || estate.chance.Float64() < estate.loss {
+			return errors.New("estate: lost")
+		}
+		estate.daemons[taker].pushed(inner, asked)
+		return nil
+	}
+	estate.daemons[self.Address] = spreader
+	estate.order = append(estate.order, self.Address)
+}
+
+// acquaint has all know whom they should know, and the relays say what they are.
+func (estate *estate) acquaint() {
+	var all []cohort.Member
+	for _, address := range estate.order {
+		all = append(all, estate.daemons[address].Table.Self())
+	}
+	for _, spreader := range estate.daemons {
+		spreader.Table.Merge(all)
+	}
+	estate.clock.Move(clock.Second)
+	all = nil
+	for _, address := range estate.order {
+		estate.daemons[address].Table.Elect(relaysOfZone, 0)
+		all = append(all, estate.daemons[address].Table.Self())
+	}
+	for _, spreader := range estate.daemons {
+		spreader.Table.Merge(all)
+	}
+}
+
+func (estate *estate) publish(origin ids.Address, item Item) {
+	spreader := estate.daemons[origin]
+	spreader.News.Put(item)
+	spreader.Push(estate.scope, spreader.News.gather(spreader.News.own), spreader.everywhere())
+}
+
+func (estate *estate) without(key string) []ids.Address {
+	var found []ids.Address
+	for _, address := range estate.order {
+		if _, held := estate.daemons[address].News.Get(key); !held && !estate.dead[address] {
+			found = append(found, address)
+		}
+	}
+	return found
+}
+
+// repair lets every daemon compare digests with one partner.
+func (estate *estate) repair() {
+	for _, address := range estate.order {
+		from := estate.daemons[address]
+		partner, found := from.partner()
+		if !found || estate.dead[address] || estate.dead[partner] || estate.daemons[partner] == nil {
+			continue
+		}
+		to := estate.daemons[partner]
+		items, wanted := to.News.Compare(from.News.Marks(true), true)
+		from.take(items)
+		for _, key := range wanted {
+			item, _ := from.News.travelling(key)
+			to.take([]Item{item})
+		}
+	}
+}
+
+// TestNewsReachesAllAtOneMessageEach pushes one item through estates that
+// double: it reaches everybody at once, nobody sends more as the estate grows
+// beyond its zone, and each daemon gets it once.
+func TestNewsReachesAllAtOneMessageEach(t *testing.T) {
+	for _, size := range []struct{ regions, zones, routers int }{{3, 2, 15}, {6, 2, 15}, {12, 2, 15}, {27, 3, 14}} {
+		estate := newEstate(size.regions, size.zones, size.routers)
+		estate.publish(estate.order[0], Item{Key: "spec", Serial: 1, Body: make([]byte, 100)})
+		if missing := estate.without("spec"); len(missing) > 0 {
+			t.Errorf("%v: %d of %d daemons were not reached", size, len(missing), len(estate.order))
+		}
+		messages, most := 0, 0
+		for _, count := range estate.sent {
+			messages, most = messages+count, max(most, count)
+		}
+		if messages != len(estate.order)-1 {
+			t.Errorf("%v: %d messages for %d daemons", size, messages, len(estate.order))
+		}
+		if most > 3*8 {
+			t.Errorf("%v: one daemon sent %d messages", size, most)
+		}
+		for _, address := range estate.order {
+			table := estate.daemons[address].Table
+			if known := len(table.Members()); known > size.routers+1+2*size.regions*size.zones+2 {
+				t.Fatalf("%v: %s knows %d members", size, address, known)
+			}
+		}
+	}
+}
+
+// TestLossIsMendedByDigests loses a fifth of all pushes, and has both relays of
+// a zone die in the middle: comparing digests finds what the tier lost.
+func TestLossIsMendedByDigests(t *testing.T) {
+	estate := newEstate(3, 2, 15)
+	other := ids.Zone("r1-z1")
+	for _, relay := range estate.daemons[ids.Address(other+"-1:1")].Table.Relays(other, relaysOfZone) {
+		estate.dead[relay.Address] = true
+	}
+	estate.loss = 0.2
+	estate.publish(estate.order[0], Item{Key: "spec", Serial: 1, Body: make([]byte, 5000)})
+	rounds := 0
+	for ; len(estate.without("spec")) > 0; rounds++ {
+		if rounds > 40 {
+			t.Fatalf("%d daemons never got it", len(estate.without("spec")))
+		}
+		estate.repair()
+	}
+	t.Logf("mended after %d rounds of digests", rounds)
+	item, _ := estate.daemons[estate.order[len(estate.order)-1]].News.Get("spec")
+	if len(item.Body) != 5000 {
+		t.Fatalf("the body is %d bytes long", len(item.Body))
+	}
+}
+
+// TestViewsStayInTheBackbone pushes what only the backbone holds.
+func TestViewsStayInTheBackbone(t *testing.T) {
+	estate := newEstate(3, 2, 15)
+	estate.publish(estate.order[0], Item{Key: BackbonePrefix + "z", Serial: 1})
+	for _, address := range estate.order {
+		_, held := estate.daemons[address].News.Get(BackbonePrefix + "z")
+		if backbone := estate.daemons[address].Table.Self().Backbone(); held != backbone && address != estate.order[0] {
+			t.Errorf("%s: held %v, of the backbone %v", address, held, backbone)
+		}
+	}
+}
+
+// TestBrokenBodiesAreDropped takes an item that can't be unpacked.
+func TestBrokenBodiesAreDropped(t *testing.T) {
+	news := NewNews(nil)
+	if news.hear(Item{Key: "spec", Serial: 9, Body: []byte("no deflate"), Packed: true}, nil) {
+		t.Fatal("a broken body was taken")
+	}
+	if _, found := news.Get("spec"); found {
+		t.Fatal("a broken body is held")
+	}
+}
--- /dev/null
+++ b/control/zoneview/zoneview.go
@@ -0,0 +1,147 @@
+// Package zoneview tells other zones what they need to know of a zone without
+// knowing its members: which of its routers clients may go to, and how many
+// routers there could be.
+package zoneview
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+// The keys of news begin so; the zone's name follows. Fronts are for the
+// backbone only, sizes for all.
+const (
+	FrontsPrefix = spread.BackbonePrefix
+	SizePrefix   = "size/"
+)
+
+// Fronts are where clients of a zone may go: Able routers, and those that are
+// ready but reach no runner for some of their routes.
+type Fronts struct {
+	Zone   ids.Zone
+	Able   []ids.Address
+	Unable []ids.Address
+}
+
+// Watcher makes the news of its zone while it relays, and reads that of others.
+type Watcher struct {
+	Table *cohort.Table
+	News  *spread.News
+	// Zones gives all zones with their regions.
+	Zones map[ids.Zone]ids.Region
+	// Role is that of the daemons which carry requests.
+	Role string
+
+	lock    sync.Mutex
+	sizes   map[ids.Zone]int64
+	routers atomic.Int64
+	inZone  atomic.Int64
+}
+
+// Look makes news of the own zone where it changed, if this daemon is the first
+// to relay for it.
+//
+// Example:
+//
+//	watcher.Look()
+func (watcher *Watcher) Look() {
+	watcher.Table.Forget()
+	watcher.count()
+	self := watcher.Table.Self()
+	first := watcher.Table.Relays(self.Zone, 1)
+	if !self.Relay || len(first) == 0 || first[0].Address != self.Address {
+		return
+	}
+	fronts := Fronts{Zone: self.Zone}
+	for _, member := range watcher.own() {
+		serving := member.State == cohort.Alive && member.Ready && member.Front != ""
+		if serving && member.Unable {
+			fronts.Unable = append(fronts.Unable, member.Front)
+		} else if serving {
+			fronts.Able = append(fronts.Able, member.Front)
+		}
+	}
+	publish(watcher, FrontsPrefix, fronts)
+	publish(watcher, SizePrefix, cohort.Size{Zone: self.Zone, Routers: watcher.size()})
+}
+
+// size is how many routers the zone could have. A daemon that has not lived long
+// enough to have heard of all of them never lowers what was told before.
+func (watcher *Watcher) size() int64 {
+	own := watcher.ownSize()
+	if watcher.Table.Seasoned() {
+		return own
+	}
+	watcher.lock.Lock()
+	defer watcher.lock.Unlock()
+	return max(own, watcher.sizes[watcher.Table.Self().Zone])
+}
+
+// own gives the routers of this zone.
+func (watcher *Watcher) own() []cohort.Member {
+	zone := watcher.Table.Self().Zone
+	var found []cohort.Member
+	for _, member := range watcher.Table.Members() {
+		if member.Zone == zone && member.Role == watcher.Role {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+func (watcher *Watcher) ownSize() int64 { return int64(len(watcher.own())) }
+
+// publish makes an item where the newest of its key says something else. Two
+// relays that both believe to be the first write under serials that differ.
+func publish[Message any](watcher *Watcher, prefix string, message Message) {
+	body, fault := courier.Pack(message)
+	self := watcher.Table.Self()
+	known, found := watcher.News.Get(prefix + string(self.Zone))
+	if fault != nil || (found && slices.Equal(known.Body, body)) {
+		return
+	}
+	watcher.News.Put(spread.Item{Key: prefix + string(self.Zone), Serial: next(known.Serial, self.Address), Body: body})
+}
+
+// writerBits is how much of a serial tells writers apart.
+const writerBits = 16
+
+func next(known ids.Serial, writer ids.Address) ids.Serial {
+	mark := uint64(14695981039346656037)
+	for _, letter := range []byte(writer) {
+		mark = (mark ^ uint64(letter)) * 1099511628211
+	}
+	return (known>>writerBits+1)<<writerBits | ids.Serial(mark>>(64-writerBits))
+}
+
+// Elsewhere gives the fronts of the other zones from which some daemon of the
+// backbone answers, and the zones from which none does.
+//
+// Example:
+//
+//	reached, cut := watcher.Elsewhere()
+func (watcher *Watcher) Elsewhere() (reached []Fronts, cut []ids.Zone) {
+	answers := map[ids.Zone]bool{}
+	for _, member := range watcher.Table.Members() {
+		answers[member.Zone] = answers[member.Zone] || (member.Backbone() && member.State == cohort.Alive)
+	}
+	own := watcher.Table.Self().Zone
+	for _, item := range watcher.News.Under(FrontsPrefix) {
+		fronts, fault := courier.Unpack[Fronts](item.Body)
+		if fault != nil || fronts.Zone == own {
+			continue
+		}
+		if answers[fronts.Zone] {
+			reached = append(reached, fronts)
+		} else {
+			cut = append(cut, fronts.Zone)
+		}
+	}
+	return reached, cut
+}
--- /dev/null
+++ b/control/zoneview/zoneview_test.go
@@ -0,0 +1,136 @@
+package zoneview
+
+import (
+	"slices"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+var zones = map[ids.Zone]ids.Region{"east": "r1", "west": "r2", "south": "r2"}
+
+func watcherOf(machine clock.Clock, address ids.Address, zone ids.Zone) *Watcher {
+	self := cohort.Member{Address: address, Zone: zone, Region: zones[zone], Role: "router"}
+	watcher := &Watcher{Table: cohort.NewTable(machine, self), Zones: zones, Role: "router"}
+	watcher.News = spread.NewNews(watcher.Absorb)
+	return watcher
+}
+
+func routers(zone ids.Zone, count int) []cohort.Member {
+	var members []cohort.Member
+	for index := range count {
+		address := ids.Address([]byte{byte('k' + index), ':', '1'})
+		members = append(members, cohort.Member{Address: address, Front: "f" + address, Zone: zone, Role: "router", Ready: true, Incarnation: 1})
+	}
+	return members
+}
+
+func TestFirstRelayTellsOfItsZone(t *testing.T) {
+	machine := clock.NewFake()
+	watcher := watcherOf(machine, "a:1", "east")
+	members := routers("east", 3)
+	members[2].Unable = true
+	watcher.Table.Merge(members)
+	watcher.Look()
+	if len(watcher.News.Under(FrontsPrefix)) != 0 {
+		t.Fatal("one that does not relay told of its zone")
+	}
+	machine.Move(clock.Second)
+	watcher.Table.Elect(4, 0)
+	watcher.Look()
+	first := watcher.Table.Relays("east", 1)[0].Address
+	items := watcher.News.Under(FrontsPrefix)
+	if told := len(items) == 1; told != (first == "a:1") {
+		t.Fatalf("told %v, though the first relay is %s", told, first)
+	}
+	if first != "a:1" {
+		for _, member := range members {
+			watcher.Table.Judge(member.Address, cohort.Suspect)
+		}
+		watcher.Table.Elect(4, 0)
+		watcher.Look()
+		items = watcher.News.Under(FrontsPrefix)
+	}
+	before := items[0].Serial
+	watcher.Look()
+	if after := watcher.News.Under(FrontsPrefix)[0].Serial; after != before {
+		t.Fatal("a view that says the same was told again")
+	}
+	for index := range members {
+		members[index].Incarnation = 2
+	}
+	watcher.Table.Merge(members)
+	watcher.Table.Judge("k:1", cohort.Suspect)
+	for watcher.Table.Relays("east", 1)[0].Address != "a:1" {
+		watcher.Table.Judge(watcher.Table.Relays("east", 1)[0].Address, cohort.Suspect)
+	}
+	watcher.Look()
+	fronts, fault := courier.Unpack[Fronts](watcher.News.Under(FrontsPrefix)[0].Body)
+	if fault != nil || slices.Contains(fronts.Able, "fk:1") || slices.Contains(fronts.Able, "fm:1") {
+		t.Fatalf("%+v %v", fronts, fault)
+	}
+}
+
+func TestSharersCountAllThatCouldBeAlive(t *testing.T) {
+	machine := clock.NewFake()
+	watcher := watcherOf(machine, "a:1", "east")
+	watcher.Table.Merge(routers("east", 3))
+	watcher.Look()
+	// Two zones that nothing was heard of count as large as the largest.
+	if count := watcher.Routers(); count != 12 {
+		t.Fatalf("%d", count)
+	}
+	watcher.Learn([]cohort.Size{{Zone: "west", Routers: 7}})
+	watcher.Look()
+	if count := watcher.Routers(); count != 4+7+7 {
+		t.Fatalf("%d", count)
+	}
+	body, _ := courier.Pack(cohort.Size{Zone: "south", Routers: 2})
+	watcher.News.Put(spread.Item{Key: SizePrefix + "south", Serial: 1, Body: body})
+	watcher.Table.Judge("k:1", cohort.Removed)
+	watcher.Look()
+	if count := watcher.Routers(); count != 4+7+2 {
+		t.Fatalf("%d: a router that may be behind a cut does not count", count)
+	}
+	if own, other := watcher.Sharers("east"), watcher.Sharers("west"); own != 4 || other != 0 {
+		t.Fatalf("a cold runner here is shared among %d, one elsewhere among %d", own, other)
+	}
+	watcher.Learn([]cohort.Size{{Zone: "west"}})
+	if watcher.Sharers("west") == 0 {
+		t.Fatal("nobody serves the cold runners of a zone without routers")
+	}
+	if sizes := watcher.Sizes(); len(sizes) != 2 {
+		t.Fatalf("%v", sizes)
+	}
+}
+
+// TestYoungRelayNeverLowersASize has a relay that knows few routers take over
+// from one that knew more.
+func TestYoungRelayNeverLowersASize(t *testing.T) {
+	machine := clock.NewFake()
+	watcher := watcherOf(machine, "a:1", "east")
+	watcher.Learn([]cohort.Size{{Zone: "east", Routers: 9}})
+	machine.Move(clock.Second)
+	watcher.Table.Elect(2, 0)
+	watcher.Look()
+	size, fault := courier.Unpack[cohort.Size](watcher.News.Under(SizePrefix)[0].Body)
+	if fault != nil || size.Routers != 9 {
+		t.Fatalf("%+v %v", size, fault)
+	}
+	machine.Move(2 * 60 * 60 * clock.Second)
+	watcher.Look()
+	if size, _ = courier.Unpack[cohort.Size](watcher.News.Under(SizePrefix)[0].Body); size.Routers != 1 {
+		t.Fatalf("%+v long after the others are gone", size)
+	}
+}
+
+func TestWritersOfOneSerialDiffer(t *testing.T) {
+	one, other := next(5<<writerBits, "a:1"), next(5<<writerBits, "b:1")
+	if one == other || one>>writerBits != 6 || other>>writerBits != 6 {
+		t.Fatalf("%d %d", one, other)
+	}
+}
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -115,6 +115,6 @@
 		visit.front.options.Board.Told(runner.ID, load, now)
 	}
 	if left, fault := strconv.ParseFloat(response.Header.Get(relay.ColdHeader), 64); fault == nil && left > 0 {
-		visit.front.options.Warmth.Chill(runner.ID, now.Add(boot.Milliseconds(left)))
+		visit.front.options.Warmth.Chill(runner.ID, now.Add(boot.Milliseconds(left)), now)
 	}
 }
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -55,11 +55,12 @@
 	made.frame = picture.NewFrame(picture.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.news = spread.NewNews(made.frame.Absorb)
 	one := func() int { return 1 }
-	cold := warmth.New()
+	cold := warmth.New(func() float64 { return 0 })
 	gate := letin.NewGate(letin.Options{
-		Scope: top, Frame: made.frame, Board: made.board, Warmth: cold, Region: "north", Sharers: one,
-		Chance: func() float64 { return 0 },
-		Budget: budget.New(budget.Options{Ratio: 0, Extra: extra, Window: 10 * clock.Second, Sharers: one}),
+		Scope: top, Frame: made.frame, Board: made.board, Warmth: cold, Region: "north", Routers: one,
+		Sharers: func(ids.Zone) int { return 1 },
+		Chance:  func() float64 { return 0 },
+		Budget:  budget.New(budget.Options{Ratio: 0, Extra: extra, Window: 10 * clock.Second, Sharers: one}),
 	})
 	sender := relay.NewSender(relay.Options{
 		Clock: machine, Dialing: call.Dialing{Limit: 5 * clock.Second, Silence: 5 * clock.Second}, Idle: 60 * clock.Second, PerHost: 4,
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -54,7 +54,7 @@
 	var found, resting []candidate
 	soon := clock.Span(0)
 	route := decision.asking.Route
-	bound := gate.bound(service)
+	share := gate.connections(service)
 	patience := max(route.Goal()/2, 50*clock.Millisecond)
 	for _, runner := range seen.Runners[decision.service] {
 		if decision.tried[runner.ID] || !seen.Open(runner) || !route.AtHome(runner.Region) {
@@ -66,11 +66,10 @@
 			soon = shortWait
 			continue
 		}
-		if service != nil && service.MaxConnections > 0 &&
-			ledger.Running >= math.Max(1, float64(service.MaxConnections)/float64(max(1, bound.Sharers))) {
+		if ledger.Running >= share {
 			continue
 		}
-		if !gate.options.Warmth.Open(runner.ID, bound, now) {
+		if !gate.options.Warmth.Open(runner.ID, gate.bound(service, runner.Zone), now) {
 			soon = shortWait
 			continue
 		}
@@ -94,6 +93,14 @@
 	return found, soon
 }
 
+// connections is this router's part of the connections that a runner accepts.
+func (gate *Gate) connections(service *spec.Service) float64 {
+	if service == nil || service.MaxConnections <= 0 {
+		return math.Inf(1)
+	}
+	return math.Max(1, float64(service.MaxConnections)/float64(max(1, gate.options.Routers())))
+}
+
 const (
 	// fewestWaiting is how many must wait at a runner before their wait counts.
 	fewestWaiting = 2
--- a/data/letin/decision.go
+++ b/data/letin/decision.go
@@ -106,7 +106,7 @@
 	if seen.Spec == nil || !seen.Usable(decision.service, runner.ID) {
 		return false
 	}
-	return options.Warmth.Take(runner.ID, decision.gate.bound(seen.Spec.Service(decision.service)), now)
+	return options.Warmth.Take(runner.ID, decision.gate.bound(seen.Spec.Service(decision.service), runner.Zone), now)
 }
 
 // Tell notes the fate of a sending.
--- a/data/letin/gate.go
+++ b/data/letin/gate.go
@@ -18,13 +18,17 @@
 
 // Options are what a gate is made from.
 type Options struct {
-	Scope   scope.Scope
-	Frame   *picture.Frame
-	Board   *metrics.Board
-	Budget  *budget.Budget
-	Warmth  *warmth.Warmth
-	Region  ids.Region
-	Sharers func() int
+	Scope  scope.Scope
+	Frame  *picture.Frame
+	Board  *metrics.Board
+	Budget *budget.Budget
+	Warmth *warmth.Warmth
+	Region ids.Region
+	// Sharers gives among how many routers the rate of a cold runner in a zone is
+	// shared; zero where it is not this router's to serve.
+	Sharers func(zone ids.Zone) int
+	// Routers is how many routers there could be.
+	Routers func() int
 	// Chance gives numbers from 0 to below 1; tests replace it.
 	Chance func() float64
 }
@@ -108,9 +112,9 @@
 	return key
 }
 
-func (gate *Gate) bound(service *spec.Service) warmth.Bound {
+func (gate *Gate) bound(service *spec.Service, zone ids.Zone) warmth.Bound {
 	if service == nil {
 		return warmth.Bound{}
 	}
-	return warmth.Bound{PerS: service.ColdPerS, Sharers: gate.options.Sharers()}
+	return warmth.Bound{PerS: service.ColdPerS, Sharers: gate.options.Sharers(zone)}
 }
--- a/data/warmth/warmth.go
+++ b/data/warmth/warmth.go
@@ -9,9 +9,9 @@
 	"onyxwell/base/ids"
 )
 
-// Bound is what a service says of its cold runners.
+// Bound is what a service says of its cold runners, and among how many routers
+// their rate is shared; with no sharers a cold runner is not this router's.
 type Bound struct {
-	Warmup  clock.Span
 	PerS    float64
 	Sharers int
 }
@@ -21,20 +21,28 @@
 	lock    sync.Mutex
 	runners map[ids.RunnerID]*standing
 	listed  bool
+	chance  func() float64
 }
 
 type standing struct {
 	coldUntil clock.Instant
 	next      clock.Instant
-	seen      bool
+	// began is when the cold spell was learnt of; placed says that this router's
+	// first turn in it is set.
+	began  clock.Instant
+	placed bool
 }
 
-// New makes a warmth that knows nobody yet.
+// New makes a warmth that knows nobody yet. Chance gives numbers from 0 to below
+// 1: routers that learn of a cold runner at once must not all begin with it at
+// once.
 //
 // Example:
 //
-//	cold := warmth.New()
-func New() *Warmth { return &Warmth{runners: map[ids.RunnerID]*standing{}} }
+//	cold := warmth.New(rand.Float64)
+func New(chance func() float64) *Warmth {
+	return &Warmth{runners: map[ids.RunnerID]*standing{}, chance: chance}
+}
 
 // Entry is one runner of a list.
 type Entry struct {
@@ -61,11 +69,11 @@
 			known = &standing{}
 			warmth.runners[entry.ID] = known
 			if warmth.listed && entry.Warmup > 0 {
-				known.chill(now.Add(entry.Warmup + lag))
+				known.chill(now.Add(entry.Warmup+lag), now)
 			}
 		}
 		if entry.ColdLeft > 0 {
-			known.chill(now.Add(entry.ColdLeft + lag))
+			known.chill(now.Add(entry.ColdLeft+lag), now)
 		}
 	}
 	for id := range warmth.runners {
@@ -80,16 +88,20 @@
 //
 // Example:
 //
-//	cold.Chill(id, now.Add(warmup))
-func (warmth *Warmth) Chill(id ids.RunnerID, until clock.Instant) {
+//	cold.Chill(id, now.Add(warmup), now)
+func (warmth *Warmth) Chill(id ids.RunnerID, until clock.Instant, now clock.Instant) {
 	warmth.lock.Lock()
 	defer warmth.lock.Unlock()
 	if known := warmth.runners[id]; known != nil {
-		known.chill(until)
+		known.chill(until, now)
 	}
 }
 
-func (known *standing) chill(until clock.Instant) {
+// chill lengthens a cold spell, or begins one.
+func (known *standing) chill(until clock.Instant, now clock.Instant) {
+	if !now.Before(known.coldUntil) {
+		known.began, known.placed = now, false
+	}
 	if known.coldUntil.Before(until) {
 		known.coldUntil = until
 	}
@@ -132,11 +144,17 @@
 	if known == nil || bound.PerS <= 0 || !now.Before(known.coldUntil) {
 		return true
 	}
+	if bound.Sharers <= 0 {
+		return false
+	}
+	gap := float64(clock.Second) * float64(bound.Sharers) / bound.PerS
+	if !known.placed {
+		known.placed, known.next = true, known.began.Add(clock.Span(gap*warmth.chance()))
+	}
 	if now.Before(known.next) {
 		return false
 	}
 	if take {
-		gap := float64(clock.Second) * float64(max(1, bound.Sharers)) / bound.PerS
 		known.next = now.Add(clock.Span(gap))
 	}
 	return true
--- a/data/warmth/warmth_test.go
+++ b/data/warmth/warmth_test.go
@@ -21,7 +21,7 @@
 		machine := clock.NewFake()
 		var all []*Warmth
 		for range routers {
-			made := New()
+			made := New(func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "turn") })
 			made.List([]Entry{{ID: "i", ColdLeft: 60 * clock.Second}}, 0, machine.Now())
 			all = append(all, made)
 		}
@@ -49,7 +49,7 @@
 
 func TestWhoIsCold(t *testing.T) {
 	machine := clock.NewFake()
-	made := New()
+	made := New(func() float64 { return 0 })
 	made.List([]Entry{{ID: "old", Warmup: 3 * clock.Second}, {ID: "cold", ColdLeft: clock.Second, Warmup: 3 * clock.Second}}, clock.Second, machine.Now())
 	if made.Cold("old", machine.Now()) || !made.Cold("cold", machine.Now()) {
 		t.Fatal("on the first list the list's own word counts")
@@ -62,11 +62,42 @@
 	if made.Cold("cold", machine.Now()) {
 		t.Fatal("still cold after its time and the list's lag")
 	}
-	made.Chill("old", machine.Now().Add(clock.Second))
+	made.Chill("old", machine.Now().Add(clock.Second), machine.Now())
 	if !made.Cold("old", machine.Now()) {
 		t.Fatal("not cold after word of it")
 	}
+	if made.Take("old", Bound{PerS: 20}, machine.Now()) {
+		t.Fatal("a cold runner that is not this router's was taken")
+	}
 	if !made.Take("old", Bound{}, machine.Now()) || !made.Take("unknown", Bound{PerS: 1}, machine.Now()) {
 		t.Fatal("a service without a rate, or a runner without a standing, is bounded")
 	}
 }
+
+// TestManyRoutersDoNotBeginAtOnce has far more routers than a second's rate all
+// learn of a cold runner at one moment, and all want it at once.
+func TestManyRoutersDoNotBeginAtOnce(t *testing.T) {
+	const routers, rate = 72, 20.0
+	bound := Bound{PerS: rate, Sharers: routers}
+	machine := clock.NewFake()
+	var all []*Warmth
+	for index := range routers {
+		made := New(func() float64 { return float64(index) / routers })
+		made.List([]Entry{{ID: "i", ColdLeft: 60 * clock.Second}}, 0, machine.Now())
+		all = append(all, made)
+	}
+	for second := range 10 {
+		count := 0
+		for range 20 {
+			for _, router := range all {
+				if router.Take("i", bound, machine.Now()) {
+					count++
+				}
+			}
+			machine.Move(50 * clock.Millisecond)
+		}
+		if count > rate+1 {
+			t.Fatalf("%d requests in second %d", count, second)
+		}
+	}
+}
