Outlier ejection by the zone's own traffic

Runners that fail part of their requests with a good health answer, hang, or call themselves ill while well: a zone's relay judges by what the zone's requests met and has its routers leave the worst alone, longer with each fall, never more than a third of a service. A router's own doubts last longer when a runner falls again soon; one that calls itself ill is tried after some tests. Requests without a first sign in two goals count against their runner at once.

--- a/cmd/router/doubt.go
+++ b/cmd/router/doubt.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
@@ -28,14 +27,13 @@
 type condition struct {
 	id   ids.RunnerID
 	cold clock.Span
+	ill  bool
 }
 
 // Hear takes a well runner, or one that is only full, for alive.
 func (told *condition) Hear(heard call.Heard) error {
 	full := heard.Status == http.StatusServiceUnavailable && heard.Header.Get(reply.NotRunHeader) != ""
-	if heard.Status != http.StatusOK && !full {
-		return breakdown.Of(breakdown.RunnerLost, "the runner answered %d", heard.Status)
-	}
+	told.ill = heard.Status != http.StatusOK && !full
 	told.id = ids.RunnerID(heard.Header.Get(relay.RunnerHeader))
 	if left, fault := strconv.ParseFloat(heard.Header.Get(relay.ColdHeader), 64); fault == nil {
 		told.cold = boot.Milliseconds(left)
@@ -101,6 +99,9 @@
 	if fault != nil || (told.id != "" && told.id != id) {
 		return
 	}
+	if told.ill && (told.id != id || !made.board.SaysIll(id)) {
+		return
+	}
 	now := inner.Now()
 	if told.cold > 0 {
 		made.warmth.Chill(id, now.Add(told.cold), now)
--- a/cmd/router/tasks.go
+++ b/cmd/router/tasks.go
@@ -48,22 +48,24 @@
 	})
 }
 
-// looks is how often the running requests are counted for one report.
-const looks = 5
+const (
+	// looks is how often the running requests are counted for one report.
+	looks = 3
+	// reportSpan is the time between two reports.
+	reportSpan = clock.Second / 2
+)
 
-// report sends what this router saw of the runners to the holder of the plan.
+// report sends what this router saw of the runners up to its zone's relay.
 func (made *router) report(inner scope.Scope) error {
-	span := clock.Second
 	last := inner.Now()
-	for turn := 1; inner.Wait(span / looks); turn++ {
+	for turn := 1; inner.Wait(reportSpan / looks); turn++ {
 		made.board.Sample()
 		if turn%looks != 0 {
 			continue
 		}
 		now := inner.Now()
-		asked := made.board.Collect()
+		asked := made.board.Collect(now, now.Since(last))
 		asked.From, asked.Region = made.common.Address, inner.Boot.Region
-		asked.SpanMS = float64(now.Since(last).Milliseconds())
 		last = now
 		go made.common.Report(inner, asked)
 	}
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
+	"onyxwell/control/eject"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spread"
 	"onyxwell/control/zoneview"
@@ -40,6 +41,7 @@
 	tree      *suture.Supervisor
 	socket    *net.UDPConn
 	sum       scaler.Sum
+	judge     eject.Judge
 	lock      sync.Mutex
 	planned   ids.Serial
 	holder    ids.Address
--- a/control/daemon/sums.go
+++ b/control/daemon/sums.go
@@ -5,31 +5,62 @@
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
+	"onyxwell/control/eject"
 	"onyxwell/control/scaler"
+	"onyxwell/control/spread"
 )
 
-// sumSpan is the time between two sums that a relay sends on.
-const sumSpan = clock.Second
+const (
+	// judgeSpan is the time between two looks at what the zone's requests met.
+	judgeSpan = clock.Second / 2
+	// sumTurns is how many such looks pass between two sums sent on.
+	sumTurns = 2
+)
 
-// serveSums takes the reports of the zone's routers and sends their sum to the
-// planner once a span.
+// serveSums takes the reports of the zone's routers, judges by them which
+// runners the zone should leave alone, and sends their sum to the planner.
 func (daemon *Daemon) serveSums() {
-	courier.Handle(daemon.Calls, "sum", func(_ scope.Scope, report scaler.ReportAsk) (scaler.ReportTold, error) {
-		daemon.sum.Add(report)
+	courier.Handle(daemon.Calls, "sum", func(inner scope.Scope, report scaler.ReportAsk) (scaler.ReportTold, error) {
+		daemon.take(report, inner.Now())
 		return scaler.ReportTold{Holding: true}, nil
 	})
 	daemon.Part("sums", func(inner scope.Scope) error {
-		for inner.Wait(sumSpan) {
-			report, any := daemon.sum.Take()
-			if holder := daemon.planner(); any && holder != "" {
-				report.From, report.SpanMS = daemon.Address, float64(sumSpan.Milliseconds())
-				go daemon.carry(inner, holder, "report", report)
+		for turn := 1; inner.Wait(judgeSpan); turn++ {
+			daemon.judgeRunners(inner.Now())
+			if turn%sumTurns == 0 {
+				daemon.sendSum(inner)
 			}
 		}
 		return nil
 	})
 }
 
+func (daemon *Daemon) take(report scaler.ReportAsk, now clock.Instant) {
+	daemon.sum.Add(report)
+	daemon.judge.Take(report, now)
+}
+
+// judgeRunners tells the zone who is to rest, where that changed.
+func (daemon *Daemon) judgeRunners(now clock.Instant) {
+	rests, changed := daemon.judge.Verdict(now)
+	if !changed {
+		return
+	}
+	key := eject.Key(daemon.Table.Self().Zone)
+	known, _ := daemon.News.Get(key)
+	if body, fault := courier.Pack(rests); fault == nil {
+		daemon.News.Put(spread.Item{Key: key, Serial: spread.NextSerial(known.Serial, daemon.Address), Body: body})
+	}
+}
+
+func (daemon *Daemon) sendSum(inner scope.Scope) {
+	report, any := daemon.sum.Take()
+	if holder := daemon.planner(); any && holder != "" {
+		report.From = daemon.Address
+		go func() { _ = daemon.carry(inner, holder, "report", report) }()
+	}
+}
+
 // Report sends a router's report up: to the first relay of its zone that
 // answers, or straight to the planner where none does.
 //
@@ -40,7 +71,7 @@
 	pace := PaceOf(daemon.Scope.Boot)
 	for _, relay := range daemon.Table.Relays(daemon.Table.Self().Zone, pace.Relays) {
 		if relay.Address == daemon.Address {
-			daemon.sum.Add(report)
+			daemon.take(report, inner.Now())
 			return
 		}
 		if daemon.carry(inner, relay.Address, "sum", report) == nil {
--- a/control/scaler/plan.go
+++ b/control/scaler/plan.go
@@ -54,7 +54,8 @@
 	Ceiling float64
 }
 
-// Sample is what one router saw of one runner in one span.
+// Sample is what one router saw of one runner in one span. Running and Pending
+// are sums over time: so many requests for so many seconds.
 type Sample struct {
 	Runner   ids.RunnerID
 	Service  ids.Service
@@ -83,7 +84,6 @@
 type ReportAsk struct {
 	From    ids.Address
 	Region  ids.Region
-	SpanMS  float64
 	Samples []Sample
 	Demands []Demand
 	// Readings are how long first answers took.
--- a/control/scaler/scaler_test.go
+++ b/control/scaler/scaler_test.go
@@ -45,7 +45,7 @@
 // pass lets seconds pass in which each runner finishes its rate, at its limit.
 func (bench *bench) pass(seconds int, rates map[ids.RunnerID]float64, demand float64) {
 	for second := range seconds {
-		report := ReportAsk{From: "r", Region: "north", SpanMS: 1000}
+		report := ReportAsk{From: "r", Region: "north"}
 		for _, runner := range bench.runners {
 			rate := rates[runner.ID]
 			wobble := float64(second%3) - 1
--- a/control/scaler/window.go
+++ b/control/scaler/window.go
@@ -133,6 +133,8 @@
 			closed.spentMS = run.spentMS / run.open.finished
 		}
 		closed.finished /= seconds
+		closed.running /= seconds
+		closed.pending /= seconds
 		run.open, run.spentMS = point{}, 0
 		if closed.arrived+closed.finished+closed.running+closed.failed > 0 {
 			run.points = append(run.points, closed)
--- a/control/spread/exchange.go
+++ b/control/spread/exchange.go
@@ -73,7 +73,7 @@
 func (spreader *Spreader) Serve(calls *call.Table) {
 	courier.Handle(calls, "exchange", func(_ scope.Scope, asked ExchangeAsk) (ExchangeTold, error) {
 		spreader.Table.Merge([]cohort.Member{asked.From})
-		items, wanted := spreader.News.Compare(asked.Marks, spreader.both(asked.From))
+		items, wanted := spreader.News.Compare(asked.Marks, spreader.shared(asked.From))
 		told := ExchangeTold{From: spreader.Table.Self(), Sums: spreader.Table.Sums(), Items: items, Wanted: wanted}
 		if spreader.Table.Differs(asked.From.Zone, asked.Sums) {
 			told.Members = spreader.Table.Told(asked.From.Zone)
@@ -89,10 +89,15 @@
 	})
 }
 
-// both tells whether this daemon and the other are of the backbone, and so
-// compare what only the backbone holds.
-func (spreader *Spreader) both(other cohort.Member) bool {
-	return spreader.Table.Self().Backbone() && other.Backbone()
+// shared describes whoever would hold just what this daemon and the other both
+// should: of the backbone if both are, of a zone if it is the same.
+func (spreader *Spreader) shared(other cohort.Member) cohort.Member {
+	self := spreader.Table.Self()
+	both := cohort.Member{Core: self.Backbone() && other.Backbone()}
+	if self.Zone == other.Zone {
+		both.Zone = self.Zone
+	}
+	return both
 }
 
 // Run exchanges with a partner now and then, and pushes whatever is new.
@@ -127,8 +132,8 @@
 	short, release := inner.WithLimit(spreader.Limit)
 	defer release()
 	self := spreader.Table.Self()
-	partner, known := spreader.Table.Find(address)
-	asked := ExchangeAsk{From: self, Sums: spreader.Table.Sums(), Marks: spreader.News.Marks(known && spreader.both(partner))}
+	partner, _ := spreader.Table.Find(address)
+	asked := ExchangeAsk{From: self, Sums: spreader.Table.Sums(), Marks: spreader.News.Marks(spreader.shared(partner))}
 	told, fault := courier.Send[ExchangeTold](short, spreader.Messenger, address, "exchange", asked)
 	if fault != nil {
 		return
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
 )
 
 // Item is one piece of news; of one key the highest serial counts. Packed says
@@ -163,26 +164,32 @@
 	return items
 }
 
-// BackbonePrefix begins the keys that only the backbone passes on.
-const BackbonePrefix = "view/"
+// The keys of some items begin so: those that only the backbone holds, and those
+// of one zone, whose name follows.
+const (
+	BackbonePrefix = "view/"
+	ZonePrefix     = "rest/"
+)
 
 // concerns tells whether a daemon should hold an item of that key.
-func concerns(key string, backbone bool) bool {
-	return backbone || !strings.HasPrefix(key, BackbonePrefix)
+func concerns(key string, who cohort.Member) bool {
+	if zone, own := strings.CutPrefix(key, ZonePrefix); own {
+		return zone == string(who.Zone)
+	}
+	return who.Backbone() || !strings.HasPrefix(key, BackbonePrefix)
 }
 
-// Marks names the items that a daemon of the backbone, or any other, should
-// hold.
+// Marks names the items that another daemon should hold.
 //
 // Example:
 //
-//	digest := news.Marks(partner.Backbone())
-func (news *News) Marks(backbone bool) []Mark {
+//	digest := news.Marks(partner)
+func (news *News) Marks(partner cohort.Member) []Mark {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	var marks []Mark
 	for key, item := range news.items {
-		if !concerns(key, backbone) {
+		if !concerns(key, partner) {
 			continue
 		}
 		marks = append(marks, Mark{Key: item.Key, Serial: item.Serial})
@@ -196,8 +203,8 @@
 //
 // Example:
 //
-//	items, wanted := news.Compare(asked.Marks, asked.From.Backbone())
-func (news *News) Compare(marks []Mark, backbone bool) (items []Item, wanted []string) {
+//	items, wanted := news.Compare(asked.Marks, asked.From)
+func (news *News) Compare(marks []Mark, partner cohort.Member) (items []Item, wanted []string) {
 	news.lock.Lock()
 	defer news.lock.Unlock()
 	theirs := map[string]ids.Serial{}
@@ -208,7 +215,7 @@
 		}
 	}
 	for key, item := range news.items {
-		if serial, found := theirs[key]; concerns(key, backbone) && (!found || serial < item.Serial) {
+		if serial, found := theirs[key]; concerns(key, partner) && (!found || serial < item.Serial) {
 			items = append(items, item.wire)
 		}
 	}
--- a/control/spread/push.go
+++ b/control/spread/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -91,15 +92,12 @@
 //
 //	spreader.Push(top, items, spread.Duty{Zones: []ids.Zone{zone}})
 func (spreader *Spreader) Push(inner scope.Scope, items []Item, duty Duty) {
-	narrow, wide := splitItems(items)
-	if len(narrow) > 0 && len(wide) > 0 && !duty.Backbone {
-		spreader.Push(inner, wide, duty)
-		items = narrow
-	}
-	duty.Backbone = duty.Backbone || (len(narrow) > 0 && len(items) == len(narrow))
-	if len(items) == 0 {
-		return
+	for narrowed, some := range spreader.scopes(items) {
+		spreader.pushScope(inner, some, narrowed.apply(spreader, duty))
 	}
+}
+
+func (spreader *Spreader) pushScope(inner scope.Scope, items []Item, duty Duty) {
 	var group sync.WaitGroup
 	for _, part := range spreader.split(duty) {
 		group.Add(1)
@@ -111,16 +109,36 @@
 	group.Wait()
 }
 
-// splitItems tells what only the backbone holds from the rest.
-func splitItems(items []Item) (narrow []Item, wide []Item) {
+// scopes sorts items by who should hold them; each scope narrows a duty to these.
+func (spreader *Spreader) scopes(items []Item) map[*narrowing][]Item {
+	sorted := map[*narrowing][]Item{}
 	for _, item := range items {
-		if concerns(item.Key, false) {
-			wide = append(wide, item)
-		} else {
-			narrow = append(narrow, item)
+		for _, scope := range narrowings {
+			if strings.HasPrefix(item.Key, scope.prefix) {
+				sorted[scope] = append(sorted[scope], item)
+				break
+			}
 		}
 	}
-	return narrow, wide
+	return sorted
+}
+
+// narrowing narrows the duty of items whose keys begin with the prefix.
+type narrowing struct {
+	prefix string
+	apply  func(spreader *Spreader, duty Duty) Duty
+}
+
+// narrowings are tried in this order; the last fits every key.
+var narrowings = []*narrowing{
+	{BackbonePrefix, func(_ *Spreader, duty Duty) Duty { duty.Backbone = true; return duty }},
+	{ZonePrefix, func(spreader *Spreader, duty Duty) Duty {
+		if len(duty.Regions)+len(duty.Zones) == 0 {
+			return duty
+		}
+		return Duty{Zones: []ids.Zone{spreader.Table.Self().Zone}}
+	}},
+	{"", func(_ *Spreader, duty Duty) Duty { return duty }},
 }
 
 // handOver sends one part to the first taker that answers soon; where none does,
--- a/control/spread/spread_test.go
+++ b/control/spread/spread_test.go
@@ -8,8 +8,12 @@
 
 	"onyxwell/base/fixed"
 	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
 )
 
+// everything is a daemon that should hold all.
+var everything = cohort.Member{Core: true}
+
 func TestMain(tests *testing.M) { fixed.Run(tests) }
 
 // TestSerialsOnlyRise puts items in any order: what is told as fresh rises for
@@ -51,7 +55,7 @@
 			all[where].Put(Item{Key: fmt.Sprint(index % 4), Serial: ids.Serial(index + 1), Body: []byte{byte(index)}})
 		}
 		exchange := func(from *News, to *News) {
-			items, wanted := to.Compare(from.Marks(true), true)
+			items, wanted := to.Compare(from.Marks(everything), everything)
 			for _, item := range items {
 				from.hear(item, nil)
 			}
@@ -66,9 +70,16 @@
 			}
 		}
 		for index := 1; index < len(all); index++ {
-			if items, wanted := all[index].Compare(all[0].Marks(true), true); len(items)+len(wanted) != 0 {
+			if items, wanted := all[index].Compare(all[0].Marks(everything), everything); len(items)+len(wanted) != 0 {
 				t.Fatalf("%d still differs from the first: %v %v", index, items, wanted)
 			}
 		}
 	})
 }
+
+func TestWritersOfOneSerialDiffer(t *testing.T) {
+	one, other := NextSerial(5<<writerBits, "a:1"), NextSerial(5<<writerBits, "b:1")
+	if one == other || one>>writerBits != 6 || other>>writerBits != 6 {
+		t.Fatalf("%d %d", one, other)
+	}
+}
--- a/control/spread/tier_test.go
+++ b/control/spread/tier_test.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		to := estate.daemons[partner]
-		items, wanted := to.News.Compare(from.News.Marks(true), true)
+		items, wanted := to.News.Compare(from.News.Marks(from.shared(to.Table.Self())), to.shared(from.Table.Self()))
 		from.take(items)
 		for _, key := range wanted {
 			item, _ := from.News.travelling(key)
@@ -196,6 +196,20 @@
 	}
 }
 
+// TestNewsOfAZoneStaysThere pushes what concerns one zone only.
+func TestNewsOfAZoneStaysThere(t *testing.T) {
+	estate := newEstate(3, 2, 15)
+	zone := estate.daemons[estate.order[0]].Table.Self().Zone
+	estate.publish(estate.order[0], Item{Key: ZonePrefix + string(zone), Serial: 1})
+	estate.repair()
+	for _, address := range estate.order {
+		_, held := estate.daemons[address].News.Get(ZonePrefix + string(zone))
+		if own := estate.daemons[address].Table.Self().Zone == zone; held != own {
+			t.Errorf("%s: held %v, of the zone %v", address, held, own)
+		}
+	}
+}
+
 // TestBrokenBodiesAreDropped takes an item that can't be unpacked.
 func TestBrokenBodiesAreDropped(t *testing.T) {
 	news := NewNews(nil)
--- a/control/zoneview/zoneview.go
+++ b/control/zoneview/zoneview.go
@@ -106,18 +106,7 @@
 	if fault != nil || (found && slices.Equal(known.Body, body)) {
 		return
 	}
-	watcher.News.Put(spread.Item{Key: prefix + string(self.Zone), Serial: next(known.Serial, self.Address), Body: body})
-}
-
-// writerBits is how much of a serial tells writers apart.
-const writerBits = 16
-
-func next(known ids.Serial, writer ids.Address) ids.Serial {
-	mark := uint64(14695981039346656037)
-	for _, letter := range []byte(writer) {
-		mark = (mark ^ uint64(letter)) * 1099511628211
-	}
-	return (known>>writerBits+1)<<writerBits | ids.Serial(mark>>(64-writerBits))
+	watcher.News.Put(spread.Item{Key: prefix + string(self.Zone), Serial: spread.NextSerial(known.Serial, self.Address), Body: body})
 }
 
 // Elsewhere gives the fronts of the other zones from which some daemon of the
--- a/control/zoneview/zoneview_test.go
+++ b/control/zoneview/zoneview_test.go
@@ -127,10 +127,3 @@
 		t.Fatalf("%+v long after the others are gone", size)
 	}
 }
-
-func TestWritersOfOneSerialDiffer(t *testing.T) {
-	one, other := next(5<<writerBits, "a:1"), next(5<<writerBits, "b:1")
-	if one == other || one>>writerBits != 6 || other>>writerBits != 6 {
-		t.Fatalf("%d %d", one, other)
-	}
-}
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -60,6 +60,7 @@
 	number := visit.front.number.Add(1)
 	options.Board.Sent(runner.ID, metrics.Sending{
 		Service: decision.Service(), Number: number, Tokens: visit.asking.Tokens, Urgency: visit.route.Urgency,
+		Goal: visit.route.Goal(),
 	}, begin)
 	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens}
 	result := options.Sender.Send(inner, trip)
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -81,7 +81,7 @@
 		slots := math.Max(1, float64(runner.Capacity))
 		told := ledger.Load.Running + ledger.Load.Waiting
 		able := candidate{runner: runner, weight: weight, load: math.Max(told+ledger.Load.Sent, ledger.Running) / slots}
-		if known && planned.Resting {
+		if seen.Rests(runner.ID, now) {
 			resting = append(resting, able)
 		} else {
 			found = append(found, able)
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -37,6 +37,11 @@
 	Doubted bool
 	tests   int
 	due     clock.Instant
+	// falls counts doubts that came soon after the last one ended, ill the tests
+	// that a runner answered by saying that it is ill.
+	falls   int
+	ill     int
+	cleared clock.Instant
 
 	arrived, finished, failed, spentMS float64
 	units                              float64
@@ -49,6 +54,8 @@
 type waiting struct {
 	since   clock.Instant
 	urgency int
+	goal    clock.Span
+	overdue bool
 }
 
 // Board holds the ledgers of all runners, in shards with a lock each.
@@ -146,6 +153,8 @@
 	Number  uint64
 	Tokens  float64
 	Urgency int
+	// Goal is how soon a first sign is wanted.
+	Goal clock.Span
 }
 
 // Sent notes a request that goes to a runner.
@@ -161,7 +170,7 @@
 		ledger.arrived++
 		ledger.units += max(1, sending.Tokens)
 		ledger.Load.Sent++
-		ledger.waits[sending.Number] = waiting{since: now, urgency: sending.Urgency}
+		ledger.waits[sending.Number] = waiting{since: now, urgency: sending.Urgency, goal: sending.Goal}
 	})
 }
 
@@ -173,7 +182,7 @@
 func (board *Board) Began(id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
 	board.with(id, func(ledger *Ledger) {
 		ledger.Unanswered = max(0, ledger.Unanswered-tokens)
-		ledger.Heard, ledger.Doubted = now, false
+		ledger.clear(now)
 		delete(ledger.waits, number)
 	})
 }
@@ -198,6 +207,7 @@
 func (board *Board) Ended(id ids.RunnerID, ending Ending, now clock.Instant) {
 	board.with(id, func(ledger *Ledger) {
 		ledger.Running = max(0, ledger.Running-1)
+		counted := ledger.waits[ending.Number].overdue
 		delete(ledger.waits, ending.Number)
 		if !ending.Began {
 			ledger.Unanswered = max(0, ledger.Unanswered-ending.Tokens)
@@ -205,10 +215,12 @@
 		if ending.Finished {
 			ledger.finished++
 			ledger.spentMS += float64(ending.Spent.Milliseconds())
-			ledger.Heard, ledger.Doubted = now, false
+			ledger.clear(now)
 		}
 		if ending.Broken {
-			ledger.failed++
+			if !counted {
+				ledger.failed++
+			}
 			ledger.doubt(now)
 		}
 	})
--- a/data/metrics/collect.go
+++ b/data/metrics/collect.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/room"
 	"onyxwell/control/scaler"
@@ -10,16 +11,16 @@
 //
 // Example:
 //
-//	report := board.Collect()
-func (board *Board) Collect() scaler.ReportAsk {
+//	report := board.Collect(now, now.Since(last))
+func (board *Board) Collect(now clock.Instant, spent clock.Span) scaler.ReportAsk {
 	var report scaler.ReportAsk
 	for index := range board.shards {
 		part := &board.shards[index]
 		part.lock.Lock()
 		for id, ledger := range part.ledgers {
-			if sample, any := ledger.collect(id); any {
+			if sample, any := ledger.collect(id, now, spent.Seconds()); any {
 				report.Samples = append(report.Samples, sample)
-			} else if ledger.Running == 0 && !ledger.Doubted {
+			} else if ledger.Running == 0 && !ledger.Doubted && (ledger.cleared == 0 || now.Since(ledger.cleared) > relapse) {
 				delete(part.ledgers, id)
 			}
 		}
@@ -37,12 +38,13 @@
 	return report
 }
 
-func (ledger *Ledger) collect(id ids.RunnerID) (scaler.Sample, bool) {
-	looks := max(1, ledger.looks)
+func (ledger *Ledger) collect(id ids.RunnerID, now clock.Instant, seconds float64) (scaler.Sample, bool) {
+	ledger.countOverdue(now)
+	part := seconds / max(1, ledger.looks)
 	sample := scaler.Sample{
 		Runner: id, Service: ledger.Service, Arrived: ledger.arrived, Finished: ledger.finished, Failed: ledger.failed,
 		Units:   ledger.units,
-		SpentMS: ledger.spentMS, Running: ledger.runningSum / looks, Pending: ledger.pendingSum / looks,
+		SpentMS: ledger.spentMS, Running: ledger.runningSum * part, Pending: ledger.pendingSum * part,
 	}
 	if ledger.Load.Slots > 0 {
 		sample.Busy = ledger.Load.Running / ledger.Load.Slots
--- a/data/metrics/metrics_test.go
+++ b/data/metrics/metrics_test.go
@@ -24,7 +24,7 @@
 	if ledger.Running != 0 || ledger.Unanswered != 0 || ledger.Load.Running != 3 || ledger.Load.Waiting != 1 || !ledger.Doubted {
 		t.Fatalf("%+v", ledger)
 	}
-	report := board.Collect()
+	report := board.Collect(machine.Now(), clock.Second)
 	samples, demands := report.Samples, report.Demands
 	if len(samples) != 1 || len(demands) != 1 || demands[0].Homes != "north," || demands[0].Arrived != 1 {
 		t.Fatalf("%+v %+v", samples, demands)
@@ -36,7 +36,7 @@
 	if sample.Arrived != 2 || sample.Finished != 1 || sample.Failed != 1 || sample.SpentMS != 200 || sample.Running != 2 || sample.Pending != 1.5 || sample.Busy != 3.0/8 || sample.Units != 150 {
 		t.Fatalf("%+v", sample)
 	}
-	if again := board.Collect(); len(again.Samples)+len(again.Demands)+len(again.Readings) != 0 {
+	if again := board.Collect(machine.Now(), clock.Second); len(again.Samples)+len(again.Demands)+len(again.Readings) != 0 {
 		t.Fatalf("counted twice: %+v", again)
 	}
 }
--- a/data/metrics/waiting.go
+++ b/data/metrics/waiting.go
@@ -43,3 +43,19 @@
 	})
 	return count, oldest
 }
+
+// overdueGoals is after how many goals a request that waits for a first sign
+// counts against its runner, though it may still end well.
+const overdueGoals = 2
+
+// countOverdue counts requests that hang: waiting for their end would tell of an
+// ill runner only when the clients have long given up.
+func (ledger *Ledger) countOverdue(now clock.Instant) {
+	for number, held := range ledger.waits {
+		if !held.overdue && held.goal > 0 && now.Since(held.since) > overdueGoals*held.goal {
+			held.overdue = true
+			ledger.waits[number] = held
+			ledger.failed++
+		}
+	}
+}
--- a/data/picture/picture.go
+++ b/data/picture/picture.go
@@ -4,6 +4,7 @@
 package picture
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -33,6 +34,8 @@
 	Refilled map[ids.Zone]clock.Instant
 	Plan     scaler.Plan
 	Planned  map[ids.RunnerID]scaler.RunnerPlan
+	// Resting are runners that failed the zone's requests, each until when.
+	Resting map[ids.RunnerID]clock.Instant
 }
 
 // Options are what a frame is made from.
@@ -91,6 +94,10 @@
 		frame.swap(func(next *Picture) bool { return absorb(frame, next, item) })
 		return
 	}
+	if strings.HasPrefix(item.Key, spread.ZonePrefix) {
+		frame.swap(func(next *Picture) bool { return frame.absorbRests(next, item.Body) })
+		return
+	}
 	if zone, found := evacuation.ZoneOf(item.Key); found {
 		frame.swap(func(next *Picture) bool { return frame.absorbZone(next, zone, item.Body) })
 	}
--- /dev/null
+++ b/data/picture/rests.go
@@ -0,0 +1,31 @@
+package picture
+
+import (
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/eject"
+)
+
+// absorbRests takes over who rests; the news comes to the own zone only.
+func (frame *Frame) absorbRests(next *Picture, body []byte) bool {
+	rests, fault := eject.Read(body)
+	if fault != nil {
+		return false
+	}
+	now := frame.options.Clock.Now()
+	next.Resting = map[ids.RunnerID]clock.Instant{}
+	for _, rest := range rests.Runners {
+		next.Resting[rest.Runner] = now.Add(clock.Span(rest.LeftMS) * clock.Millisecond)
+	}
+	return true
+}
+
+// Rests tells whether a runner is to be left alone where others are there.
+//
+// Example:
+//
+//	if seen.Rests(runner.ID, now) { keepForLast(runner) }
+func (seen *Picture) Rests(id ids.RunnerID, now clock.Instant) bool {
+	until, found := seen.Resting[id]
+	return seen.Planned[id].Resting || (found && now.Before(until))
+}
