Idle connections: how long a service's runners keep them is learnt and shared

What may run only once goes on a connection whose idle age was seen to work, or on a new one; a lapse bounds the age for all runners of the service.

--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -53,6 +53,7 @@
 	trip := relay.Trip{
 		Request: visit.sent, Runner: runner.ID, Address: runner.Address,
 		Left: visit.limit.Since(begin), Urgency: visit.route.Urgency,
+		Service: decision.Service(), Once: !visit.route.Repeatable(),
 	}
 	if visit.known {
 		trip.LastEvent = strconv.FormatInt(visit.last, 10)
@@ -86,7 +87,9 @@
 	late := visit.gone || visit.request.Context().Err() != nil || !now.Before(visit.limit)
 	ending.Broken = fate != relay.Answered && broken(result, late, ending, visit.route)
 	options.Board.Ended(runner.ID, ending, now)
-	decision.Tell(runner, fate)
+	if !result.Stale {
+		decision.Tell(runner, fate)
+	}
 	if visit.gone {
 		reply.Abort()
 	}
--- a/data/relay/connection.go
+++ b/data/relay/connection.go
@@ -14,6 +14,7 @@
 
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
+	"onyxwell/base/ids"
 )
 
 var errStale = errors.New("relay: the kept connection is too old to be trusted")
@@ -27,6 +28,15 @@
 	written atomic.Int64
 	quiet   atomic.Int64
 	host    *host
+	// next is what the request that comes next asks of the connection.
+	next atomic.Pointer[asking]
+}
+
+// asking says by what a connection's age is judged, and idle how old it was.
+type asking struct {
+	trust *trust
+	once  bool
+	idle  atomic.Int64
 }
 
 // host is what is known of one runner's address.
@@ -43,10 +53,18 @@
 
 // Write refuses to begin on a connection that was idle for too long.
 func (link *connection) Write(buffer []byte) (int, error) {
-	if keep, quiet := link.host.keep.Load(), link.quiet.Load(); keep > 0 && quiet > 0 {
-		if link.clock.Now().Since(clock.Instant(quiet)) > clock.Span(keep) {
+	if quiet := link.quiet.Load(); quiet > 0 {
+		idle := link.clock.Now().Since(clock.Instant(quiet))
+		next := link.next.Load()
+		if keep := link.host.keep.Load(); keep > 0 && idle > clock.Span(keep) {
 			return 0, errStale
 		}
+		if next != nil && !next.trust.allows(idle, next.once) {
+			return 0, errStale
+		}
+		if next != nil {
+			next.idle.Store(int64(idle))
+		}
 		link.quiet.Store(0)
 	}
 	size, fault := link.Conn.Write(buffer)
@@ -69,6 +87,7 @@
 	transport *http.Transport
 	lock      sync.Mutex
 	hosts     map[string]*host
+	trusts    map[ids.Service]*trust
 }
 
 // NewSender makes a sender.
@@ -77,7 +96,7 @@
 //
 //	sender := relay.NewSender(relay.Options{Clock: top.Clock, Dialing: dialing, Idle: 10 * clock.Second, PerHost: 64})
 func NewSender(options Options) *Sender {
-	sender := &Sender{options: options, hosts: map[string]*host{}}
+	sender := &Sender{options: options, hosts: map[string]*host{}, trusts: map[ids.Service]*trust{}}
 	sender.transport = &http.Transport{
 		DialContext:         sender.dial,
 		DisableCompression:  true,
--- a/data/relay/sender.go
+++ b/data/relay/sender.go
@@ -66,6 +66,9 @@
 	Left      clock.Span
 	Urgency   int
 	LastEvent string
+	Service   ids.Service
+	// Once says that the request may run only once.
+	Once bool
 }
 
 // Result is what came of a trip. The response is there where it was answered
@@ -74,6 +77,9 @@
 	Fate     Fate
 	Response *http.Response
 	Fault    error
+	// Stale says that nothing was sent since the kept connection was too old: the
+	// runner itself may be asked again at once.
+	Stale bool
 }
 
 // Send sends a request to a runner and waits for the head of the answer.
@@ -85,9 +91,11 @@
 	request := sender.outgoing(trip)
 	var link *connection
 	before := int64(0)
+	wanted := &asking{trust: sender.trustOf(trip.Service), once: trip.Once}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if used, known := info.Conn.(*connection); known {
 			link, before = used, used.written.Load()
+			used.next.Store(wanted)
 		}
 	}}
 	request = request.WithContext(httptrace.WithClientTrace(inner, trace))
@@ -96,10 +104,14 @@
 		// A sending whose time ended may still be on its way out.
 		untouched := link != nil && inner.Err() == nil && link.written.Load() == before
 		if link == nil || errors.Is(fault, errStale) || untouched {
-			return Result{Fate: Unsent, Fault: fault}
+			return Result{Fate: Unsent, Fault: fault, Stale: errors.Is(fault, errStale)}
+		}
+		if inner.Err() == nil {
+			wanted.trust.lapse(clock.Span(wanted.idle.Load()))
 		}
 		return Result{Fate: Doubtful, Fault: fault}
 	}
+	wanted.trust.work(clock.Span(wanted.idle.Load()))
 	sender.keep(string(trip.Address), response.Header)
 	return judge(trip, response)
 }
