--- a/base/call/dial.go
+++ b/base/call/dial.go
@@ -21,6 +21,8 @@
 	Limit clock.Span
 	// Silence is how long sent bytes may stay unconfirmed.
 	Silence clock.Span
+	// Count counts the bytes, where it is there.
+	Count *Traffic
 }
 
 // Dial opens a connection that a dead or cut-off machine can't hold for ever.
@@ -40,7 +42,11 @@
 			})
 		},
 	}
-	return dialer.DialContext(ctx, network, address)
+	link, fault := dialer.DialContext(ctx, network, address)
+	if fault != nil {
+		return nil, fault
+	}
+	return Counting(link, dialing.Count), nil
 }
 
 // Pooling says how many connections a client keeps.
--- /dev/null
+++ b/base/call/traffic.go
@@ -0,0 +1,67 @@
+package call
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts what a daemon's own calls and datagrams carry, heads included.
+type Traffic struct{ Messages, BytesIn, BytesOut atomic.Int64 }
+
+// counted is a connection whose bytes are counted.
+type counted struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read counts what comes in.
+func (link counted) Read(buffer []byte) (int, error) {
+	size, fault := link.Conn.Read(buffer)
+	link.traffic.BytesIn.Add(int64(size))
+	return size, fault
+}
+
+// Write counts what goes out.
+func (link counted) Write(buffer []byte) (int, error) {
+	size, fault := link.Conn.Write(buffer)
+	link.traffic.BytesOut.Add(int64(size))
+	return size, fault
+}
+
+// Counting counts the bytes of a connection; without a count it stays as it is.
+//
+// Example:
+//
+//	link = call.Counting(link, &daemon.Traffic)
+func Counting(link net.Conn, traffic *Traffic) net.Conn {
+	if traffic == nil {
+		return link
+	}
+	return counted{Conn: link, traffic: traffic}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept counts the bytes of what it accepts.
+func (listener countedListener) Accept() (net.Conn, error) {
+	link, fault := listener.Listener.Accept()
+	if fault != nil {
+		return nil, fault
+	}
+	return Counting(link, listener.traffic), nil
+}
+
+// CountingListener counts the bytes of all connections that it accepts.
+//
+// Example:
+//
+//	listener = call.CountingListener(listener, &daemon.Traffic)
+func CountingListener(listener net.Listener, traffic *Traffic) net.Listener {
+	if traffic == nil {
+		return listener
+	}
+	return countedListener{Listener: listener, traffic: traffic}
+}
--- a/control/courier/courier.go
+++ b/control/courier/courier.go
@@ -6,25 +6,25 @@
 
 	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
-	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 )
 
 // Courier sends messages to other daemons.
-type Courier struct{ client *http.Client }
+type Courier struct {
+	client  *http.Client
+	traffic *call.Traffic
+}
 
-// New makes a courier; the limit is how long a connection may take to come up
-// and how long a silent one is kept.
+// New makes a courier: how long a connection may take to come up, and how long
+// a silent one is kept, is in the dialing.
 //
 // Example:
 //
-//	messenger := courier.New(500*clock.Millisecond, 2*clock.Second)
-func New(limit clock.Span, silence clock.Span) *Courier {
-	return &Courier{client: call.Client(call.Pooling{
-		Dialing: call.Dialing{Limit: limit, Silence: silence}, Idle: 10 * silence, PerHost: 4,
-	})}
+//	messenger := courier.New(call.Dialing{Limit: 500 * clock.Millisecond, Silence: 2 * clock.Second})
+func New(dialing call.Dialing) *Courier {
+	return &Courier{traffic: dialing.Count, client: call.Client(call.Pooling{Dialing: dialing, Idle: 10 * dialing.Silence, PerHost: 4})}
 }
 
 type asked struct {
@@ -65,6 +65,9 @@
 	if fault != nil {
 		return nothing, fault
 	}
+	if messenger.traffic != nil {
+		messenger.traffic.Messages.Add(1)
+	}
 	answer, fault := call.Ask[told](inner, messenger.client, address, asked{name: name, body: body})
 	if fault != nil {
 		return nothing, fault
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -37,14 +37,16 @@
 	Calls     *call.Table
 	Spreader  *spread.Spreader
 	Zones     *zoneview.Watcher
-	prober    *cohort.Prober
-	tree      *suture.Supervisor
-	socket    *net.UDPConn
-	sum       scaler.Sum
-	judge     eject.Judge
-	lock      sync.Mutex
-	planned   ids.Serial
-	holder    ids.Address
+	// Traffic counts what the daemon says to others of its kind.
+	Traffic call.Traffic
+	prober  *cohort.Prober
+	tree    *suture.Supervisor
+	socket  *net.UDPConn
+	sum     scaler.Sum
+	judge   eject.Judge
+	lock    sync.Mutex
+	planned ids.Serial
+	holder  ids.Address
 }
 
 // New makes the common part for a role. Fresh is told each item of news.
@@ -67,7 +69,7 @@
 		fresh(item)
 	})
 	made.Zones.News = made.News
-	made.Messenger = courier.New(pace.Connect, pace.Silence)
+	made.Messenger = courier.New(call.Dialing{Limit: pace.Connect, Silence: pace.Silence, Count: &made.Traffic})
 	made.Calls = call.NewTable(top, settings.Limits.MemoryMB<<20/8)
 	made.Spreader = &spread.Spreader{
 		News: made.News, Table: made.Table, Messenger: made.Messenger,
@@ -88,7 +90,7 @@
 		FailureBackoff: pace.Exchange, Timeout: pace.Connect,
 		EventHook: func(event suture.Event) { top.Log.Warn().Str("part", "tree").Msg(event.String()) },
 	})
-	made.Part("inner", func(inner scope.Scope) error { return made.ServeHTTP(inner, made.Address, made.Calls) })
+	made.Part("inner", func(inner scope.Scope) error { return made.serveInner(inner) })
 	made.Part("probe", func(inner scope.Scope) error { made.prober.Run(inner); return nil })
 	made.Part("datagrams", made.receive)
 	made.serveSums()
@@ -141,6 +143,18 @@
 	if fault != nil {
 		return fault
 	}
+	return serve(inner, listener, handler)
+}
+
+func (daemon *Daemon) serveInner(inner scope.Scope) error {
+	listener, fault := net.Listen("tcp", string(daemon.Address))
+	if fault != nil {
+		return fault
+	}
+	return serve(inner, call.CountingListener(listener, &daemon.Traffic), daemon.Calls)
+}
+
+func serve(inner scope.Scope, listener net.Listener, handler http.Handler) error {
 	server := call.Server(handler, 5*clock.Second, 60*clock.Second)
 	stop := context.AfterFunc(inner, func() { _ = server.Close() })
 	defer stop()
@@ -152,6 +166,8 @@
 
 func (daemon *Daemon) send(to ids.Address, body []byte) {
 	if address, fault := net.ResolveUDPAddr("udp", string(to)); fault == nil {
+		daemon.Traffic.Messages.Add(1)
+		daemon.Traffic.BytesOut.Add(int64(len(body)))
 		_, _ = daemon.socket.WriteToUDP(body, address)
 	}
 }
@@ -165,6 +181,7 @@
 		if fault != nil {
 			return fault
 		}
+		daemon.Traffic.BytesIn.Add(int64(size))
 		daemon.prober.Take(inner, buffer[:size])
 	}
 }
--- a/control/operator/operator_test.go
+++ b/control/operator/operator_test.go
@@ -70,7 +70,7 @@
 	})
 	front = desk.New(desk.Options{
 		Address: "a", Keeper: keeper, Acceptor: voter, Table: cohort.NewTable(machine, cohort.Member{Address: "a"}),
-		News: made.news, Messenger: courier.New(clock.Second, clock.Second), Pass: 4, Limit: clock.Second,
+		News: made.news, Messenger: courier.New(call.Dialing{Limit: clock.Second, Silence: clock.Second}), Pass: 4, Limit: clock.Second,
 		Pause: func() clock.Span { return 0 },
 	})
 	calls := call.NewTable(top, 4000)
