--- /dev/null
+++ b/scale/operator.go
@@ -0,0 +1,104 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// operator sends configurations to one controller after another.
+type operator struct {
+	places  places
+	client  http.Client
+	version int
+	next    int
+}
+
+// sent is a change that was acknowledged.
+type sent struct {
+	serial ids.Serial
+	asked  time.Time
+	acked  time.Time
+}
+
+func newOperator(places places) *operator {
+	return &operator{places: places, client: http.Client{Timeout: clock.Second}}
+}
+
+func (operator *operator) send(ctx context.Context, method string, body []byte, version int) (sent, error) {
+	var last error
+	begin := time.Now()
+	for range 40 {
+		zone := operator.places.zones[operator.next%len(operator.places.zones)]
+		operator.next++
+		url := fmt.Sprintf("http://%s:%d/settings", ip(zone, 0), controlPort)
+		request, fault := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+		if fault != nil {
+			return sent{}, fault
+		}
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("If-Match", strconv.Itoa(operator.version))
+		response, fault := operator.client.Do(request)
+		if fault == nil {
+			text, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				operator.version = version
+				return sent{serial: ids.Serial(version), asked: begin, acked: time.Now()}, nil
+			}
+			fault = fmt.Errorf("%s answered %d: %s", url, response.StatusCode, text)
+		}
+		last = fault
+		select {
+		case <-ctx.Done():
+			return sent{}, ctx.Err()
+		case <-time.After(250 * clock.Millisecond):
+		}
+	}
+	return sent{}, last
+}
+
+// first sends the first configuration, whole.
+func (operator *operator) first(ctx context.Context) (sent, error) {
+	body, fault := document(operator.places.size, 1)
+	if fault != nil {
+		return sent{}, fault
+	}
+	return operator.send(ctx, http.MethodPut, body, 1)
+}
+
+// changes sends changes at the size's rate until the time is over.
+func (operator *operator) changes(ctx context.Context) ([]sent, error) {
+	var all []sent
+	if operator.places.size.ChangesPerS <= 0 {
+		<-ctx.Done()
+		return nil, nil
+	}
+	ticker := time.NewTicker(clock.Span(float64(clock.Second) / operator.places.size.ChangesPerS))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return all, nil
+		case <-ticker.C:
+			body, fault := change(operator.places.size, operator.version+1)
+			if fault != nil {
+				return all, fault
+			}
+			one, fault := operator.send(ctx, http.MethodPatch, body, operator.version+1)
+			if fault != nil && ctx.Err() == nil {
+				return all, fault
+			}
+			if fault == nil {
+				all = append(all, one)
+			}
+		}
+	}
+}
