--- a/base/boot/check.go
+++ b/base/boot/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"onyxwell/base/ids"
@@ -39,6 +41,13 @@
 	return found
 }
 
+// ZoneNames gives the names of all zones in order.
+//
+// Example:
+//
+//	for _, zone := range settings.ZoneNames() { show(zone) }
+func (settings *Boot) ZoneNames() []ids.Zone { return slices.Sorted(maps.Keys(settings.Zones)) }
+
 type check struct {
 	holds func(*Boot) bool
 	text  string
--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -121,6 +121,7 @@
 	orders := call.NewTable(top, top.Boot.Limits.MemoryMB<<20/16)
 	operator.Serve(orders, made.front)
 	operator.ServeRoom(orders, common.News)
+	made.serveStatus(orders)
 	common.Part("control", func(inner scope.Scope) error {
 		return common.ServeHTTP(inner, top.Boot.Listen["control"], orders)
 	})
--- a/control/hold/hold.go
+++ b/control/hold/hold.go
@@ -115,6 +115,13 @@
 //	holder := hold.NewHolder(hold.Options{Duty: "census", Address: address, Span: span, Ask: ask, Epoch: epoch})
 func NewHolder(options Options) *Holder { return &Holder{options: options} }
 
+// Duty names what is held.
+//
+// Example:
+//
+//	shown[holder.Duty()] = held
+func (holder *Holder) Duty() string { return holder.options.Duty }
+
 // Held tells whether the duty is this daemon's now, and under which epoch.
 //
 // Example:
--- a/control/zoneview/sizes.go
+++ b/control/zoneview/sizes.go
@@ -117,9 +117,9 @@
 
 // Region sums up the routers of a region, those that are gone too.
 type Region struct {
-	Name  ids.Region
-	Known int64
-	Ready int64
+	Name  ids.Region `json:"region"`
+	Known int64      `json:"routers_known"`
+	Ready int64      `json:"routers_ready"`
 }
 
 // Regions counts the routers of each region.
