Work grouped by learnt length where short calls suffer

An estimator per region learns from routers' reports how long answers of a kind take; where short calls begin slowly, the plan gives short and long answers runners of their own by their parts of the work. Work-conserving: a group that is much fuller borrows; grouping never refuses.

--- a/base/boot/boot.go
+++ b/base/boot/boot.go
@@ -42,6 +42,8 @@
 	Tolerate    Tolerate                `toml:"tolerate"`
 	Bounds      Bounds                  `toml:"bounds"`
 	Platform    Platform                `toml:"cloud_api"`
+	// Grouping is of the command line.
+	Grouping bool `toml:"-"`
 }
 
 // Limits are what the machine allows the process.
--- a/cmd/fleet-controller/plan.go
+++ b/cmd/fleet-controller/plan.go
@@ -23,7 +23,7 @@
 		made.scaler = scaler.New(scaler.Options{
 			Address: made.common.Address, News: made.common.News, Held: holder.Held,
 			Runners: func() []scaler.Listed { return made.runners(top) }, Serial: census.SerialOf,
-			Window: metricWindow, Step: metricStep, Pace: planPace,
+			Window: metricWindow, Step: metricStep, Pace: planPace, Grouping: top.Boot.Grouping,
 		})
 		made.scaler.Serve(made.common.Calls)
 		made.common.Part("room", func(inner scope.Scope) error { made.estimate(inner, holder); return nil })
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -61,7 +61,7 @@
 
 func build(top scope.Scope) (*router, error) {
 	made := &router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New(chance)}
-	made.frame = picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones, Listed: made.listed(top)})
+	made.frame = picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones, Region: top.Boot.Region, Listed: made.listed(top)})
 	var fault error
 	made.common, fault = daemon.New(top, role, made.frame.Absorb)
 	if fault != nil {
--- /dev/null
+++ b/control/lengths/table.go
@@ -0,0 +1,80 @@
+package lengths
+
+import "onyxwell/base/ids"
+
+// Table looks expectations up: it is what the planner told back, as a router
+// reads it.
+type Table struct {
+	exact map[Kind]float64
+	// loose stands for kinds that were not seen: the mean of their service's
+	// prompts of that length.
+	loose  map[Kind]mean
+	splits map[ids.Service]Split
+}
+
+type mean struct{ sum, count float64 }
+
+// NewTable makes a table of a region's expectations.
+//
+// Example:
+//
+//	table := lengths.NewTable(plan.Expected, plan.Splits)
+func NewTable(told []Expected, splits []Split) *Table {
+	made := &Table{exact: map[Kind]float64{}, loose: map[Kind]mean{}, splits: map[ids.Service]Split{}}
+	for _, expected := range told {
+		made.exact[expected.Kind] = expected.MS
+		any := Kind{Service: expected.Kind.Service, Bucket: expected.Kind.Bucket}
+		made.loose[any] = mean{sum: made.loose[any].sum + expected.MS, count: made.loose[any].count + 1}
+	}
+	for _, split := range splits {
+		made.splits[split.Service] = split
+	}
+	return made
+}
+
+// Class is the group of work that a request belongs to.
+type Class int64
+
+// The classes. A request of unknown length goes anywhere.
+const (
+	Unknown Class = iota
+	Short
+	Long
+)
+
+// Expect tells how long a kind of answer is expected to take: by its own past,
+// else by that of other routes of the service with prompts as long.
+//
+// Example:
+//
+//	milliseconds, known := table.Expect(kind)
+func (table *Table) Expect(kind Kind) (float64, bool) {
+	if table == nil || kind.Bucket == 0 {
+		return 0, false
+	}
+	if exact, found := table.exact[kind]; found {
+		return exact, true
+	}
+	loose, found := table.loose[Kind{Service: kind.Service, Bucket: kind.Bucket}]
+	return loose.sum / max(1, loose.count), found
+}
+
+// Class gives the class of a kind of request.
+//
+// Example:
+//
+//	if table.Class(kind) == lengths.Long { useLongRunners() }
+func (table *Table) Class(kind Kind) Class {
+	expected, known := table.Expect(kind)
+	if !known {
+		return Unknown
+	}
+	split, apart := table.splits[kind.Service]
+	if !apart {
+		return Unknown
+	}
+	if expected >= split.CutMS {
+		return Long
+	}
+	return Short
+}
--- a/control/scaler/make.go
+++ b/control/scaler/make.go
@@ -63,6 +63,7 @@
 			plan.Flows = append(plan.Flows, share(scaler.window.demand, service, supplies[service])...)
 		}
 	}
+	scaler.group(&plan, runners)
 	for index := range plan.Flows {
 		plan.Flows[index].Share = round(plan.Flows[index].Share)
 	}
--- a/control/scaler/plan.go
+++ b/control/scaler/plan.go
@@ -6,6 +6,7 @@
 import (
 	"onyxwell/base/ids"
 	"onyxwell/control/courier"
+	"onyxwell/control/lengths"
 	"onyxwell/control/room"
 )
 
@@ -18,6 +19,15 @@
 	Runners  []RunnerPlan
 	Flows    []Flow
 	Replicas []Replicas
+	// Lengths are how long answers take in each region, told back to its routers.
+	Lengths []RegionLengths
+}
+
+// RegionLengths is what was learnt of a region's answers.
+type RegionLengths struct {
+	Region   ids.Region
+	Expected []lengths.Expected
+	Splits   []lengths.Split
 }
 
 // RunnerPlan is the plan for one runner.
@@ -31,6 +41,9 @@
 	Memory float64
 	// Weight is its share in routing.
 	Weight float64
+	// Group is the class of requests that it takes first, if its region's are
+	// grouped by length.
+	Group lengths.Class
 	// Resting takes it out of rotation while it is looked at.
 	Resting bool
 }
@@ -88,6 +101,8 @@
 	Demands []Demand
 	// Readings are how long first answers took.
 	Readings []room.Reading
+	// Lengths are how long whole answers took, by kind.
+	Lengths []lengths.Sum
 }
 
 // ReportTold answers it.
--- a/control/scaler/scaler.go
+++ b/control/scaler/scaler.go
@@ -8,6 +8,7 @@
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
+	"onyxwell/control/lengths"
 	"onyxwell/control/room"
 	"onyxwell/control/spread"
 )
@@ -37,6 +38,8 @@
 	Step   clock.Span
 	// Pace is how many steps pass between two plans that nothing hurries.
 	Pace int
+	// Grouping has runners grouped by the length of the work that they take.
+	Grouping bool
 }
 
 // Scaler plans while it holds the duty.
@@ -47,6 +50,7 @@
 	profiles map[ids.Service]*Profile
 	last     map[ids.RunnerID]RunnerPlan
 	resting  map[ids.RunnerID]int
+	lengths  map[ids.Region]*lengths.Estimator
 	counter  int64
 	steps    int
 	told     []byte
@@ -70,6 +74,7 @@
 	scaler.profiles = map[ids.Service]*Profile{}
 	scaler.last = map[ids.RunnerID]RunnerPlan{}
 	scaler.resting = map[ids.RunnerID]int{}
+	scaler.lengths = map[ids.Region]*lengths.Estimator{}
 	scaler.steps, scaler.told, scaler.ready = 0, nil, ""
 }
 
@@ -97,6 +102,7 @@
 	scaler.lock.Lock()
 	defer scaler.lock.Unlock()
 	scaler.window.take(report)
+	scaler.learnLengths(report)
 }
 
 // Run looks at the metrics once a step until the scope ends.
@@ -132,6 +138,9 @@
 		scaler.inherit()
 	}
 	scaler.window.close(now, spent)
+	for _, known := range scaler.lengths {
+		known.Age(spent.Seconds())
+	}
 	hit := scaler.detect()
 	runners := scaler.options.Runners()
 	changed := scaler.changed(runners)
--- a/control/scaler/sum.go
+++ b/control/scaler/sum.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"onyxwell/base/ids"
+	"onyxwell/control/lengths"
 	"onyxwell/control/room"
 )
 
@@ -14,6 +15,7 @@
 	samples  map[ids.RunnerID]Sample
 	demands  map[demandKey]Demand
 	readings map[readingKey]room.Reading
+	lengths  map[lengths.Kind]lengths.Sum
 	region   ids.Region
 }
 
@@ -27,7 +29,7 @@
 	defer sum.lock.Unlock()
 	if sum.samples == nil {
 		sum.samples, sum.demands = map[ids.RunnerID]Sample{}, map[demandKey]Demand{}
-		sum.readings = map[readingKey]room.Reading{}
+		sum.readings, sum.lengths = map[readingKey]room.Reading{}, map[lengths.Kind]lengths.Sum{}
 	}
 	sum.region = report.Region
 	for _, sample := range report.Samples {
@@ -42,6 +44,9 @@
 		key := readingKey{service: reading.Service, route: reading.Route}
 		sum.readings[key] = sum.readings[key].Plus(reading)
 	}
+	for _, seen := range report.Lengths {
+		sum.lengths[seen.Kind] = seen.Plus(sum.lengths[seen.Kind])
+	}
 }
 
 // plus joins what two routers saw of one runner: counts add up, of what the
@@ -77,7 +82,10 @@
 	for _, reading := range sum.readings {
 		report.Readings = append(report.Readings, reading)
 	}
+	for _, seen := range sum.lengths {
+		report.Lengths = append(report.Lengths, seen)
+	}
 	any := sum.samples != nil
-	sum.samples, sum.demands, sum.readings = nil, nil, nil
+	sum.samples, sum.demands, sum.readings, sum.lengths = nil, nil, nil, nil
 	return report, any
 }
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -5,8 +5,10 @@
 	"strconv"
 
 	"onyxwell/base/boot"
+	"onyxwell/base/clock"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
+	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
 	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
@@ -55,7 +57,8 @@
 		Left: visit.limit.Since(begin), Urgency: visit.route.Urgency,
 		Service: decision.Service(), Once: !visit.route.Repeatable(),
 	}
-	if visit.known {
+	resumed := visit.known
+	if resumed {
 		trip.LastEvent = strconv.FormatInt(visit.last, 10)
 	}
 	number := visit.front.number.Add(1)
@@ -66,10 +69,13 @@
 	ending := metrics.Ending{Number: number, Tokens: visit.asking.Tokens}
 	result := options.Sender.Send(inner, trip)
 	visit.hear(runner, result.Response)
-	fate, over := result.Fate, false
+	fate, over, slow := result.Fate, false, 0.0
 	if result.Fate == relay.Answered {
 		ending.Began = true
 		first := inner.Now()
+		if first.Since(visit.since) > visit.route.Goal()/2 {
+			slow = 1
+		}
 		options.Board.Began(runner.ID, number, visit.asking.Tokens, first)
 		if visit.asking.Tokens > 0 && !visit.known {
 			options.Board.Read(decision.Service(), visit.route.Name, visit.asking.Tokens, first.Since(begin))
@@ -84,6 +90,9 @@
 	if ending.Finished && visit.asking.Tokens == 0 {
 		options.Board.Read(decision.Service(), visit.route.Name, 1, ending.Spent)
 	}
+	if ending.Finished && !resumed {
+		options.Board.Took(visit.answered(decision, ending.Spent, slow))
+	}
 	late := visit.gone || visit.request.Context().Err() != nil || !now.Before(visit.limit)
 	ending.Broken = fate != relay.Answered && broken(result, late, ending, visit.route)
 	options.Board.Ended(runner.ID, ending, now)
@@ -96,6 +105,14 @@
 	return over
 }
 
+// answered is what the length of answers is learnt from.
+func (visit *visit) answered(decision *letin.Decision, spent clock.Span, slow float64) lengths.Sum {
+	return lengths.Sum{
+		Kind: decision.Kind(), Count: 1, SpentMS: float64(spent) / float64(clock.Millisecond),
+		Tokens: max(0, visit.asking.Tokens-visit.asking.Shared), Slow: slow,
+	}
+}
+
 // broken tells whether a fate speaks against the runner: one that only turned
 // a request away is well; one that was silent for longer than an answer's goal
 // is not.
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -124,6 +124,7 @@
 	visit.asking = letin.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
 	visit.asking.Bytes = len(body)
 	visit.asking.Prompt(visit.request.Header.Get(relay.PrefixHeader))
+	visit.asking.Counted(visit.request.Header.Get(relay.CountHeader))
 	if after := visit.request.Header.Get(relay.LastEventField); after != "" {
 		visit.last, fault = strconv.ParseInt(after, 10, 64)
 		visit.known = fault == nil
--- a/data/letin/choose.go
+++ b/data/letin/choose.go
@@ -6,6 +6,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
 	"onyxwell/data/picture"
 )
@@ -15,7 +16,8 @@
 	runner *picture.Runner
 	weight float64
 	// load is how many requests it has for each that it can run at once.
-	load float64
+	load  float64
+	group lengths.Class
 }
 
 // choose picks the runner for the next sending. Where none is open now but one
@@ -39,6 +41,7 @@
 	if !keyed || !travels(decision.asking) {
 		found = gate.region(seen, decision, found)
 	}
+	found = gate.group(seen, decision, found)
 	if keyed {
 		return rendezvous(found, key).runner, 0
 	}
@@ -80,7 +83,7 @@
 		}
 		slots := math.Max(1, float64(runner.Capacity))
 		told := ledger.Load.Running + ledger.Load.Waiting
-		able := candidate{runner: runner, weight: weight, load: math.Max(told+ledger.Load.Sent, ledger.Running) / slots}
+		able := candidate{runner: runner, weight: weight, load: math.Max(told+ledger.Load.Sent, ledger.Running) / slots, group: planned.Group}
 		if seen.Rests(runner.ID, now) {
 			resting = append(resting, able)
 		} else {
--- a/data/letin/gate.go
+++ b/data/letin/gate.go
@@ -9,6 +9,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
+	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
 	"onyxwell/data/budget"
 	"onyxwell/data/metrics"
@@ -52,6 +53,8 @@
 	Tokens float64
 	Shared float64
 	Bytes  int
+	// Length is the prompt's tokens as the request tells them; 0 is unknown.
+	Length float64
 	Since  clock.Instant
 	Limit  clock.Instant
 }
@@ -75,6 +78,30 @@
 	asking.Shared = asking.Tokens - own
 }
 
+// Counted reads the tokens of the prompt and the most out, as the request tells
+// them. What is absent or broken leaves the length unknown; it refuses nothing.
+//
+// Example:
+//
+//	asking.Counted("1460,80")
+func (asking *Asking) Counted(text string) {
+	prompt, _, _ := strings.Cut(text, ",")
+	if tokens, fault := strconv.ParseFloat(strings.TrimSpace(prompt), 64); fault == nil && tokens > 0 && tokens < 1e9 {
+		asking.Length = tokens
+	}
+}
+
+// Kind is what the request is told apart by before it runs.
+//
+// Example:
+//
+//	board.Took(decision.Kind(), spent, tokens)
+func (decision *Decision) Kind() lengths.Kind {
+	return lengths.Kind{
+		Service: decision.service, Route: decision.asking.Route.Name, Bucket: lengths.BucketOf(decision.asking.Length),
+	}
+}
+
 // Begin opens the decision on a request.
 //
 // Example:
--- /dev/null
+++ b/data/letin/group.go
@@ -0,0 +1,54 @@
+package letin
+
+import (
+	"onyxwell/control/lengths"
+	"onyxwell/data/picture"
+)
+
+const (
+	// shortBorrows is by how much fuller its own group must be before a short
+	// request goes to a runner of the long one; a long request borrows only where
+	// its own group is longBorrows times as full, and by longSlack.
+	shortBorrows = 0.1
+	longBorrows  = 2.0
+	longSlack    = 0.25
+)
+
+// group narrows the choice to the runners that take requests of this length
+// first. Where these are much fuller than the others, or none is left, all are
+// there to choose from: grouping never makes a runner stand idle beside a queue,
+// and never refuses.
+func (gate *Gate) group(seen *picture.Picture, decision *Decision, found []candidate) []candidate {
+	class := seen.Lengths.Class(decision.Kind())
+	if class == lengths.Unknown {
+		return found
+	}
+	var own, others []candidate
+	for _, able := range found {
+		if able.group == lengths.Unknown || able.group == class {
+			own = append(own, able)
+		} else {
+			others = append(others, able)
+		}
+	}
+	if len(own) == 0 || len(others) == 0 {
+		return found
+	}
+	here, there := leastLoad(own), leastLoad(others)
+	borrows := map[lengths.Class]bool{
+		lengths.Short: here > there+shortBorrows,
+		lengths.Long:  here > longBorrows*there+longSlack,
+	}
+	if borrows[class] {
+		return found
+	}
+	return own
+}
+
+func leastLoad(found []candidate) float64 {
+	least := found[0].load
+	for _, able := range found {
+		least = min(least, able.load)
+	}
+	return least
+}
--- a/data/metrics/board.go
+++ b/data/metrics/board.go
@@ -8,6 +8,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/control/lengths"
 	"onyxwell/control/room"
 )
 
@@ -65,6 +66,7 @@
 	demand shard
 	wanted map[demandKey]float64
 	read   map[readingKey]room.Reading
+	took   map[lengths.Kind]lengths.Sum
 }
 
 type readingKey struct {
@@ -88,7 +90,7 @@
 //
 //	board := metrics.NewBoard()
 func NewBoard() *Board {
-	board := &Board{seed: maphash.MakeSeed(), wanted: map[demandKey]float64{}, read: map[readingKey]room.Reading{}}
+	board := &Board{seed: maphash.MakeSeed(), wanted: map[demandKey]float64{}, read: map[readingKey]room.Reading{}, took: map[lengths.Kind]lengths.Sum{}}
 	for index := range board.shards {
 		board.shards[index].ledgers = map[ids.RunnerID]*Ledger{}
 	}
--- a/data/metrics/collect.go
+++ b/data/metrics/collect.go
@@ -3,6 +3,7 @@
 import (
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/control/lengths"
 	"onyxwell/control/room"
 	"onyxwell/control/scaler"
 )
@@ -34,10 +35,26 @@
 	for _, reading := range board.read {
 		report.Readings = append(report.Readings, reading)
 	}
+	for _, sum := range board.took {
+		report.Lengths = append(report.Lengths, sum)
+	}
 	board.wanted, board.read = map[demandKey]float64{}, map[readingKey]room.Reading{}
+	board.took = map[lengths.Kind]lengths.Sum{}
 	return report
 }
 
+// Took notes a whole answer: its kind, how long it took, how many tokens had to
+// be read for it, and whether it began slowly.
+//
+// Example:
+//
+//	board.Took(lengths.Sum{Kind: kind, Count: 1, SpentMS: 130, Tokens: 1800})
+func (board *Board) Took(answer lengths.Sum) {
+	board.demand.lock.Lock()
+	defer board.demand.lock.Unlock()
+	board.took[answer.Kind] = answer.Plus(board.took[answer.Kind])
+}
+
 func (ledger *Ledger) collect(id ids.RunnerID, now clock.Instant, seconds float64) (scaler.Sample, bool) {
 	ledger.countOverdue(now)
 	part := seconds / max(1, ledger.looks)
--- a/data/picture/picture.go
+++ b/data/picture/picture.go
@@ -13,6 +13,7 @@
 	"onyxwell/control/census"
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
+	"onyxwell/control/lengths"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
@@ -36,12 +37,16 @@
 	Planned  map[ids.RunnerID]scaler.RunnerPlan
 	// Resting are runners that failed the zone's requests, each until when.
 	Resting map[ids.RunnerID]clock.Instant
+	// Lengths are how long answers take in this region.
+	Lengths *lengths.Table
 }
 
 // Options are what a frame is made from.
 type Options struct {
 	Clock clock.Clock
 	Zones map[ids.Zone]ids.Region
+	// Region is the router's own.
+	Region ids.Region
 	// Listed is told each new list, before it is acted on.
 	Listed func(seen *Picture)
 }
@@ -141,7 +146,7 @@
 		next.Census = frame.options.Clock.Now()
 		return true
 	},
-	scaler.Key: func(_ *Frame, next *Picture, item spread.Item) bool {
+	scaler.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
 		plan, fault := scaler.ReadPlan(item.Body)
 		if fault != nil {
 			return false
@@ -150,6 +155,12 @@
 		for _, planned := range plan.Runners {
 			next.Planned[planned.Runner] = planned
 		}
+		next.Lengths = nil
+		for _, learnt := range plan.Lengths {
+			if learnt.Region == frame.options.Region {
+				next.Lengths = lengths.NewTable(learnt.Expected, learnt.Splits)
+			}
+		}
 		return true
 	},
 }
--- a/data/relay/sender.go
+++ b/data/relay/sender.go
@@ -28,6 +28,7 @@
 	RunnerHeader   = "Onyxwell-Server-Id"
 	ColdHeader     = "Onyxwell-Cold-Ms"
 	PrefixHeader   = "Onyxwell-Prompt-Prefix"
+	CountHeader    = "Onyxwell-Token-Count"
 	LastEventField = "Last-Event-Id"
 )
 
