--- /dev/null
+++ b/base/pack/pack_test.go
@@ -0,0 +1,38 @@
+package pack
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"onyxwell/base/fixed"
+)
+
+func TestMain(tests *testing.M) { fixed.Run(tests) }
+
+func TestWhatIsPackedComesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := bytes.Repeat(rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "piece"), rapid.IntRange(0, 100).Draw(t, "times"))
+		small, packed := Pack(body)
+		if len(small) > len(body) {
+			t.Fatalf("%d bytes became %d", len(body), len(small))
+		}
+		if back, fault := Unpack(small, packed); fault != nil || !bytes.Equal(back, body) {
+			t.Fatalf("%v", fault)
+		}
+	})
+}
+
+func TestBrokenBodiesAreErrors(t *testing.T) {
+	small, packed := Pack(bytes.Repeat([]byte("a long body "), 500))
+	if !packed || len(small) > 600 {
+		t.Fatalf("%d bytes", len(small))
+	}
+	if _, fault := Unpack(small[:len(small)/2], true); fault == nil {
+		t.Fatal("half a body is a whole one")
+	}
+	if _, fault := Unpack([]byte("no deflate at all"), true); fault == nil {
+		t.Fatal("any bytes are a body")
+	}
+}
--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -135,7 +135,7 @@
 // a key, and would take it over for each call. While voters give no clear
 // answer, the next is asked.
 func (desk *Desk) forward(inner scope.Scope, order Order) ([]byte, error) {
-	order.Forwarded = true
+	order.Forwarded, order.Change = true, order.Change.Packing()
 	seats := desk.options.Acceptor.Voters().Seats
 	for _, index := range rand.Perm(len(seats)) {
 		member, known := desk.options.Table.Find(seats[index].Address)
@@ -155,6 +155,7 @@
 func (desk *Desk) pass(inner scope.Scope, owner ids.Address, order Order) (Outcome, error) {
 	brief, release := inner.WithLimit(desk.options.Pass)
 	defer release()
+	order.Change = order.Change.Packing()
 	return courier.Send[Outcome](brief, desk.options.Messenger, owner, "order", order)
 }
 
@@ -228,17 +229,18 @@
 	if read == nil || len(value) == 0 {
 		return spread.Item{}, false
 	}
-	serial, body, fault := read(value)
-	return spread.Item{Key: key, Serial: serial, Body: body}, fault == nil && serial > 0
+	item, fault := read(value)
+	item.Key = key
+	return item, fault == nil && item.Serial > 0
 }
 
-var publishers = map[string]func([]byte) (ids.Serial, []byte, error){
-	spec.Key: func(value []byte) (ids.Serial, []byte, error) {
-		kept, fault := revision.ReadKept(value)
-		return kept.Serial, kept.Document, fault
+var publishers = map[string]func([]byte) (spread.Item, error){
+	spec.Key: func(value []byte) (spread.Item, error) {
+		kept, fault := revision.Travelling(value)
+		return spread.Item{Serial: kept.Serial, Body: kept.Document, Packed: kept.Packed}, fault
 	},
-	"evacuation": func(value []byte) (ids.Serial, []byte, error) {
+	"evacuation": func(value []byte) (spread.Item, error) {
 		kept, fault := evacuation.Read(value)
-		return kept.Serial, value, fault
+		return spread.Item{Serial: kept.Serial, Body: value}, fault
 	},
 }
--- a/control/revision/keep.go
+++ b/control/revision/keep.go
@@ -7,6 +7,7 @@
 
 	"onyxwell/base/breakdown"
 	"onyxwell/base/ids"
+	"onyxwell/base/pack"
 	"onyxwell/control/courier"
 )
 
@@ -16,8 +17,10 @@
 // Kept is the value of the register: the document in force, and which changes
 // were taken lately.
 type Kept struct {
-	Serial   ids.Serial
+	Serial ids.Serial
+	// Document is the text, or what it packs to.
 	Document []byte
+	Packed   bool
 	Recent   []Taken
 }
 
@@ -32,6 +35,20 @@
 	Whole bool
 	Match ids.Serial
 	Body  []byte
+	// Packed says that the body is as it travels between controllers.
+	Packed bool
+}
+
+// Packing gives the change as it travels between controllers.
+//
+// Example:
+//
+//	order.Change = order.Change.Packing()
+func (change Change) Packing() Change {
+	if !change.Packed {
+		change.Body, change.Packed = pack.Pack(change.Body)
+	}
+	return change
 }
 
 func (change Change) digest() []byte {
@@ -48,13 +65,12 @@
 //
 //	value, fault := keeper.Change(short, spec.Key, change.Step)
 func (change Change) Step(current []byte) ([]byte, error) {
-	kept := Kept{}
-	if len(current) > 0 {
-		read, fault := courier.Unpack[Kept](current)
-		if fault != nil {
-			return nil, breakdown.Of(breakdown.Internal, "kept spec: %v", fault)
-		}
-		kept = read
+	kept, fault := ReadKept(current)
+	if fault != nil {
+		return nil, breakdown.Of(breakdown.Internal, "kept spec: %v", fault)
+	}
+	if change.Body, fault = pack.Unpack(change.Body, change.Packed); fault != nil {
+		return nil, breakdown.Of(breakdown.BadRequest, "packed change: %v", fault)
 	}
 	digest := change.digest()
 	for _, taken := range kept.Recent {
@@ -80,7 +96,8 @@
 	if checked.Serial <= kept.Serial {
 		return nil, breakdown.Of(breakdown.BadSpec, "config_version: %d is not above %d", checked.Serial, kept.Serial)
 	}
-	kept.Serial, kept.Document = checked.Serial, document
+	kept.Serial = checked.Serial
+	kept.Document, kept.Packed = pack.Pack(document)
 	kept.Recent = append(kept.Recent, Taken{Serial: checked.Serial, Digest: digest})
 	if surplus := len(kept.Recent) - recentLimit; surplus > 0 {
 		kept.Recent = kept.Recent[surplus:]
@@ -88,12 +105,27 @@
 	return courier.Pack(kept)
 }
 
-// ReadKept reads the register's value.
+// ReadKept reads the register's value with its document as text.
 //
 // Example:
 //
 //	kept, fault := revision.ReadKept(value)
 func ReadKept(value []byte) (Kept, error) {
+	kept, fault := Travelling(value)
+	if fault != nil {
+		return Kept{}, fault
+	}
+	kept.Document, fault = pack.Unpack(kept.Document, kept.Packed)
+	kept.Packed = false
+	return kept, fault
+}
+
+// Travelling reads the register's value and leaves its document as it is kept.
+//
+// Example:
+//
+//	kept, fault := revision.Travelling(value)
+func Travelling(value []byte) (Kept, error) {
 	if len(value) == 0 {
 		return Kept{}, nil
 	}
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"onyxwell/base/ids"
+	"onyxwell/base/pack"
 	"onyxwell/control/cohort"
 )
 
@@ -67,17 +68,30 @@
 //
 //	news.Put(spread.Item{Key: "spec", Serial: 7, Body: document})
 func (news *News) Put(item Item) bool {
-	return news.take(held{Item: item, wire: packed(item)}, news.own)
+	if known, found := news.Get(item.Key); found && item.Serial <= known.Serial {
+		return false
+	}
+	if item.Packed {
+		return news.hear(item, news.own)
+	}
+	wire := item
+	wire.Body, wire.Packed = pack.Pack(item.Body)
+	return news.take(held{Item: item, wire: wire}, news.own)
 }
 
 // hear takes an item that came from another daemon. One that can't be unpacked
 // is dropped. Only what came by comparing digests wakes this daemon: what was
 // pushed is on its way to the others already.
 func (news *News) hear(item Item, wake chan struct{}) bool {
-	plain, fault := unpacked(item)
+	if known, found := news.Get(item.Key); found && item.Serial <= known.Serial {
+		return false
+	}
+	plain := item
+	body, fault := pack.Unpack(item.Body, item.Packed)
 	if fault != nil {
 		return false
 	}
+	plain.Body, plain.Packed = body, false
 	return news.take(held{Item: plain, wire: item}, wake)
 }
 
