--- a/cmd/router/doubt.go
+++ b/cmd/router/doubt.go
@@ -11,8 +11,8 @@
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
+	"onyxwell/data/forward"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 )
 
 // health asks a runner whether it is well.
@@ -34,8 +34,8 @@
 func (told *condition) Hear(heard call.Heard) error {
 	full := heard.Status == http.StatusServiceUnavailable && heard.Header.Get(reply.NotRunHeader) != ""
 	told.ill = heard.Status != http.StatusOK && !full
-	told.id = ids.RunnerID(heard.Header.Get(relay.RunnerHeader))
-	if left, fault := strconv.ParseFloat(heard.Header.Get(relay.ColdHeader), 64); fault == nil {
+	told.id = ids.RunnerID(heard.Header.Get(forward.RunnerHeader))
+	if left, fault := strconv.ParseFloat(heard.Header.Get(forward.ColdHeader), 64); fault == nil {
 		told.cold = boot.Milliseconds(left)
 	}
 	return nil
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -17,10 +17,10 @@
 	"onyxwell/control/daemon"
 	"onyxwell/data/answer"
 	"onyxwell/data/budget"
+	"onyxwell/data/forward"
 	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 	"onyxwell/data/warmth"
 )
 
@@ -75,7 +75,7 @@
 		Scope: top, Frame: made.frame, Board: made.board, Budget: tries, Warmth: made.warmth,
 		Region: top.Boot.Region, Sharers: made.common.Zones.Sharers, Routers: made.sharers, Chance: chance,
 	})
-	sender := relay.NewSender(relay.Options{
+	sender := forward.NewSender(forward.Options{
 		Clock: top.Clock, Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence},
 		Idle: 8 * made.pace.Silence, PerHost: top.Boot.Limits.OpenFiles / 64,
 	})
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -10,10 +10,10 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
+	"onyxwell/data/forward"
 	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 )
 
 // acts are what the executor can do; each tells whether the visit is over.
@@ -52,7 +52,7 @@
 	if !decision.Holds(runner, begin) {
 		return false
 	}
-	trip := relay.Trip{
+	trip := forward.Trip{
 		Request: visit.sent, Runner: runner.ID, Address: runner.Address,
 		Left: visit.limit.Since(begin), Urgency: visit.route.Urgency,
 		Service: decision.Service(), Once: !visit.route.Repeatable(),
@@ -70,7 +70,7 @@
 	result := options.Sender.Send(inner, trip)
 	visit.hear(runner, result.Response)
 	fate, over, slow := result.Fate, false, 0.0
-	if result.Fate == relay.Answered {
+	if result.Fate == forward.Answered {
 		ending.Began = true
 		first := inner.Now()
 		if first.Since(visit.since) > visit.route.Goal()/2 {
@@ -82,10 +82,10 @@
 		}
 		fate, over = visit.pass(inner, runner, result.Response)
 	} else {
-		relay.Discard(result.Response)
+		forward.Discard(result.Response)
 	}
 	now := inner.Now()
-	ending.Finished = fate == relay.Answered
+	ending.Finished = fate == forward.Answered
 	ending.Spent = now.Since(begin)
 	if ending.Finished && visit.asking.Tokens == 0 {
 		options.Board.Read(decision.Service(), visit.route.Name, 1, ending.Spent)
@@ -94,7 +94,7 @@
 		options.Board.Took(visit.answered(decision, ending.Spent, slow))
 	}
 	late := visit.gone || visit.request.Context().Err() != nil || !now.Before(visit.limit)
-	ending.Broken = fate != relay.Answered && broken(result, late, ending, visit.route)
+	ending.Broken = fate != forward.Answered && broken(result, late, ending, visit.route)
 	options.Board.Ended(runner.ID, ending, now)
 	if !result.Stale {
 		decision.Tell(runner, fate)
@@ -116,8 +116,8 @@
 // broken tells whether a fate speaks against the runner: one that only turned
 // a request away is well; one that was silent for longer than an answer's goal
 // is not.
-func broken(result relay.Result, late bool, ending metrics.Ending, route *spec.Route) bool {
-	if result.Fate == relay.Refused {
+func broken(result forward.Result, late bool, ending metrics.Ending, route *spec.Route) bool {
+	if result.Fate == forward.Refused {
 		return result.Response.StatusCode == http.StatusMisdirectedRequest
 	}
 	if late {
@@ -132,10 +132,10 @@
 		return
 	}
 	now := visit.front.options.Scope.Now()
-	if load := response.Header.Get(relay.LoadHeader); load != "" {
+	if load := response.Header.Get(forward.LoadHeader); load != "" {
 		visit.front.options.Board.Told(runner.ID, load, now)
 	}
-	if left, fault := strconv.ParseFloat(response.Header.Get(relay.ColdHeader), 64); fault == nil && left > 0 {
+	if left, fault := strconv.ParseFloat(response.Header.Get(forward.ColdHeader), 64); fault == nil && left > 0 {
 		visit.front.options.Warmth.Chill(runner.ID, now.Add(boot.Milliseconds(left)), now)
 	}
 }
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -16,10 +16,10 @@
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
+	"onyxwell/data/forward"
 	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 	"onyxwell/data/warmth"
 )
 
@@ -30,7 +30,7 @@
 	Gate   *letin.Gate
 	Board  *metrics.Board
 	Warmth *warmth.Warmth
-	Sender *relay.Sender
+	Sender *forward.Sender
 }
 
 // Front answers visitors.
@@ -83,7 +83,7 @@
 	limit   clock.Instant
 	seen    *picture.Picture
 	route   *spec.Route
-	sent    *relay.Request
+	sent    *forward.Request
 	asking  letin.Asking
 	// begun says that the head of an answer is with the visitor, last is the id
 	// of the last event passed on, gone that the visitor takes no more.
@@ -115,17 +115,17 @@
 	if fault != nil {
 		return fault
 	}
-	visit.sent = &relay.Request{
+	visit.sent = &forward.Request{
 		Method: visit.request.Method, Target: visit.request.RequestURI, Host: visit.request.Host,
-		Header: relay.PassedOn(visit.request.Header), Body: body,
-		Attempt: visit.request.Header.Get(relay.AttemptHeader),
+		Header: forward.PassedOn(visit.request.Header), Body: body,
+		Attempt: visit.request.Header.Get(forward.AttemptHeader),
 	}
 	visit.time()
 	visit.asking = letin.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
 	visit.asking.Bytes = len(body)
-	visit.asking.Prompt(visit.request.Header.Get(relay.PrefixHeader))
-	visit.asking.Counted(visit.request.Header.Get(relay.CountHeader))
-	if after := visit.request.Header.Get(relay.LastEventField); after != "" {
+	visit.asking.Prompt(visit.request.Header.Get(forward.PrefixHeader))
+	visit.asking.Counted(visit.request.Header.Get(forward.CountHeader))
+	if after := visit.request.Header.Get(forward.LastEventField); after != "" {
 		visit.last, fault = strconv.ParseInt(after, 10, 64)
 		visit.known = fault == nil
 	}
@@ -160,7 +160,7 @@
 // time works out until when the request may take.
 func (visit *visit) time() {
 	span := boot.Milliseconds(visit.route.GiveUpMS)
-	if left, fault := strconv.ParseFloat(visit.request.Header.Get(relay.LeftHeader), 64); fault == nil && left > 0 {
+	if left, fault := strconv.ParseFloat(visit.request.Header.Get(forward.LeftHeader), 64); fault == nil && left > 0 {
 		span = min(span, boot.Milliseconds(left))
 	}
 	visit.limit = visit.since.Add(span)
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -17,10 +17,10 @@
 	"onyxwell/control/evacuation"
 	"onyxwell/control/spread"
 	"onyxwell/data/budget"
+	"onyxwell/data/forward"
 	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 	"onyxwell/data/script"
 	"onyxwell/data/warmth"
 )
@@ -62,7 +62,7 @@
 		Chance:  func() float64 { return 0 },
 		Budget:  budget.New(budget.Options{Ratio: 0, Extra: extra, Window: 10 * clock.Second, Sharers: one}),
 	})
-	sender := relay.NewSender(relay.Options{
+	sender := forward.NewSender(forward.Options{
 		Clock: machine, Dialing: call.Dialing{Limit: 5 * clock.Second, Silence: 5 * clock.Second}, Idle: 60 * clock.Second, PerHost: 4,
 	})
 	made.front = NewFront(Options{Scope: top, Frame: made.frame, Gate: gate, Board: made.board, Warmth: cold, Sender: sender})
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -8,24 +8,24 @@
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
+	"onyxwell/data/forward"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 )
 
 // pass takes a runner's answer to the visitor. It gives the fate of the run
 // and whether the visit is over.
-func (visit *visit) pass(inner scope.Scope, runner *picture.Runner, response *http.Response) (relay.Fate, bool) {
+func (visit *visit) pass(inner scope.Scope, runner *picture.Runner, response *http.Response) (forward.Fate, bool) {
 	defer response.Body.Close()
 	if visit.route.Kind == spec.Streaming && response.StatusCode == http.StatusOK {
 		return visit.passEvents(response)
 	}
 	if visit.begun {
 		// A stream's rest was asked for and something else came.
-		return relay.Garbled, false
+		return forward.Garbled, false
 	}
 	body, fault := io.ReadAll(response.Body)
 	if fault != nil {
-		return relay.Doubtful, false
+		return forward.Doubtful, false
 	}
 	visit.begin(response, int64(len(body)))
 	_, fault = visit.writer.Write(body)
@@ -33,27 +33,27 @@
 }
 
 // took notes whether the visitor took the last bytes.
-func (visit *visit) took(fault error) (relay.Fate, bool) {
+func (visit *visit) took(fault error) (forward.Fate, bool) {
 	if fault != nil {
 		visit.gone = true
-		return relay.Doubtful, true
+		return forward.Doubtful, true
 	}
-	return relay.Answered, true
+	return forward.Answered, true
 }
 
 func (visit *visit) begin(response *http.Response, length int64) {
-	reply.Begin(visit.writer, response.StatusCode, relay.PassedOn(response.Header), length, visit.front.leaving.Load())
+	reply.Begin(visit.writer, response.StatusCode, forward.PassedOn(response.Header), length, visit.front.leaving.Load())
 	visit.begun = true
 }
 
 // passEvents passes whole events on as they come. Where the runner breaks off,
 // the visit goes on after the last event that was passed.
-func (visit *visit) passEvents(response *http.Response) (relay.Fate, bool) {
+func (visit *visit) passEvents(response *http.Response) (forward.Fate, bool) {
 	after := ""
 	if visit.known {
-		after = response.Request.Header.Get(relay.LastEventField)
+		after = response.Request.Header.Get(forward.LastEventField)
 	}
-	events := relay.NewEvents(response.Body, after)
+	events := forward.NewEvents(response.Body, after)
 	flusher := http.NewResponseController(visit.writer)
 	for {
 		event, fault := events.Next()
@@ -78,7 +78,7 @@
 }
 
 // endEvents ends a stream that came whole.
-func (visit *visit) endEvents(response *http.Response, rest []byte) (relay.Fate, bool) {
+func (visit *visit) endEvents(response *http.Response, rest []byte) (forward.Fate, bool) {
 	if !visit.begun {
 		visit.begin(response, response.ContentLength)
 	}
@@ -86,9 +86,9 @@
 	return visit.took(fault)
 }
 
-func fateOf(fault error) relay.Fate {
-	if errors.Is(fault, relay.ErrOrder) {
-		return relay.Garbled
+func fateOf(fault error) forward.Fate {
+	if errors.Is(fault, forward.ErrOrder) {
+		return forward.Garbled
 	}
-	return relay.Doubtful
+	return forward.Doubtful
 }
--- a/data/relay/connection.go
+++ b/data/forward/connection.go
@@ -1,6 +1,6 @@
-// Package relay carries requests to runners and tells exactly what is known of
+// Package forward carries requests to runners and tells exactly what is known of
 // their fate: answered, surely not run, or perhaps run.
-package relay
+package forward
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"onyxwell/base/ids"
 )
 
-var errStale = errors.New("relay: the kept connection is too old to be trusted")
+var errStale = errors.New("forward: the kept connection is too old to be trusted")
 
 // connection counts what was written, so that a request of which nothing was
 // written is known not to have run; a kept one that the runner may be closing
@@ -94,7 +94,7 @@
 //
 // Example:
 //
-//	sender := relay.NewSender(relay.Options{Clock: top.Clock, Dialing: dialing, Idle: 10 * clock.Second, PerHost: 64})
+//	sender := forward.NewSender(forward.Options{Clock: top.Clock, Dialing: dialing, Idle: 10 * clock.Second, PerHost: 64})
 func NewSender(options Options) *Sender {
 	sender := &Sender{options: options, hosts: map[string]*host{}, trusts: map[ids.Service]*trust{}}
 	sender.transport = &http.Transport{
--- a/data/relay/events.go
+++ b/data/forward/events.go
@@ -1,4 +1,4 @@
-package relay
+package forward
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 )
 
 // ErrOrder is told where the ids of a stream don't rise by one.
-var ErrOrder = errors.New("relay: an event is missing or came twice")
+var ErrOrder = errors.New("forward: an event is missing or came twice")
 
 // Events reads the whole events of a stream, one after another.
 type Events struct {
@@ -25,7 +25,7 @@
 //
 // Example:
 //
-//	events := relay.NewEvents(response.Body, "12")
+//	events := forward.NewEvents(response.Body, "12")
 func NewEvents(body io.Reader, after string) *Events {
 	events := &Events{reader: bufio.NewReaderSize(body, 4096)}
 	if number, fault := strconv.ParseInt(after, 10, 64); fault == nil {
--- a/data/relay/sender.go
+++ b/data/forward/sender.go
@@ -1,4 +1,4 @@
-package relay
+package forward
 
 import (
 	"bytes"
@@ -121,7 +121,7 @@
 func judge(trip Trip, response *http.Response) Result {
 	if response.Header.Get(AttemptHeader) != trip.Request.Attempt || response.StatusCode < 200 {
 		_ = response.Body.Close()
-		return Result{Fate: Garbled, Fault: errors.New("relay: the answer is another request's")}
+		return Result{Fate: Garbled, Fault: errors.New("forward: the answer is another request's")}
 	}
 	if response.Header.Get(reply.NotRunHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		return Result{Fate: Refused, Response: response}
@@ -129,12 +129,12 @@
 	success := response.StatusCode/100 == 2
 	if success && (response.Header.Get(SealHeader) == "" || response.Header.Get("Content-Encoding") != "") {
 		_ = response.Body.Close()
-		return Result{Fate: Garbled, Fault: errors.New("relay: a success without a seal")}
+		return Result{Fate: Garbled, Fault: errors.New("forward: a success without a seal")}
 	}
 	if promises[response.StatusCode] {
 		// The status promises what the runner did not say.
 		_ = response.Body.Close()
-		return Result{Fate: Doubtful, Fault: errors.New("relay: a refusal that does not say not-run")}
+		return Result{Fate: Doubtful, Fault: errors.New("forward: a refusal that does not say not-run")}
 	}
 	return Result{Fate: Answered, Response: response}
 }
@@ -175,7 +175,7 @@
 //
 // Example:
 //
-//	header := relay.PassedOn(request.Header)
+//	header := forward.PassedOn(request.Header)
 func PassedOn(header http.Header) http.Header {
 	kept := header.Clone()
 	for _, value := range header["Connection"] {
@@ -194,7 +194,7 @@
 //
 // Example:
 //
-//	defer relay.Discard(result.Response)
+//	defer forward.Discard(result.Response)
 func Discard(response *http.Response) {
 	if response == nil {
 		return
--- a/data/relay/trust.go
+++ b/data/forward/trust.go
@@ -1,4 +1,4 @@
-package relay
+package forward
 
 import (
 	"sync"
--- a/data/letin/decision.go
+++ b/data/letin/decision.go
@@ -4,8 +4,8 @@
 	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/data/forward"
 	"onyxwell/data/picture"
-	"onyxwell/data/relay"
 )
 
 // Act is what the executor is to do next.
@@ -114,13 +114,13 @@
 // Example:
 //
 //	decision.Tell(order.Runner, result.Fate)
-func (decision *Decision) Tell(runner *picture.Runner, fate relay.Fate) {
+func (decision *Decision) Tell(runner *picture.Runner, fate forward.Fate) {
 	decision.tried[runner.ID] = true
-	if fate == relay.Unsent {
+	if fate == forward.Unsent {
 		return
 	}
 	decision.sends++
 	decision.arrived = true
-	decision.ran = decision.ran || fate != relay.Refused
-	decision.garbled = fate == relay.Garbled
+	decision.ran = decision.ran || fate != forward.Refused
+	decision.garbled = fate == forward.Garbled
 }
