--- a/base/call/serve.go
+++ b/base/call/serve.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strings"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 )
@@ -74,7 +74,7 @@
 		serve, tail = table.exact[request.Method+" "+path[:cut]], path[cut:]
 	}
 	if serve == nil {
-		reply.Of(breakdown.UnknownCall, request.Method+" "+path).Send(writer)
+		reply.Of(failure.UnknownCall, request.Method+" "+path).Send(writer)
 		return
 	}
 	body, fault := io.ReadAll(http.MaxBytesReader(writer, request.Body, table.BodyLimit))
@@ -89,9 +89,9 @@
 func bodyFault(fault error) error {
 	var large *http.MaxBytesError
 	if errors.As(fault, &large) {
-		return breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", large.Limit)
+		return failure.Of(failure.BodyTooLarge, "over %d bytes", large.Limit)
 	}
-	return breakdown.Of(breakdown.BadRequest, "the body is not whole")
+	return failure.Of(failure.BadRequest, "the body is not whole")
 }
 
 // Server makes an HTTP server for a handler with bounds on slow callers.
--- a/base/breakdown/breakdown.go
+++ b/base/failure/failure.go
@@ -1,6 +1,6 @@
-// Package breakdown is the closed list of the kinds of errors that onyxwell
+// Package failure is the closed list of the kinds of errors that onyxwell
 // knows, with the table that says how each is answered.
-package breakdown
+package failure
 
 import (
 	"errors"
@@ -74,7 +74,7 @@
 //
 // Example:
 //
-//	status := breakdown.NoRoute.Answer().Status // 404
+//	status := failure.NoRoute.Answer().Status // 404
 func (kind Kind) Answer() Answer {
 	if kind < 0 || kind >= kinds {
 		return answers[Internal]
@@ -86,42 +86,42 @@
 //
 // Example:
 //
-//	breakdown.NoRoute.String() // "no-route"
+//	failure.NoRoute.String() // "no-route"
 func (kind Kind) String() string { return kind.Answer().Name }
 
-// Breakdown is an error of a known kind.
-type Breakdown struct {
+// Failure is an error of a known kind.
+type Failure struct {
 	Kind   Kind
 	Detail string
 }
 
 // Error tells the kind and the detail.
-func (breakdown *Breakdown) Error() string {
-	if breakdown.Detail == "" {
-		return breakdown.Kind.String()
+func (failure *Failure) Error() string {
+	if failure.Detail == "" {
+		return failure.Kind.String()
 	}
-	return breakdown.Kind.String() + ": " + breakdown.Detail
+	return failure.Kind.String() + ": " + failure.Detail
 }
 
 // Of makes an error of the kind with a detail in the manner of fmt.
 //
 // Example:
 //
-//	return breakdown.Of(breakdown.BadSpec, "routes[%d].service: unknown %q", index, name)
+//	return failure.Of(failure.BadSpec, "routes[%d].service: unknown %q", index, name)
 func Of(kind Kind, format string, values ...any) error {
-	return &Breakdown{Kind: kind, Detail: fmt.Sprintf(format, values...)}
+	return &Failure{Kind: kind, Detail: fmt.Sprintf(format, values...)}
 }
 
 // KindOf finds the kind of an error; an error of no known kind is Internal.
 //
 // Example:
 //
-//	if breakdown.KindOf(fault) == breakdown.StaleSpec { ... }
+//	if failure.KindOf(fault) == failure.StaleSpec { ... }
 func KindOf(fault error) Kind {
 	if fault == nil {
 		return None
 	}
-	var known *Breakdown
+	var known *Failure
 	if errors.As(fault, &known) {
 		return known.Kind
 	}
@@ -132,9 +132,9 @@
 //
 // Example:
 //
-//	body.Detail = breakdown.DetailOf(fault)
+//	body.Detail = failure.DetailOf(fault)
 func DetailOf(fault error) string {
-	var known *Breakdown
+	var known *Failure
 	if errors.As(fault, &known) {
 		return known.Detail
 	}
--- a/base/breakdown/breakdown_test.go
+++ b/base/failure/failure_test.go
@@ -1,4 +1,4 @@
-package breakdown
+package failure
 
 import (
 	"errors"
--- a/base/reply/reply.go
+++ b/base/reply/reply.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 )
 
 // Wire names of the heads that answers carry.
@@ -32,12 +32,12 @@
 	Detail string `json:"detail,omitempty"`
 }
 
-// Of makes the answer for a kind of breakdown.
+// Of makes the answer for a kind of failure.
 //
 // Example:
 //
-//	reply.Of(breakdown.NoRoute, "").Send(writer)
-func Of(kind breakdown.Kind, detail string) Reply {
+//	reply.Of(failure.NoRoute, "").Send(writer)
+func Of(kind failure.Kind, detail string) Reply {
 	told := kind.Answer()
 	made := JSON(told.Status, trouble{Error: told.Name, Text: told.Text, Detail: detail})
 	made.Header.Set(KindHeader, strconv.Itoa(int(kind)))
@@ -51,7 +51,7 @@
 //
 //	if fault != nil { reply.Failure(fault).Send(writer) }
 func Failure(fault error) Reply {
-	return Of(breakdown.KindOf(fault), breakdown.DetailOf(fault))
+	return Of(failure.KindOf(fault), failure.DetailOf(fault))
 }
 
 // JSON makes an answer with a JSON body.
@@ -62,7 +62,7 @@
 func JSON(status int, value any) Reply {
 	body, fault := json.Marshal(value)
 	if fault != nil {
-		return Of(breakdown.Internal, "")
+		return Of(failure.Internal, "")
 	}
 	return Raw(status, "application/json", body)
 }
@@ -91,7 +91,7 @@
 //
 // Example:
 //
-//	reply.Of(breakdown.Crowded, "").After(400 * clock.Millisecond).Send(writer)
+//	reply.Of(failure.Crowded, "").After(400 * clock.Millisecond).Send(writer)
 func (made Reply) After(span clock.Span) Reply {
 	made.Header.Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
 	return made
@@ -101,7 +101,7 @@
 //
 // Example:
 //
-//	reply.Of(breakdown.Leaving, "").Close().Send(writer)
+//	reply.Of(failure.Leaving, "").Close().Send(writer)
 func (made Reply) Close() Reply {
 	made.Closing = true
 	return made
--- a/cmd/fleet-controller/plan.go
+++ b/cmd/fleet-controller/plan.go
@@ -4,7 +4,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
-	"onyxwell/control/hold"
+	"onyxwell/control/lease"
 	"onyxwell/control/scaler"
 )
 
@@ -18,8 +18,8 @@
 )
 
 // planner adds the scaler, which works while this controller has the duty.
-func (made *controller) planner(top scope.Scope) func(*hold.Holder) func(scope.Scope) {
-	return func(holder *hold.Holder) func(scope.Scope) {
+func (made *controller) planner(top scope.Scope) func(*lease.Holder) func(scope.Scope) {
+	return func(holder *lease.Holder) func(scope.Scope) {
 		made.scaler = scaler.New(scaler.Options{
 			Address: made.common.Address, News: made.common.News, Held: holder.Held,
 			Runners: func() []scaler.Listed { return made.runners(top) }, Serial: census.SerialOf,
--- a/cmd/fleet-controller/room.go
+++ b/cmd/fleet-controller/room.go
@@ -8,7 +8,7 @@
 	"onyxwell/control/census"
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
-	"onyxwell/control/hold"
+	"onyxwell/control/lease"
 	"onyxwell/control/room"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
@@ -19,7 +19,7 @@
 const roomPace = 5
 
 // estimate tells the room of every family while this controller plans.
-func (made *controller) estimate(inner scope.Scope, holder *hold.Holder) {
+func (made *controller) estimate(inner scope.Scope, holder *lease.Holder) {
 	for counter := int64(1); inner.Wait(roomPace * metricStep); counter++ {
 		epoch, held := holder.Held(inner.Now())
 		if !held {
--- a/cmd/fleet-controller/serve.go
+++ b/cmd/fleet-controller/serve.go
@@ -11,8 +11,8 @@
 	"onyxwell/control/daemon"
 	"onyxwell/control/desk"
 	"onyxwell/control/directory"
-	"onyxwell/control/hold"
 	"onyxwell/control/journal"
+	"onyxwell/control/lease"
 	"onyxwell/control/operator"
 	"onyxwell/control/register"
 	"onyxwell/control/scaler"
@@ -30,7 +30,7 @@
 	keeper *register.Keeper
 	front  *desk.Desk
 	scaler *scaler.Scaler
-	duties []*hold.Holder
+	duties []*lease.Holder
 }
 
 func serve(top scope.Scope, reread <-chan *boot.Boot) error {
@@ -110,7 +110,7 @@
 		return nil
 	})
 	common.Part("sweep", func(inner scope.Scope) error { made.front.Run(inner, pace.Sweep); return nil })
-	made.duty("census", func(holder *hold.Holder) func(inner scope.Scope) {
+	made.duty("census", func(holder *lease.Holder) func(inner scope.Scope) {
 		taker := &census.Taker{
 			Client: platformClient(pace), News: common.News, Held: holder.Held,
 			Every: pace.Census, Beat: 2 * pace.Census,
@@ -133,8 +133,8 @@
 }
 
 // duty adds what one controller does at a time.
-func (made *controller) duty(name string, work func(holder *hold.Holder) func(inner scope.Scope)) {
-	holder := hold.NewHolder(hold.Options{
+func (made *controller) duty(name string, work func(holder *lease.Holder) func(inner scope.Scope)) {
+	holder := lease.NewHolder(lease.Options{
 		Duty: name, Address: made.common.Address, Span: made.pace.Hold,
 		Ask: made.own.AskHold, Epoch: made.front.Epoch,
 	})
--- a/cmd/room/main.go
+++ b/cmd/room/main.go
@@ -13,8 +13,8 @@
 	"github.com/alecthomas/kong"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/program"
 	"onyxwell/base/scope"
@@ -42,7 +42,7 @@
 // Hear reads the report.
 func (answer *heard) Hear(told call.Heard) error {
 	if told.Status != 200 {
-		return breakdown.Of(breakdown.Unready, "the controller answered %d: %s", told.Status, told.Body)
+		return failure.Of(failure.Unready, "the controller answered %d: %s", told.Status, told.Body)
 	}
 	answer.body = told.Body
 	return json.Unmarshal(told.Body, &answer.report)
--- a/cmd/router/doubt.go
+++ b/cmd/router/doubt.go
@@ -12,7 +12,7 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 	"onyxwell/data/forward"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 // health asks a runner whether it is well.
@@ -130,7 +130,7 @@
 	return true
 }
 
-func (made *router) reachesOne(seen *picture.Picture, service ids.Service, now clock.Instant) bool {
+func (made *router) reachesOne(seen *snapshot.Snapshot, service ids.Service, now clock.Instant) bool {
 	for _, runner := range seen.Runners[service] {
 		if seen.Open(runner) && !made.board.Look(runner.ID).Doubted && made.board.Silence(runner.ID, now) < made.pace.Connect {
 			return true
--- a/cmd/router/doubt_test.go
+++ b/cmd/router/doubt_test.go
@@ -16,7 +16,7 @@
 	"onyxwell/control/daemon"
 	"onyxwell/control/spread"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 	"onyxwell/data/warmth"
 )
 
@@ -28,7 +28,7 @@
 	machine := clock.NewFake()
 	made := &router{board: metrics.NewBoard(), warmth: warmth.New(chance), pace: daemon.Pace{Connect: clock.Second}}
 	made.common = &daemon.Daemon{Table: cohort.NewTable(machine, cohort.Member{Address: "self", Role: role, Region: "north"})}
-	made.frame = picture.NewFrame(picture.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
+	made.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.frame.Absorb(spread.Item{Key: "spec", Serial: 1, Body: []byte(document)})
 	body, fault := courier.Pack(census.List{Runners: runners})
 	if fault != nil {
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -8,19 +8,19 @@
 	"sync/atomic"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 	"onyxwell/control/daemon"
+	"onyxwell/data/admit"
 	"onyxwell/data/answer"
 	"onyxwell/data/budget"
 	"onyxwell/data/forward"
-	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 	"onyxwell/data/warmth"
 )
 
@@ -30,7 +30,7 @@
 type router struct {
 	common *daemon.Daemon
 	pace   daemon.Pace
-	frame  *picture.Frame
+	frame  *snapshot.Frame
 	board  *metrics.Board
 	warmth *warmth.Warmth
 	front  *answer.Front
@@ -61,7 +61,7 @@
 
 func build(top scope.Scope) (*router, error) {
 	made := &router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New(chance)}
-	made.frame = picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones, Region: top.Boot.Region, Listed: made.listed(top)})
+	made.frame = snapshot.NewFrame(snapshot.Options{Clock: top.Clock, Zones: top.Boot.Zones, Region: top.Boot.Region, Listed: made.listed(top)})
 	var fault error
 	made.common, fault = daemon.New(top, role, made.frame.Absorb)
 	if fault != nil {
@@ -71,7 +71,7 @@
 	tries := budget.New(budget.Options{
 		Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: boot.Seconds(bounds.RetryWindowS), Sharers: made.sharers,
 	})
-	gate := letin.NewGate(letin.Options{
+	gate := admit.NewGate(admit.Options{
 		Scope: top, Frame: made.frame, Board: made.board, Budget: tries, Warmth: made.warmth,
 		Region: top.Boot.Region, Sharers: made.common.Zones.Sharers, Routers: made.sharers, Chance: chance,
 	})
@@ -90,9 +90,9 @@
 func (made *router) sharers() int { return made.common.Zones.Routers() }
 
 // listed keeps the warmth of runners up with each new list.
-func (made *router) listed(top scope.Scope) func(*picture.Picture) {
+func (made *router) listed(top scope.Scope) func(*snapshot.Snapshot) {
 	lag := boot.Milliseconds(top.Boot.Platform.MaxLagMS)
-	return func(seen *picture.Picture) {
+	return func(seen *snapshot.Snapshot) {
 		var entries []warmth.Entry
 		for name, runners := range seen.Runners {
 			warmup := clock.Span(0)
@@ -122,11 +122,11 @@
 
 func (made *router) readiness(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path != "/ready" {
-		reply.Of(breakdown.UnknownCall, request.URL.Path).Send(writer)
+		reply.Of(failure.UnknownCall, request.URL.Path).Send(writer)
 		return
 	}
 	if !made.common.Table.Self().Ready {
-		reply.Of(breakdown.Unready, "").Send(writer)
+		reply.Of(failure.Unready, "").Send(writer)
 		return
 	}
 	reply.Empty(http.StatusOK).Send(writer)
--- a/control/census/census.go
+++ b/control/census/census.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"net/url"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
@@ -74,7 +74,7 @@
 // Hear reads the page.
 func (page *Page) Hear(heard call.Heard) error {
 	if heard.Status != http.StatusOK {
-		return breakdown.Of(breakdown.Unready, "the platform answered %d", heard.Status)
+		return failure.Of(failure.Unready, "the platform answered %d", heard.Status)
 	}
 	return json.Unmarshal(heard.Body, page)
 }
@@ -106,7 +106,7 @@
 		}
 		token = *page.Next
 	}
-	return List{}, breakdown.Of(breakdown.Internal, "the platform's list has no end")
+	return List{}, failure.Of(failure.Internal, "the platform's list has no end")
 }
 
 // same tells whether two lists say the same but for times that run down.
--- a/control/courier/courier.go
+++ b/control/courier/courier.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"strconv"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
@@ -40,18 +40,18 @@
 
 type told struct{ body []byte }
 
-// Hear reads the answer or the breakdown that the other daemon told.
+// Hear reads the answer or the failure that the other daemon told.
 func (answer *told) Hear(heard call.Heard) error {
 	if heard.Status == http.StatusOK {
 		answer.body = heard.Body
 		return nil
 	}
 	number, _ := strconv.Atoi(heard.Header.Get(reply.KindHeader))
-	kind := breakdown.Kind(number)
-	if kind == breakdown.None {
-		kind = breakdown.Internal
+	kind := failure.Kind(number)
+	if kind == failure.None {
+		kind = failure.Internal
 	}
-	return breakdown.Of(kind, "told by another daemon")
+	return failure.Of(kind, "told by another daemon")
 }
 
 // Send asks another daemon and waits for its answer.
@@ -81,7 +81,7 @@
 func (question *packet[Asked]) Read(incoming call.Incoming) error {
 	message, fault := Unpack[Asked](incoming.Body)
 	if fault != nil {
-		return breakdown.Of(breakdown.BadRequest, "avro: %v", fault)
+		return failure.Of(failure.BadRequest, "avro: %v", fault)
 	}
 	question.message = message
 	return nil
@@ -93,7 +93,7 @@
 func (answer packed[Told]) Reply() reply.Reply {
 	body, fault := Pack(answer.message)
 	if fault != nil {
-		return reply.Of(breakdown.Internal, fault.Error())
+		return reply.Of(failure.Internal, fault.Error())
 	}
 	return reply.Raw(http.StatusOK, "avro/binary", body)
 }
--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -8,9 +8,9 @@
 	"strings"
 	"sync"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
@@ -116,8 +116,8 @@
 	}
 	if owner, found := desk.owner(short, order.Key); found {
 		outcome, fault := desk.pass(short, owner, order)
-		kind := breakdown.Kind(outcome.Kind)
-		if fault == nil && kind != breakdown.Unsettled && kind != breakdown.Internal {
+		kind := failure.Kind(outcome.Kind)
+		if fault == nil && kind != failure.Unsettled && kind != failure.Internal {
 			return outcome.Value, outcome.fault()
 		}
 		if fault != nil {
@@ -126,7 +126,7 @@
 	}
 	// Two takers of one key hold each other up: each waits a little first.
 	if !short.Wait(desk.options.Pause()) {
-		return nil, breakdown.Of(breakdown.Unsettled, "out of time")
+		return nil, failure.Of(failure.Unsettled, "out of time")
 	}
 	return desk.act(short, order)
 }
@@ -145,11 +145,11 @@
 		brief, release := inner.WithLimit(2 * desk.options.Pass)
 		outcome, fault := courier.Send[Outcome](brief, desk.options.Messenger, seats[index].Address, "order", order)
 		release()
-		if kind := breakdown.Kind(outcome.Kind); fault == nil && kind != breakdown.Unsettled && kind != breakdown.Internal {
+		if kind := failure.Kind(outcome.Kind); fault == nil && kind != failure.Unsettled && kind != failure.Internal {
 			return outcome.Value, outcome.fault()
 		}
 	}
-	return nil, breakdown.Of(breakdown.Unsettled, "no voter answered")
+	return nil, failure.Of(failure.Unsettled, "no voter answered")
 }
 
 func (desk *Desk) pass(inner scope.Scope, owner ids.Address, order Order) (Outcome, error) {
@@ -184,7 +184,7 @@
 func (desk *Desk) act(inner scope.Scope, order Order) ([]byte, error) {
 	verb := verbs[order.Verb]
 	if verb == nil {
-		return nil, breakdown.Of(breakdown.UnknownCall, "verb %q", order.Verb)
+		return nil, failure.Of(failure.UnknownCall, "verb %q", order.Verb)
 	}
 	return desk.options.Keeper.Change(inner, order.Key, verb(order))
 }
@@ -201,12 +201,12 @@
 	if fault == nil {
 		return Outcome{Value: value}
 	}
-	return Outcome{Kind: int64(breakdown.KindOf(fault)), Detail: breakdown.DetailOf(fault)}
+	return Outcome{Kind: int64(failure.KindOf(fault)), Detail: failure.DetailOf(fault)}
 }
 
 func (outcome Outcome) fault() error {
-	if kind := breakdown.Kind(outcome.Kind); kind != breakdown.None {
-		return breakdown.Of(kind, "%s", outcome.Detail)
+	if kind := failure.Kind(outcome.Kind); kind != failure.None {
+		return failure.Of(kind, "%s", outcome.Detail)
 	}
 	return nil
 }
--- a/control/desk/sweep.go
+++ b/control/desk/sweep.go
@@ -1,8 +1,8 @@
 package desk
 
 import (
-	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
 	"onyxwell/control/register"
@@ -16,7 +16,7 @@
 	if len(current) > 0 {
 		read, fault := courier.Unpack[EpochKept](current)
 		if fault != nil {
-			return nil, breakdown.Of(breakdown.Internal, "kept epoch: %v", fault)
+			return nil, failure.Of(failure.Internal, "kept epoch: %v", fault)
 		}
 		kept = read
 	}
--- a/control/evacuation/evacuation.go
+++ b/control/evacuation/evacuation.go
@@ -5,7 +5,7 @@
 import (
 	"strings"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/control/courier"
 )
@@ -45,7 +45,7 @@
 	return func(current []byte) ([]byte, error) {
 		kept, fault := Read(current)
 		if fault != nil {
-			return nil, breakdown.Of(breakdown.Internal, "kept evacuation: %v", fault)
+			return nil, failure.Of(failure.Internal, "kept evacuation: %v", fault)
 		}
 		if kept.Empty == empty && kept.Serial > 0 {
 			return nil, nil
--- a/control/hold/example_test.go
+++ b/control/lease/example_test.go
@@ -1,23 +1,23 @@
-package hold_test
+package lease_test
 
 import (
 	"fmt"
 
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/hold"
+	"onyxwell/control/lease"
 )
 
 func ExampleHolder() {
 	machine := clock.NewFake()
 	top := scope.New(scope.Options{Clock: machine})
 	// One voter, for the sake of the example.
-	voter := hold.NewGranter(machine, 3*clock.Second, func() (bool, int64) { return true, 1 })
+	voter := lease.NewGranter(machine, 3*clock.Second, func() (bool, int64) { return true, 1 })
 	machine.Move(3 * clock.Second)
 	epoch := int64(0)
-	holder := hold.NewHolder(hold.Options{
+	holder := lease.NewHolder(lease.Options{
 		Duty: "census", Address: "10.0.0.1:7721", Span: 3 * clock.Second,
-		Ask:   func(_ scope.Scope, asked hold.Ask) bool { return voter.Grant(asked).Granted },
+		Ask:   func(_ scope.Scope, asked lease.Ask) bool { return voter.Grant(asked).Granted },
 		Epoch: func(scope.Scope, string) (int64, error) { epoch++; return epoch, nil },
 	})
 	holder.Strive(top)
--- a/control/hold/hold.go
+++ b/control/lease/lease.go
@@ -1,7 +1,7 @@
-// Package hold gives a duty to one daemon at a time: a hold is granted by a
+// Package lease gives a duty to one daemon at a time: a hold is granted by a
 // majority of the voters for a span, renewed well before its end, and its
 // holder stops a margin early. No time of day is compared anywhere.
-package hold
+package lease
 
 import (
 	"math/rand/v2"
@@ -46,7 +46,7 @@
 //
 // Example:
 //
-//	granter := hold.NewGranter(top.Clock, 2*clock.Second, voting)
+//	granter := lease.NewGranter(top.Clock, 2*clock.Second, voting)
 func NewGranter(machine clock.Clock, span clock.Span, voting func() (bool, int64)) *Granter {
 	return &Granter{
 		clock: machine, span: span, grants: map[string]grant{},
@@ -58,7 +58,7 @@
 //
 // Example:
 //
-//	told := granter.Grant(hold.Ask{Duty: "plan", Holder: address})
+//	told := granter.Grant(lease.Ask{Duty: "plan", Holder: address})
 func (granter *Granter) Grant(asked Ask) Told {
 	voting, generation := granter.voting()
 	granter.lock.Lock()
@@ -112,7 +112,7 @@
 //
 // Example:
 //
-//	holder := hold.NewHolder(hold.Options{Duty: "census", Address: address, Span: span, Ask: ask, Epoch: epoch})
+//	holder := lease.NewHolder(lease.Options{Duty: "census", Address: address, Span: span, Ask: ask, Epoch: epoch})
 func NewHolder(options Options) *Holder { return &Holder{options: options} }
 
 // Duty names what is held.
--- a/control/hold/hold_test.go
+++ b/control/lease/lease_test.go
@@ -1,4 +1,4 @@
-package hold
+package lease
 
 import (
 	"fmt"
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"strings"
 
-	"onyxwell/base/breakdown"
 	"onyxwell/base/call"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
@@ -33,7 +33,7 @@
 	text := strings.Trim(incoming.Request.Header.Get("If-Match"), "\" ")
 	match, fault := strconv.ParseInt(text, 10, 64)
 	if fault != nil {
-		return breakdown.Of(breakdown.BadSpec, "If-Match: %q is no version", text)
+		return failure.Of(failure.BadSpec, "If-Match: %q is no version", text)
 	}
 	asked.Change = revision.Change{
 		Whole: incoming.Request.Method == http.MethodPut, Match: ids.Serial(match), Body: incoming.Body,
@@ -95,7 +95,7 @@
 	call.Handle(calls, http.MethodGet, "/room", func(scope.Scope, Nothing) (Rooms, error) {
 		item, found := news.Get(room.Key)
 		if !found {
-			return Rooms{}, breakdown.Of(breakdown.Unready, "no estimate was made yet")
+			return Rooms{}, failure.Of(failure.Unready, "no estimate was made yet")
 		}
 		return Rooms{Report: item.Body}, nil
 	})
@@ -130,13 +130,13 @@
 		}
 		kept, fault := revision.ReadKept(value)
 		if fault == nil && kept.Serial == 0 {
-			fault = breakdown.Of(breakdown.Unready, "no spec was taken yet")
+			fault = failure.Of(failure.Unready, "no spec was taken yet")
 		}
 		return Settings{Document: kept.Document}, fault
 	})
 	empty := func(inner scope.Scope, asked ZoneOrder) (Done, error) {
 		if _, known := inner.Boot.Zones[asked.Zone]; !known {
-			return Done{}, breakdown.Of(breakdown.UnknownZone, "%q", asked.Zone)
+			return Done{}, failure.Of(failure.UnknownZone, "%q", asked.Zone)
 		}
 		_, fault := front.Do(inner, desk.Order{Key: evacuation.Key(asked.Zone), Verb: asked.Verb})
 		return Done{}, fault
--- a/control/register/join.go
+++ b/control/register/join.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
@@ -47,7 +47,7 @@
 	}
 	voters := joiner.Acceptor.Voters()
 	if voters.Generation == 0 {
-		return breakdown.Of(breakdown.Unsettled, "no voters are known")
+		return failure.Of(failure.Unsettled, "no voters are known")
 	}
 	own := Seat{Address: joiner.Address, Incarnation: joiner.Acceptor.Incarnation(), Learning: true}
 	index, found := joiner.place(voters)
@@ -62,7 +62,7 @@
 		return nil
 	}
 	if seated != own && joiner.reached(inner, voters, index) < needed(len(voters.Seats)) {
-		return breakdown.Of(breakdown.Unsettled, "too few others to take a seat")
+		return failure.Of(failure.Unsettled, "too few others to take a seat")
 	}
 	if seated == own {
 		if !joiner.learn(inner, voters, needed(len(voters.Seats))) {
@@ -82,10 +82,10 @@
 func (joiner *Joiner) further(inner scope.Scope, voters Voters, own Seat) error {
 	grown := len(voters.Seats) + 1
 	if joiner.reached(inner, voters, len(voters.Seats)) < quorum(grown) {
-		return breakdown.Of(breakdown.Unsettled, "too few others for a further seat")
+		return failure.Of(failure.Unsettled, "too few others for a further seat")
 	}
 	if !joiner.learn(inner, voters, needed(grown)) {
-		return breakdown.Of(breakdown.Unsettled, "too few others to learn from")
+		return failure.Of(failure.Unsettled, "too few others to learn from")
 	}
 	own.Learning = false
 	_, fault := joiner.Keeper.Change(inner, CohortKey, seating(voters, len(voters.Seats), own))
@@ -132,7 +132,7 @@
 	return func(current []byte) ([]byte, error) {
 		voters, fault := courier.Unpack[Voters](current)
 		if fault != nil || voters.Mark() != known.Mark() {
-			return nil, breakdown.Of(breakdown.Unsettled, "the voters changed")
+			return nil, failure.Of(failure.Unsettled, "the voters changed")
 		}
 		next := Voters{Generation: voters.Generation + 1}
 		next.Seats = append(next.Seats, voters.Seats...)
--- a/control/register/owner.go
+++ b/control/register/owner.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
@@ -57,7 +57,7 @@
 	case state.turn <- struct{}{}:
 		return state, nil
 	case <-inner.Done():
-		return nil, breakdown.Of(breakdown.Unsettled, "%s: another change takes long", key)
+		return nil, failure.Of(failure.Unsettled, "%s: another change takes long", key)
 	}
 }
 
@@ -84,7 +84,7 @@
 
 // Change takes the key over where needed and writes what the step makes of its
 // value. When it returns without an error a majority of disks has the value.
-// After an Unsettled breakdown the change may or may not come into force; the
+// After an Unsettled failure the change may or may not come into force; the
 // next owner settles it.
 //
 // Example:
@@ -189,7 +189,7 @@
 		copies = 0
 		voters, fault := courier.Unpack[Voters](value)
 		if fault != nil {
-			return breakdown.Of(breakdown.Internal, "voters: %v", fault)
+			return failure.Of(failure.Internal, "voters: %v", fault)
 		}
 		sets = append(sets, voters.Seats)
 	}
--- a/control/register/rounds.go
+++ b/control/register/rounds.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/courier"
@@ -41,16 +41,16 @@
 				refused[cast.seat.Address] = true
 			}
 		case <-inner.Done():
-			return breakdown.Of(breakdown.Unsettled, "the voters did not answer in time")
+			return failure.Of(failure.Unsettled, "the voters did not answer in time")
 		}
 		if allHave(sets, granted, copies) {
 			return nil
 		}
 		if lost(sets, refused, copies) {
-			return breakdown.Of(breakdown.Unsettled, "too many voters refused")
+			return failure.Of(failure.Unsettled, "too many voters refused")
 		}
 	}
-	return breakdown.Of(breakdown.Unsettled, "no majority")
+	return failure.Of(failure.Unsettled, "no majority")
 }
 
 // take asks the voters for the key under the state's epoch and gives the
--- a/control/revision/check.go
+++ b/control/revision/check.go
@@ -11,7 +11,7 @@
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/control/spec"
 )
@@ -39,7 +39,7 @@
 func Schema() []byte { return schemaText }
 
 // Check reads a whole document and refuses an invalid one with a BadSpec
-// breakdown that names the field.
+// failure that names the field.
 //
 // Example:
 //
@@ -47,18 +47,18 @@
 func Check(document []byte) (*spec.Spec, error) {
 	loose, fault := jsonschema.UnmarshalJSON(bytes.NewReader(document))
 	if fault != nil {
-		return nil, breakdown.Of(breakdown.BadSpec, "not JSON: %v", fault)
+		return nil, failure.Of(failure.BadSpec, "not JSON: %v", fault)
 	}
 	schema, fault := compiled()
 	if fault != nil {
-		return nil, breakdown.Of(breakdown.Internal, "schema: %v", fault)
+		return nil, failure.Of(failure.Internal, "schema: %v", fault)
 	}
 	if fault := schema.Validate(loose); fault != nil {
-		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
+		return nil, failure.Of(failure.BadSpec, "%v", fault)
 	}
 	read, fault := spec.Read(document)
 	if fault != nil {
-		return nil, breakdown.Of(breakdown.BadSpec, "%v", fault)
+		return nil, failure.Of(failure.BadSpec, "%v", fault)
 	}
 	for _, rule := range rules {
 		if fault := rule(read); fault != nil {
@@ -75,14 +75,14 @@
 	routes := map[string]bool{}
 	for index, route := range version.Routes {
 		if routes[route.Name] {
-			return breakdown.Of(breakdown.BadSpec, "routes[%d].name: %q stands twice", index, route.Name)
+			return failure.Of(failure.BadSpec, "routes[%d].name: %q stands twice", index, route.Name)
 		}
 		routes[route.Name] = true
 	}
 	services := map[ids.Service]bool{}
 	for index, service := range version.Services {
 		if services[service.Name] {
-			return breakdown.Of(breakdown.BadSpec, "services[%d].name: %q stands twice", index, service.Name)
+			return failure.Of(failure.BadSpec, "services[%d].name: %q stands twice", index, service.Name)
 		}
 		services[service.Name] = true
 	}
@@ -94,7 +94,7 @@
 	for index, route := range version.Routes {
 		place := [2]string{spec.HostOnly(route.Host), route.Prefix}
 		if places[place] {
-			return breakdown.Of(breakdown.BadSpec, "routes[%d].path_prefix: %q stands twice for this host", index, route.Prefix)
+			return failure.Of(failure.BadSpec, "routes[%d].path_prefix: %q stands twice for this host", index, route.Prefix)
 		}
 		places[place] = true
 	}
@@ -104,14 +104,14 @@
 func servicesKnown(version *spec.Spec) error {
 	for index, route := range version.Routes {
 		if route.Service == "" && len(route.Shares) == 0 {
-			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: missing", index)
+			return failure.Of(failure.BadSpec, "routes[%d].service: missing", index)
 		}
 		if route.Service != "" && version.Service(route.Service) == nil {
-			return breakdown.Of(breakdown.BadSpec, "routes[%d].service: %q is not known", index, route.Service)
+			return failure.Of(failure.BadSpec, "routes[%d].service: %q is not known", index, route.Service)
 		}
 		for part, share := range route.Shares {
 			if version.Service(share.Service) == nil {
-				return breakdown.Of(breakdown.BadSpec, "routes[%d].shares[%d].service: %q is not known", index, part, share.Service)
+				return failure.Of(failure.BadSpec, "routes[%d].shares[%d].service: %q is not known", index, part, share.Service)
 			}
 		}
 	}
@@ -125,7 +125,7 @@
 			total += part.Weight
 		}
 		if total <= 0 {
-			return breakdown.Of(breakdown.BadSpec, "routes[%d].shares: the weights add up to 0", index)
+			return failure.Of(failure.BadSpec, "routes[%d].shares: the weights add up to 0", index)
 		}
 	}
 	return nil
--- a/control/revision/keep.go
+++ b/control/revision/keep.go
@@ -5,7 +5,7 @@
 	"crypto/sha256"
 	"strconv"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/base/pack"
 	"onyxwell/control/courier"
@@ -67,10 +67,10 @@
 func (change Change) Step(current []byte) ([]byte, error) {
 	kept, fault := ReadKept(current)
 	if fault != nil {
-		return nil, breakdown.Of(breakdown.Internal, "kept spec: %v", fault)
+		return nil, failure.Of(failure.Internal, "kept spec: %v", fault)
 	}
 	if change.Body, fault = pack.Unpack(change.Body, change.Packed); fault != nil {
-		return nil, breakdown.Of(breakdown.BadRequest, "packed change: %v", fault)
+		return nil, failure.Of(failure.BadRequest, "packed change: %v", fault)
 	}
 	digest := change.digest()
 	for _, taken := range kept.Recent {
@@ -79,7 +79,7 @@
 		}
 	}
 	if change.Match != kept.Serial {
-		return nil, breakdown.Of(breakdown.StaleSpec, "version %d is in place", kept.Serial)
+		return nil, failure.Of(failure.StaleSpec, "version %d is in place", kept.Serial)
 	}
 	document := change.Body
 	if !change.Whole {
@@ -94,7 +94,7 @@
 		return nil, fault
 	}
 	if checked.Serial <= kept.Serial {
-		return nil, breakdown.Of(breakdown.BadSpec, "config_version: %d is not above %d", checked.Serial, kept.Serial)
+		return nil, failure.Of(failure.BadSpec, "config_version: %d is not above %d", checked.Serial, kept.Serial)
 	}
 	kept.Serial = checked.Serial
 	kept.Document, kept.Packed = pack.Pack(document)
--- a/control/revision/patch.go
+++ b/control/revision/patch.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 )
 
 // Patch makes a whole document from one in force and the changes to it. Items
@@ -15,12 +15,12 @@
 func Patch(document []byte, change []byte) ([]byte, error) {
 	var asked patch
 	if fault := json.Unmarshal(change, &asked); fault != nil {
-		return nil, breakdown.Of(breakdown.BadSpec, "not a change: %v", fault)
+		return nil, failure.Of(failure.BadSpec, "not a change: %v", fault)
 	}
 	whole := map[string]json.RawMessage{}
 	if len(document) > 0 {
 		if fault := json.Unmarshal(document, &whole); fault != nil {
-			return nil, breakdown.Of(breakdown.Internal, "kept document: %v", fault)
+			return nil, failure.Of(failure.Internal, "kept document: %v", fault)
 		}
 	}
 	for key, names := range asked.Remove {
@@ -48,7 +48,7 @@
 	var kept []json.RawMessage
 	if present := whole[key]; len(present) > 0 {
 		if fault := json.Unmarshal(present, &kept); fault != nil {
-			return breakdown.Of(breakdown.BadSpec, "%s: is no list", key)
+			return failure.Of(failure.BadSpec, "%s: is no list", key)
 		}
 	}
 	replaced := map[string]json.RawMessage{}
@@ -57,10 +57,10 @@
 	for index, item := range items {
 		name, fault := nameOf(item)
 		if fault != nil {
-			return breakdown.Of(breakdown.BadSpec, "changes.%s[%d].name: missing", key, index)
+			return failure.Of(failure.BadSpec, "changes.%s[%d].name: missing", key, index)
 		}
 		if _, twice := replaced[name]; twice {
-			return breakdown.Of(breakdown.BadSpec, "changes.%s[%d].name: %q stands twice", key, index, name)
+			return failure.Of(failure.BadSpec, "changes.%s[%d].name: %q stands twice", key, index, name)
 		}
 		replaced[name] = item
 		added = append(added, name)
@@ -96,7 +96,7 @@
 		return "", fault
 	}
 	if read.Name == "" {
-		return "", breakdown.Of(breakdown.BadSpec, "name: missing")
+		return "", failure.Of(failure.BadSpec, "name: missing")
 	}
 	return read.Name, nil
 }
--- a/control/revision/revision_test.go
+++ b/control/revision/revision_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"onyxwell/base/breakdown"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/control/spec"
 )
@@ -54,16 +54,16 @@
 			t.Fatalf("%s: the case changes nothing", example.name)
 		}
 		_, fault := Check([]byte(text))
-		if breakdown.KindOf(fault) != breakdown.BadSpec || !strings.Contains(fault.Error(), example.field) {
+		if failure.KindOf(fault) != failure.BadSpec || !strings.Contains(fault.Error(), example.field) {
 			t.Errorf("%s: %v", example.name, fault)
 		}
 	}
 }
 
-func step(t *testing.T, current []byte, change Change, want breakdown.Kind) []byte {
+func step(t *testing.T, current []byte, change Change, want failure.Kind) []byte {
 	t.Helper()
 	next, fault := change.Step(current)
-	if breakdown.KindOf(fault) != want {
+	if failure.KindOf(fault) != want {
 		t.Fatalf("%v, not %v", fault, want)
 	}
 	return next
@@ -71,21 +71,21 @@
 
 func TestChangesBuildOnOneSerial(t *testing.T) {
 	first := Change{Whole: true, Match: 0, Body: []byte(good)}
-	value := step(t, nil, first, breakdown.None)
-	if again := step(t, value, first, breakdown.None); again != nil {
+	value := step(t, nil, first, failure.None)
+	if again := step(t, value, first, failure.None); again != nil {
 		t.Fatal("a repeat changed the value")
 	}
 	rival := Change{Whole: true, Match: 0, Body: []byte(strings.Replace(good, ":7", ":8", 1))}
-	step(t, value, rival, breakdown.StaleSpec)
-	step(t, value, Change{Whole: true, Match: 7, Body: []byte(strings.Replace(good, ":7", ":6", 1))}, breakdown.BadSpec)
-	step(t, value, Change{Whole: true, Match: 7, Body: []byte("{")}, breakdown.BadSpec)
+	step(t, value, rival, failure.StaleSpec)
+	step(t, value, Change{Whole: true, Match: 7, Body: []byte(strings.Replace(good, ":7", ":6", 1))}, failure.BadSpec)
+	step(t, value, Change{Whole: true, Match: 7, Body: []byte("{")}, failure.BadSpec)
 	patch := Change{Match: 7, Body: []byte(`{"config_version":9,"changes":{"routes":[
 	 {"name":"a","hostname":"shop.example","path_prefix":"/a/","type":"safe","give_up_ms":200,"service":"t"},
 	 {"name":"c","hostname":"shop.example","path_prefix":"/c/","type":"safe","give_up_ms":1,"service":"t"}]},
 	 "remove":{"routes":["b","unknown"]}}`)}
-	newer := step(t, value, patch, breakdown.None)
+	newer := step(t, value, patch, failure.None)
 	// A repeat of the older change is still known, whatever is in force.
-	if again := step(t, newer, first, breakdown.None); again != nil {
+	if again := step(t, newer, first, failure.None); again != nil {
 		t.Fatal("a late repeat changed the value")
 	}
 	kept, fault := ReadKept(newer)
@@ -109,22 +109,22 @@
 }
 
 func TestPatchThatLeavesAnInvalidSpecIsRefused(t *testing.T) {
-	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, breakdown.None)
+	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, failure.None)
 	bodies := []string{
 		`{"config_version":9,"remove":{"services":["t"]}}`, `{"config_version":7}`, `{"config_version":9,"changes":{"routes":[{"hostname":"x"}]}}`,
 		`{"config_version":9,"changes":{"routes":7}}`, `[]`,
 	}
 	for _, body := range bodies {
-		step(t, value, Change{Match: 7, Body: []byte(body)}, breakdown.BadSpec)
+		step(t, value, Change{Match: 7, Body: []byte(body)}, failure.BadSpec)
 	}
 }
 
 func TestRememberedChangesAreBounded(t *testing.T) {
-	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, breakdown.None)
+	value := step(t, nil, Change{Whole: true, Body: []byte(good)}, failure.None)
 	serial := 7
 	for range 2 * recentLimit {
 		body, _ := json.Marshal(map[string]int{"config_version": serial + 1})
-		value = step(t, value, Change{Match: ids.Serial(serial), Body: body}, breakdown.None)
+		value = step(t, value, Change{Match: ids.Serial(serial), Body: body}, failure.None)
 		serial++
 	}
 	kept, fault := ReadKept(value)
--- a/control/seat/seat.go
+++ b/control/seat/seat.go
@@ -12,8 +12,8 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
-	"onyxwell/control/hold"
 	"onyxwell/control/journal"
+	"onyxwell/control/lease"
 	"onyxwell/control/register"
 )
 
@@ -38,7 +38,7 @@
 // Seat is a controller's voter and the way to the others.
 type Seat struct {
 	Acceptor *register.Acceptor
-	Granter  *hold.Granter
+	Granter  *lease.Granter
 	options  Options
 	opened   *journal.Journal
 	joiner   *register.Joiner
@@ -71,7 +71,7 @@
 		return nil, fault
 	}
 	made.Acceptor.Attach(opened)
-	made.Granter = hold.NewGranter(top.Clock, options.HoldSpan, func() (bool, int64) {
+	made.Granter = lease.NewGranter(top.Clock, options.HoldSpan, func() (bool, int64) {
 		return made.Voting(), made.Acceptor.Voters().Generation
 	})
 	return made, made.begin()
@@ -134,7 +134,7 @@
 		fault := seat.Acceptor.Learn(asked.Slots)
 		return LearnTold{Taken: fault == nil}, fault
 	})
-	courier.Handle(calls, "hold", func(_ scope.Scope, asked hold.Ask) (hold.Told, error) {
+	courier.Handle(calls, "hold", func(_ scope.Scope, asked lease.Ask) (lease.Told, error) {
 		return seat.Granter.Grant(asked), nil
 	})
 }
@@ -144,8 +144,8 @@
 //
 // Example:
 //
-//	hold.Options{Ask: own.AskHold}
-func (seat *Seat) AskHold(inner scope.Scope, asked hold.Ask) bool {
+//	lease.Options{Ask: own.AskHold}
+func (seat *Seat) AskHold(inner scope.Scope, asked lease.Ask) bool {
 	seats := seat.Acceptor.Voters().Seats
 	granted := 0
 	if seat.Granter.Grant(asked).Granted {
@@ -173,12 +173,12 @@
 	return 2*granted > len(seats)
 }
 
-func (seat *Seat) askOne(inner scope.Scope, address ids.Address, asked hold.Ask) bool {
+func (seat *Seat) askOne(inner scope.Scope, address ids.Address, asked lease.Ask) bool {
 	if address == seat.options.Address {
 		return false
 	}
 	message, release := inner.Detached().WithLimit(seat.options.HoldSpan / 3)
 	defer release()
-	told, fault := courier.Send[hold.Told](message, seat.options.Messenger, address, "hold", asked)
+	told, fault := courier.Send[lease.Told](message, seat.options.Messenger, address, "hold", asked)
 	return fault == nil && told.Granted
 }
--- a/data/letin/letin_test.go
+++ b/data/admit/admit_test.go
@@ -1,4 +1,4 @@
-package letin
+package admit
 
 import (
 	"fmt"
@@ -10,13 +10,13 @@
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 func some(weights ...float64) []candidate {
 	var found []candidate
 	for index, weight := range weights {
-		runner := &picture.Runner{Runner: census.Runner{ID: ids.RunnerID(fmt.Sprint("i", index))}, Region: "north"}
+		runner := &snapshot.Runner{Runner: census.Runner{ID: ids.RunnerID(fmt.Sprint("i", index))}, Region: "north"}
 		found = append(found, candidate{runner: runner, weight: weight})
 	}
 	return found
@@ -78,7 +78,7 @@
 	found := some(1, 1)
 	found[1].runner.Region = "south"
 	decision := &Decision{service: "s", asking: Asking{Route: &spec.Route{}}}
-	count := func(seen *picture.Picture) int {
+	count := func(seen *snapshot.Snapshot) int {
 		north := 0
 		for step := range 100 {
 			gate := NewGate(Options{Region: "north", Chance: func() float64 { return float64(step) / 100 }})
@@ -88,14 +88,14 @@
 		}
 		return north
 	}
-	if got := count(&picture.Picture{}); got != 100 {
+	if got := count(&snapshot.Snapshot{}); got != 100 {
 		t.Errorf("without a plan %d of 100 stay", got)
 	}
 	plan := scaler.Plan{Flows: []scaler.Flow{
 		{Service: "s", Origin: "north", Target: "north", Share: 0.7}, {Service: "s", Origin: "north", Target: "south", Share: 0.3},
 		{Service: "s", Origin: "south", Target: "south", Share: 1},
 	}}
-	if got := count(&picture.Picture{Plan: plan}); got != 70 {
+	if got := count(&snapshot.Snapshot{Plan: plan}); got != 70 {
 		t.Errorf("with a plan %d of 100 stay, not 70", got)
 	}
 }
--- a/data/letin/choose.go
+++ b/data/admit/choose.go
@@ -1,4 +1,4 @@
-package letin
+package admit
 
 import (
 	"hash/fnv"
@@ -8,12 +8,12 @@
 	"onyxwell/base/ids"
 	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 // candidate is a runner that could take the request.
 type candidate struct {
-	runner *picture.Runner
+	runner *snapshot.Runner
 	weight float64
 	// load is how many requests it has for each that it can run at once.
 	load  float64
@@ -22,7 +22,7 @@
 
 // choose picks the runner for the next sending. Where none is open now but one
 // soon will be, it tells how long that takes.
-func (gate *Gate) choose(decision *Decision, now clock.Instant) (*picture.Runner, clock.Span) {
+func (gate *Gate) choose(decision *Decision, now clock.Instant) (*snapshot.Runner, clock.Span) {
 	seen := gate.options.Frame.Now()
 	if seen.Spec == nil {
 		return nil, 0
@@ -53,7 +53,7 @@
 
 // candidates are the runners that are listed, at home, open, awake and within
 // what cold ones may get.
-func (gate *Gate) candidates(seen *picture.Picture, service *spec.Service, decision *Decision, now clock.Instant) ([]candidate, clock.Span) {
+func (gate *Gate) candidates(seen *snapshot.Snapshot, service *spec.Service, decision *Decision, now clock.Instant) ([]candidate, clock.Span) {
 	var found, resting []candidate
 	soon := clock.Span(0)
 	route := decision.asking.Route
@@ -130,7 +130,7 @@
 
 // region narrows the choice to one region: by the plan's shares, or the own
 // region first, as long as the runners there are not the fuller ones by far.
-func (gate *Gate) region(seen *picture.Picture, decision *Decision, found []candidate) []candidate {
+func (gate *Gate) region(seen *snapshot.Snapshot, decision *Decision, found []candidate) []candidate {
 	regions := map[ids.Region][]candidate{}
 	for _, able := range found {
 		regions[able.runner.Region] = append(regions[able.runner.Region], able)
--- a/data/letin/decision.go
+++ b/data/admit/decision.go
@@ -1,11 +1,11 @@
-package letin
+package admit
 
 import (
-	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/ids"
 	"onyxwell/data/forward"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 // Act is what the executor is to do next.
@@ -17,16 +17,16 @@
 	Send Act = iota
 	// Wait for the order's span and ask again.
 	Wait
-	// Answer with the order's kind of breakdown.
+	// Answer with the order's kind of failure.
 	Answer
 )
 
 // Order is what a decision says when it is asked.
 type Order struct {
 	Act    Act
-	Runner *picture.Runner
+	Runner *snapshot.Runner
 	Span   clock.Span
-	Kind   breakdown.Kind
+	Kind   failure.Kind
 }
 
 // Decision is the state of one request on its way.
@@ -56,14 +56,14 @@
 //	order := decision.Ask(now)
 func (decision *Decision) Ask(now clock.Instant) Order {
 	if !now.Before(decision.asking.Limit) {
-		return decision.finally(breakdown.LimitBeforeRun, breakdown.LimitReached)
+		return decision.finally(failure.LimitBeforeRun, failure.LimitReached)
 	}
 	route := decision.asking.Route
 	if decision.ran && !route.Repeatable() {
-		return decision.finally(breakdown.RunnerLost, breakdown.RunnerLost)
+		return decision.finally(failure.RunnerLost, failure.RunnerLost)
 	}
 	if decision.sends >= max(1, route.Tries) {
-		return decision.finally(breakdown.Crowded, breakdown.RunnerLost)
+		return decision.finally(failure.Crowded, failure.RunnerLost)
 	}
 	runner, pause := decision.gate.choose(decision, now)
 	if runner == nil {
@@ -71,25 +71,25 @@
 		if pause > 0 && now.Add(pause).Since(decision.asking.Since) < route.Goal()/4 {
 			return Order{Act: Wait, Span: pause}
 		}
-		promise := breakdown.NoRunner
+		promise := failure.NoRunner
 		if decision.crowded {
-			promise = breakdown.Crowded
+			promise = failure.Crowded
 		}
-		return decision.finally(promise, breakdown.RunnerLost)
+		return decision.finally(promise, failure.RunnerLost)
 	}
 	if decision.arrived && !decision.gate.options.Budget.Spend(decision.service, now) {
-		return decision.finally(breakdown.BudgetSpent, breakdown.RunnerLost)
+		return decision.finally(failure.BudgetSpent, failure.RunnerLost)
 	}
 	return Order{Act: Send, Runner: runner}
 }
 
 // finally picks the last answer: a promise only where nothing can have run.
-func (decision *Decision) finally(promise breakdown.Kind, broken breakdown.Kind) Order {
+func (decision *Decision) finally(promise failure.Kind, broken failure.Kind) Order {
 	if !decision.ran {
 		return Order{Act: Answer, Kind: promise}
 	}
-	if decision.garbled && broken == breakdown.RunnerLost {
-		broken = breakdown.RunnerGarbled
+	if decision.garbled && broken == failure.RunnerLost {
+		broken = failure.RunnerGarbled
 	}
 	return Order{Act: Answer, Kind: broken}
 }
@@ -100,7 +100,7 @@
 // Example:
 //
 //	if !decision.Holds(order.Runner, now) { continue }
-func (decision *Decision) Holds(runner *picture.Runner, now clock.Instant) bool {
+func (decision *Decision) Holds(runner *snapshot.Runner, now clock.Instant) bool {
 	options := decision.gate.options
 	seen := options.Frame.Now()
 	if seen.Spec == nil || !seen.Usable(decision.service, runner.ID) {
@@ -114,7 +114,7 @@
 // Example:
 //
 //	decision.Tell(order.Runner, result.Fate)
-func (decision *Decision) Tell(runner *picture.Runner, fate forward.Fate) {
+func (decision *Decision) Tell(runner *snapshot.Runner, fate forward.Fate) {
 	decision.tried[runner.ID] = true
 	if fate == forward.Unsent {
 		return
--- a/data/letin/gate.go
+++ b/data/admit/gate.go
@@ -1,6 +1,6 @@
-// Package letin decides what becomes of a request: which runner it goes to,
+// Package admit decides what becomes of a request: which runner it goes to,
 // whether it waits, or how it is answered. It is asked; the executor obeys.
-package letin
+package admit
 
 import (
 	"strconv"
@@ -13,14 +13,14 @@
 	"onyxwell/control/spec"
 	"onyxwell/data/budget"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 	"onyxwell/data/warmth"
 )
 
 // Options are what a gate is made from.
 type Options struct {
 	Scope  scope.Scope
-	Frame  *picture.Frame
+	Frame  *snapshot.Frame
 	Board  *metrics.Board
 	Budget *budget.Budget
 	Warmth *warmth.Warmth
@@ -41,7 +41,7 @@
 //
 // Example:
 //
-//	gate := letin.NewGate(letin.Options{Scope: top, Frame: frame, Board: board})
+//	gate := admit.NewGate(admit.Options{Scope: top, Frame: frame, Board: board})
 func NewGate(options Options) *Gate { return &Gate{options: options} }
 
 // Asking is what is known of a request when it is let in.
--- a/data/letin/group.go
+++ b/data/admit/group.go
@@ -1,8 +1,8 @@
-package letin
+package admit
 
 import (
 	"onyxwell/control/lengths"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 const (
@@ -18,7 +18,7 @@
 // first. Where these are much fuller than the others, or none is left, all are
 // there to choose from: grouping never makes a runner stand idle beside a queue,
 // and never refuses.
-func (gate *Gate) group(seen *picture.Picture, decision *Decision, found []candidate) []candidate {
+func (gate *Gate) group(seen *snapshot.Snapshot, decision *Decision, found []candidate) []candidate {
 	class := seen.Lengths.Class(decision.Kind())
 	if class == lengths.Unknown {
 		return found
--- a/data/letin/group_test.go
+++ b/data/admit/group_test.go
@@ -1,11 +1,11 @@
-package letin
+package admit
 
 import (
 	"testing"
 
 	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 func grouped(loads ...float64) []candidate {
@@ -20,10 +20,10 @@
 	return found
 }
 
-func lengthsKnown() *picture.Picture {
+func lengthsKnown() *snapshot.Snapshot {
 	check := lengths.Kind{Service: "s", Route: "check", Bucket: lengths.BucketOf(1800)}
 	manifest := lengths.Kind{Service: "s", Route: "manifest", Bucket: lengths.BucketOf(6600)}
-	return &picture.Picture{Lengths: lengths.NewTable(
+	return &snapshot.Snapshot{Lengths: lengths.NewTable(
 		[]lengths.Expected{{Kind: check, MS: 120}, {Kind: manifest, MS: 1600}},
 		[]lengths.Split{{Service: "s", CutMS: 400, ShortPart: 0.5}},
 	)}
@@ -72,7 +72,7 @@
 	if found := gate.group(seen, asks("check", "1800,24"), onlyLong); len(found) != 2 {
 		t.Fatalf("%d runners, though only the other class has any", len(found))
 	}
-	if found := gate.group(&picture.Picture{}, asks("check", "1800,24"), grouped(0.1, 0.1)); len(found) != 2 {
+	if found := gate.group(&snapshot.Snapshot{}, asks("check", "1800,24"), grouped(0.1, 0.1)); len(found) != 2 {
 		t.Fatalf("%d runners without any estimates", len(found))
 	}
 }
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -10,19 +10,19 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/lengths"
 	"onyxwell/control/spec"
+	"onyxwell/data/admit"
 	"onyxwell/data/forward"
-	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 // acts are what the executor can do; each tells whether the visit is over.
-var acts = map[letin.Act]func(*visit, scope.Scope, *letin.Decision, letin.Order) bool{
-	letin.Send: (*visit).send,
-	letin.Wait: func(visit *visit, inner scope.Scope, _ *letin.Decision, order letin.Order) bool {
+var acts = map[admit.Act]func(*visit, scope.Scope, *admit.Decision, admit.Order) bool{
+	admit.Send: (*visit).send,
+	admit.Wait: func(visit *visit, inner scope.Scope, _ *admit.Decision, order admit.Order) bool {
 		return !inner.Wait(order.Span)
 	},
-	letin.Answer: func(visit *visit, _ scope.Scope, _ *letin.Decision, order letin.Order) bool {
+	admit.Answer: func(visit *visit, _ scope.Scope, _ *admit.Decision, order admit.Order) bool {
 		visit.refuse(order.Kind, "")
 		return true
 	},
@@ -46,7 +46,7 @@
 }
 
 // send takes the request to a runner and its answer to the visitor.
-func (visit *visit) send(inner scope.Scope, decision *letin.Decision, order letin.Order) bool {
+func (visit *visit) send(inner scope.Scope, decision *admit.Decision, order admit.Order) bool {
 	options, runner := visit.front.options, order.Runner
 	begin := inner.Now()
 	if !decision.Holds(runner, begin) {
@@ -106,7 +106,7 @@
 }
 
 // answered is what the length of answers is learnt from.
-func (visit *visit) answered(decision *letin.Decision, spent clock.Span, slow float64) lengths.Sum {
+func (visit *visit) answered(decision *admit.Decision, spent clock.Span, slow float64) lengths.Sum {
 	return lengths.Sum{
 		Kind: decision.Kind(), Count: 1, SpentMS: float64(spent) / float64(clock.Millisecond),
 		Tokens: max(0, visit.asking.Tokens-visit.asking.Shared), Slow: slow,
@@ -127,7 +127,7 @@
 }
 
 // hear takes what a runner says of itself in an answer's head.
-func (visit *visit) hear(runner *picture.Runner, response *http.Response) {
+func (visit *visit) hear(runner *snapshot.Runner, response *http.Response) {
 	if response == nil {
 		return
 	}
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -11,23 +11,23 @@
 	"sync/atomic"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/breakdown"
 	"onyxwell/base/clock"
+	"onyxwell/base/failure"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
+	"onyxwell/data/admit"
 	"onyxwell/data/forward"
-	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 	"onyxwell/data/warmth"
 )
 
 // Options are what a front is made from.
 type Options struct {
 	Scope  scope.Scope
-	Frame  *picture.Frame
-	Gate   *letin.Gate
+	Frame  *snapshot.Frame
+	Gate   *admit.Gate
 	Board  *metrics.Board
 	Warmth *warmth.Warmth
 	Sender *forward.Sender
@@ -68,7 +68,7 @@
 	defer front.running.Add(-1)
 	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now()}
 	if fault := visit.read(); fault != nil {
-		visit.refuse(breakdown.KindOf(fault), breakdown.DetailOf(fault))
+		visit.refuse(failure.KindOf(fault), failure.DetailOf(fault))
 		return
 	}
 	visit.carry()
@@ -81,10 +81,10 @@
 	request *http.Request
 	since   clock.Instant
 	limit   clock.Instant
-	seen    *picture.Picture
+	seen    *snapshot.Snapshot
 	route   *spec.Route
 	sent    *forward.Request
-	asking  letin.Asking
+	asking  admit.Asking
 	// begun says that the head of an answer is with the visitor, last is the id
 	// of the last event passed on, gone that the visitor takes no more.
 	begun bool
@@ -97,19 +97,19 @@
 func (visit *visit) read() error {
 	visit.seen = visit.front.options.Frame.Now()
 	if visit.seen.Spec == nil {
-		return breakdown.Of(breakdown.Unready, "")
+		return failure.Of(failure.Unready, "")
 	}
 	limits := visit.seen.Spec.Limits
 	if limits.MaxHeaderBytes > 0 && headBytes(visit.request) > limits.MaxHeaderBytes {
-		return breakdown.Of(breakdown.HeadTooLarge, "over %d bytes", limits.MaxHeaderBytes)
+		return failure.Of(failure.HeadTooLarge, "over %d bytes", limits.MaxHeaderBytes)
 	}
 	if !strings.HasPrefix(visit.request.RequestURI, "/") {
-		return breakdown.Of(breakdown.BadRequest, "the target is no path")
+		return failure.Of(failure.BadRequest, "the target is no path")
 	}
 	path, _, _ := strings.Cut(visit.request.RequestURI, "?")
 	visit.route = visit.seen.Spec.Match(visit.request.Host, path)
 	if visit.route == nil {
-		return breakdown.Of(breakdown.NoRoute, "")
+		return failure.Of(failure.NoRoute, "")
 	}
 	body, fault := visit.body(limits)
 	if fault != nil {
@@ -121,7 +121,7 @@
 		Attempt: visit.request.Header.Get(forward.AttemptHeader),
 	}
 	visit.time()
-	visit.asking = letin.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
+	visit.asking = admit.Asking{Route: visit.route, Since: visit.since, Limit: visit.limit}
 	visit.asking.Bytes = len(body)
 	visit.asking.Prompt(visit.request.Header.Get(forward.PrefixHeader))
 	visit.asking.Counted(visit.request.Header.Get(forward.CountHeader))
@@ -134,7 +134,7 @@
 
 func (visit *visit) body(limits spec.Limits) ([]byte, error) {
 	if limits.MaxBodyBytes > 0 && visit.request.ContentLength > limits.MaxBodyBytes {
-		return nil, breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
+		return nil, failure.Of(failure.BodyTooLarge, "over %d bytes", limits.MaxBodyBytes)
 	}
 	most := limits.MaxBodyBytes
 	if most <= 0 {
@@ -148,13 +148,13 @@
 	}
 	var large *http.MaxBytesError
 	if errors.As(fault, &large) {
-		return nil, breakdown.Of(breakdown.BodyTooLarge, "over %d bytes", most)
+		return nil, failure.Of(failure.BodyTooLarge, "over %d bytes", most)
 	}
 	var slow interface{ Timeout() bool }
 	if errors.As(fault, &slow) && slow.Timeout() {
-		return nil, breakdown.Of(breakdown.TooSlow, "")
+		return nil, failure.Of(failure.TooSlow, "")
 	}
-	return nil, breakdown.Of(breakdown.BadRequest, "the body is not whole")
+	return nil, failure.Of(failure.BadRequest, "the body is not whole")
 }
 
 // time works out until when the request may take.
@@ -166,9 +166,9 @@
 	visit.limit = visit.since.Add(span)
 }
 
-// refuse answers with a breakdown, and where it promises that nothing ran,
+// refuse answers with a failure, and where it promises that nothing ran,
 // tells when to come back.
-func (visit *visit) refuse(kind breakdown.Kind, detail string) {
+func (visit *visit) refuse(kind failure.Kind, detail string) {
 	if visit.begun {
 		reply.Abort()
 	}
@@ -184,8 +184,8 @@
 
 // comeBack is when a visitor may find things better: soon where a runner is
 // missing, later where there are too many requests.
-func comeBack(kind breakdown.Kind, goal clock.Span) clock.Span {
-	if kind == breakdown.Crowded {
+func comeBack(kind failure.Kind, goal clock.Span) clock.Span {
+	if kind == failure.Crowded {
 		return goal / 2
 	}
 	return goal / 8
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -16,12 +16,12 @@
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/spread"
+	"onyxwell/data/admit"
 	"onyxwell/data/budget"
 	"onyxwell/data/forward"
-	"onyxwell/data/letin"
 	"onyxwell/data/metrics"
-	"onyxwell/data/picture"
 	"onyxwell/data/script"
+	"onyxwell/data/snapshot"
 	"onyxwell/data/warmth"
 )
 
@@ -38,7 +38,7 @@
 type house struct {
 	t      *testing.T
 	clock  *clock.Fake
-	frame  *picture.Frame
+	frame  *snapshot.Frame
 	news   *spread.News
 	board  *metrics.Board
 	front  *Front
@@ -52,11 +52,11 @@
 	machine := clock.NewFake()
 	top := scope.New(scope.Options{Clock: machine})
 	made := &house{t: t, clock: machine, board: metrics.NewBoard()}
-	made.frame = picture.NewFrame(picture.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
+	made.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.news = spread.NewNews(made.frame.Absorb)
 	one := func() int { return 1 }
 	cold := warmth.New(func() float64 { return 0 })
-	gate := letin.NewGate(letin.Options{
+	gate := admit.NewGate(admit.Options{
 		Scope: top, Frame: made.frame, Board: made.board, Warmth: cold, Region: "north", Routers: one,
 		Sharers: func(ids.Zone) int { return 1 },
 		Chance:  func() float64 { return 0 },
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -9,12 +9,12 @@
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
 	"onyxwell/data/forward"
-	"onyxwell/data/picture"
+	"onyxwell/data/snapshot"
 )
 
 // pass takes a runner's answer to the visitor. It gives the fate of the run
 // and whether the visit is over.
-func (visit *visit) pass(inner scope.Scope, runner *picture.Runner, response *http.Response) (forward.Fate, bool) {
+func (visit *visit) pass(inner scope.Scope, runner *snapshot.Runner, response *http.Response) (forward.Fate, bool) {
 	defer response.Body.Close()
 	if visit.route.Kind == spec.Streaming && response.StatusCode == http.StatusOK {
 		return visit.passEvents(response)
--- a/data/metrics/metrics_test.go
+++ b/data/metrics/metrics_test.go
@@ -73,7 +73,7 @@
 	}
 	fail()
 	if due := board.Due(machine.Now(), clock.Second); len(due) != 0 {
-		t.Fatalf("another breakdown hurries the tests: %v", due)
+		t.Fatalf("another failure hurries the tests: %v", due)
 	}
 	machine.Move(clock.Second)
 	if due := board.Due(machine.Now(), clock.Second); len(due) != 1 {
--- a/data/picture/rests.go
+++ b/data/snapshot/rests.go
@@ -1,4 +1,4 @@
-package picture
+package snapshot
 
 import (
 	"onyxwell/base/clock"
@@ -7,7 +7,7 @@
 )
 
 // absorbRests takes over who rests; the news comes to the own zone only.
-func (frame *Frame) absorbRests(next *Picture, body []byte) bool {
+func (frame *Frame) absorbRests(next *Snapshot, body []byte) bool {
 	rests, fault := eject.Read(body)
 	if fault != nil {
 		return false
@@ -25,7 +25,7 @@
 // Example:
 //
 //	if seen.Rests(runner.ID, now) { keepForLast(runner) }
-func (seen *Picture) Rests(id ids.RunnerID, now clock.Instant) bool {
+func (seen *Snapshot) Rests(id ids.RunnerID, now clock.Instant) bool {
 	until, found := seen.Resting[id]
 	return seen.Planned[id].Resting || (found && now.Before(until))
 }
--- a/data/picture/picture.go
+++ b/data/snapshot/snapshot.go
@@ -1,7 +1,7 @@
-// Package picture holds what a router acts on: one immutable picture of spec,
+// Package snapshot holds what a router acts on: one immutable snapshot of spec,
 // census, evacuations and plan, swapped whole; the serial of each part only
 // rises.
-package picture
+package snapshot
 
 import (
 	"strings"
@@ -25,8 +25,8 @@
 	Region ids.Region
 }
 
-// Picture is the state of everything at one moment; it is never changed.
-type Picture struct {
+// Snapshot is the state of everything at one moment; it is never changed.
+type Snapshot struct {
 	Spec     *spec.Spec
 	Runners  map[ids.Service][]*Runner
 	Census   clock.Instant
@@ -48,38 +48,38 @@
 	// Region is the router's own.
 	Region ids.Region
 	// Listed is told each new list, before it is acted on.
-	Listed func(seen *Picture)
+	Listed func(seen *Snapshot)
 }
 
-// Frame holds the picture of now.
+// Frame holds the snapshot of now.
 type Frame struct {
 	options Options
 	lock    sync.Mutex
-	now     atomic.Pointer[Picture]
+	now     atomic.Pointer[Snapshot]
 	ready   chan struct{}
 	once    sync.Once
 }
 
-// NewFrame makes a frame with an empty picture.
+// NewFrame makes a frame with an empty snapshot.
 //
 // Example:
 //
-//	frame := picture.NewFrame(picture.Options{Clock: top.Clock, Zones: top.Boot.Zones})
+//	frame := snapshot.NewFrame(snapshot.Options{Clock: top.Clock, Zones: top.Boot.Zones})
 func NewFrame(options Options) *Frame {
 	if options.Listed == nil {
-		options.Listed = func(*Picture) {}
+		options.Listed = func(*Snapshot) {}
 	}
 	frame := &Frame{options: options, ready: make(chan struct{})}
-	frame.now.Store(&Picture{})
+	frame.now.Store(&Snapshot{})
 	return frame
 }
 
-// Now gives the picture of now.
+// Now gives the snapshot of now.
 //
 // Example:
 //
 //	seen := frame.Now()
-func (frame *Frame) Now() *Picture { return frame.now.Load() }
+func (frame *Frame) Now() *Snapshot { return frame.now.Load() }
 
 // Ready is closed once a spec and a list of runners are known.
 //
@@ -96,15 +96,15 @@
 //	news := spread.NewNews(frame.Absorb)
 func (frame *Frame) Absorb(item spread.Item) {
 	if absorb := absorbers[item.Key]; absorb != nil {
-		frame.swap(func(next *Picture) bool { return absorb(frame, next, item) })
+		frame.swap(func(next *Snapshot) bool { return absorb(frame, next, item) })
 		return
 	}
 	if strings.HasPrefix(item.Key, spread.ZonePrefix) {
-		frame.swap(func(next *Picture) bool { return frame.absorbRests(next, item.Body) })
+		frame.swap(func(next *Snapshot) bool { return frame.absorbRests(next, item.Body) })
 		return
 	}
 	if zone, found := evacuation.ZoneOf(item.Key); found {
-		frame.swap(func(next *Picture) bool { return frame.absorbZone(next, zone, item.Body) })
+		frame.swap(func(next *Snapshot) bool { return frame.absorbZone(next, zone, item.Body) })
 	}
 }
 
@@ -114,15 +114,15 @@
 //
 //	frame.Take(list)
 func (frame *Frame) Take(list census.List) {
-	frame.swap(func(next *Picture) bool {
+	frame.swap(func(next *Snapshot) bool {
 		frame.list(next, list)
 		next.Listed = 0
 		return true
 	})
 }
 
-var absorbers = map[string]func(*Frame, *Picture, spread.Item) bool{
-	spec.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
+var absorbers = map[string]func(*Frame, *Snapshot, spread.Item) bool{
+	spec.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
 		read, fault := spec.Read(item.Body)
 		if fault != nil || (next.Spec != nil && read.Serial <= next.Spec.Serial) {
 			return false
@@ -130,7 +130,7 @@
 		next.Spec = read
 		return true
 	},
-	census.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
+	census.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
 		list, fault := courier.Unpack[census.List](item.Body)
 		if fault == nil {
 			frame.list(next, list)
@@ -138,7 +138,7 @@
 		}
 		return fault == nil
 	},
-	census.BeatKey: func(frame *Frame, next *Picture, item spread.Item) bool {
+	census.BeatKey: func(frame *Frame, next *Snapshot, item spread.Item) bool {
 		beat, fault := courier.Unpack[census.Beat](item.Body)
 		if fault != nil || next.Listed != beat.List {
 			return false
@@ -146,7 +146,7 @@
 		next.Census = frame.options.Clock.Now()
 		return true
 	},
-	scaler.Key: func(frame *Frame, next *Picture, item spread.Item) bool {
+	scaler.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
 		plan, fault := scaler.ReadPlan(item.Body)
 		if fault != nil {
 			return false
@@ -165,7 +165,7 @@
 	},
 }
 
-func (frame *Frame) list(next *Picture, list census.List) {
+func (frame *Frame) list(next *Snapshot, list census.List) {
 	next.Census = frame.options.Clock.Now()
 	next.Runners = map[ids.Service][]*Runner{}
 	for _, listed := range list.Runners {
@@ -175,7 +175,7 @@
 	frame.options.Listed(next)
 }
 
-func (frame *Frame) absorbZone(next *Picture, zone ids.Zone, body []byte) bool {
+func (frame *Frame) absorbZone(next *Snapshot, zone ids.Zone, body []byte) bool {
 	kept, fault := evacuation.Read(body)
 	if fault != nil {
 		return false
@@ -195,7 +195,7 @@
 	return true
 }
 
-func (frame *Frame) swap(change func(next *Picture) bool) {
+func (frame *Frame) swap(change func(next *Snapshot) bool) {
 	frame.lock.Lock()
 	defer frame.lock.Unlock()
 	next := *frame.now.Load()
@@ -213,7 +213,7 @@
 // Example:
 //
 //	runner := seen.Find(id)
-func (seen *Picture) Find(id ids.RunnerID) *Runner {
+func (seen *Snapshot) Find(id ids.RunnerID) *Runner {
 	for _, runners := range seen.Runners {
 		for _, runner := range runners {
 			if runner.ID == id {
@@ -230,7 +230,7 @@
 // Example:
 //
 //	if !frame.Now().Usable(runner.Service, runner.ID) { chooseAnother() }
-func (seen *Picture) Usable(service ids.Service, id ids.RunnerID) bool {
+func (seen *Snapshot) Usable(service ids.Service, id ids.RunnerID) bool {
 	for _, runner := range seen.Runners[service] {
 		if runner.ID == id {
 			return seen.Open(runner)
@@ -244,6 +244,6 @@
 // Example:
 //
 //	for _, runner := range seen.Runners[service] { if seen.Open(runner) { ... } }
-func (seen *Picture) Open(runner *Runner) bool {
+func (seen *Snapshot) Open(runner *Runner) bool {
 	return !runner.Draining && !seen.Empty[runner.Zone]
 }
--- a/data/picture/picture_test.go
+++ b/data/snapshot/snapshot_test.go
@@ -1,4 +1,4 @@
-package picture
+package snapshot
 
 import (
 	"fmt"
