--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -53,7 +53,7 @@
 //
 // Example:
 //
-//	common, fault := daemon.New(top, "router", picture.Absorb)
+//	common, fault := daemon.New(top, "router", snapshot.Absorb)
 func New(top scope.Scope, role string, fresh func(spread.Item)) (*Daemon, error) {
 	settings := top.Boot
 	pace := PaceOf(settings)
--- a/control/lengths/split.go
+++ b/control/lengths/split.go
@@ -16,7 +16,7 @@
 	// suffers is the part of the short calls that must begin slowly before they
 	// get runners of their own, goneBack to which part of what it then was the
 	// long work must fall before they share again.
-	suffers  = 0.05
+	suffers  = 0.04
 	goneBack = 0.6
 )
 
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -45,7 +45,7 @@
 //
 // Example:
 //
-//	news := spread.NewNews(func(item spread.Item) { picture.Absorb(item) })
+//	news := spread.NewNews(func(item spread.Item) { snapshot.Absorb(item) })
 func NewNews(fresh func(Item)) *News {
 	if fresh == nil {
 		fresh = func(Item) {}
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -73,7 +73,7 @@
 	if result.Fate == forward.Answered {
 		ending.Began = true
 		first := inner.Now()
-		if first.Since(visit.since) > visit.route.Goal()/2 {
+		if first.Since(visit.since) > visit.route.Goal()/slowPart {
 			slow = 1
 		}
 		options.Board.Began(runner.ID, number, visit.asking.Tokens, first)
@@ -105,6 +105,9 @@
 	return over
 }
 
+// slowPart is the part of its goal after which an answer began slowly.
+const slowPart = 4
+
 // answered is what the length of answers is learnt from.
 func (visit *visit) answered(decision *admit.Decision, spent clock.Span, slow float64) lengths.Sum {
 	return lengths.Sum{
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -239,7 +239,7 @@
 	return false
 }
 
-// Open tells the same of a runner of this picture.
+// Open tells the same of a runner of this snapshot.
 //
 // Example:
 //
--- a/data/snapshot/snapshot_test.go
+++ b/data/snapshot/snapshot_test.go
@@ -18,7 +18,7 @@
 func TestMain(tests *testing.M) { fixed.Run(tests) }
 
 // TestPictureNeverGoesBack brings items in any order, as a torn network would:
-// the spec's serial and each zone's only rise, and pictures taken before stay
+// the spec's serial and each zone's only rise, and snapshots taken before stay
 // what they were.
 func TestPictureNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -38,7 +38,7 @@
 				zone = max(zone, serial)
 			}
 			if before.Spec != held.Spec || before.Empty["hall"] != held.Empty["hall"] {
-				t.Fatal("a picture was changed after it was taken")
+				t.Fatal("a snapshot was changed after it was taken")
 			}
 			seen := frame.Now()
 			if newest > 0 && seen.Spec.Serial != newest {
