--- a/control/cohort/probe.go
+++ b/control/cohort/probe.go
@@ -1,7 +1,6 @@
 package cohort
 
 import (
-	"math/rand/v2"
 	"sync"
 
 	"onyxwell/base/clock"
@@ -48,7 +47,7 @@
 	lock    sync.Mutex
 	number  int64
 	waiting map[int64]chan struct{}
-	turn    []Member
+	turns   map[circle][]Member
 }
 
 // Run probes until the scope ends.
@@ -65,8 +64,10 @@
 		frozen := now.Since(last) > 3*prober.Pace.Every
 		last = now
 		prober.expire(frozen)
-		if target, found := prober.next(); found && !frozen {
-			go prober.Probe(inner, target)
+		for _, circle := range circles {
+			if target, found := prober.next(circle); found && !frozen {
+				go prober.Probe(inner, target)
+			}
 		}
 	}
 }
@@ -84,7 +85,7 @@
 	if waitFor(inner, answered, prober.Pace.Answer) {
 		return
 	}
-	for _, third := range prober.thirds(target.Address) {
+	for _, third := range prober.thirds(target) {
 		prober.post(third.Address, Datagram{Kind: kindSecond, Number: number, Target: target.Address})
 	}
 	prober.post(target.Address, Datagram{Kind: kindProbe, Number: number})
@@ -95,6 +96,7 @@
 		return
 	}
 	prober.Table.Judge(target.Address, Suspect)
+	prober.hurry(target)
 }
 
 // Take handles a datagram that arrived.
@@ -188,48 +190,6 @@
 	}
 }
 
-// next gives the members one after another, in a new order each turn.
-func (prober *Prober) next() (Member, bool) {
-	prober.lock.Lock()
-	defer prober.lock.Unlock()
-	if len(prober.turn) == 0 {
-		prober.turn = prober.others("")
-		if prober.Shuffle != nil {
-			prober.Shuffle(prober.turn)
-		} else {
-			rand.Shuffle(len(prober.turn), func(left, right int) {
-				prober.turn[left], prober.turn[right] = prober.turn[right], prober.turn[left]
-			})
-		}
-	}
-	if len(prober.turn) == 0 {
-		return Member{}, false
-	}
-	target := prober.turn[0]
-	prober.turn = prober.turn[1:]
-	return target, true
-}
-
-// others are those whom this daemon probes: the members of its zone, and where
-// it is of the backbone, the backbone of the other zones.
-func (prober *Prober) others(without ids.Address) []Member {
-	self := prober.Table.Self()
-	var found []Member
-	for _, member := range prober.Table.Members() {
-		probed := member.Zone == self.Zone || self.Backbone()
-		if probed && member.Present() && member.Address != self.Address && member.Address != without {
-			found = append(found, member)
-		}
-	}
-	return found
-}
-
-func (prober *Prober) thirds(target ids.Address) []Member {
-	found := prober.others(target)
-	rand.Shuffle(len(found), func(left, right int) { found[left], found[right] = found[right], found[left] })
-	return found[:min(prober.Pace.Seconds, len(found))]
-}
-
 // expire removes members whose suspicion was not refuted in time.
 func (prober *Prober) expire(frozen bool) {
 	for _, member := range prober.Table.Members() {
--- a/control/cohort/scope_test.go
+++ b/control/cohort/scope_test.go
@@ -119,3 +119,32 @@
 		t.Fatalf("%v", known.Members())
 	}
 }
+
+// TestLostZoneIsFoundOutAsAWhole suspects one relay of another zone: its mates
+// are probed next, whatever the turn was.
+func TestLostZoneIsFoundOutAsAWhole(t *testing.T) {
+	machine := clock.NewFake()
+	table := NewTable(machine, Member{Address: "a:1", Zone: "east", Relay: true})
+	table.Merge([]Member{
+		{Address: "b:1", Zone: "east", Incarnation: 1}, {Address: "c:1", Zone: "west", Incarnation: 1, Relay: true},
+		{Address: "d:1", Zone: "west", Incarnation: 1, Relay: true}, {Address: "e:1", Zone: "north", Incarnation: 1, Core: true},
+		{Address: "f:1", Zone: "south", Incarnation: 1, Core: true},
+	})
+	prober := &Prober{Table: table, Shuffle: func([]Member) {}}
+	if first, _ := prober.next(nearCircle); first.Address != "b:1" {
+		t.Fatalf("%v", first)
+	}
+	first, _ := prober.next(farCircle)
+	table.Judge(first.Address, Suspect)
+	second, _ := prober.next(farCircle)
+	prober.next(farCircle)
+	prober.hurry(Member{Address: "c:1", Zone: "west"})
+	if mate, _ := prober.next(farCircle); mate.Address != "d:1" {
+		t.Fatalf("after %v and %v comes %v", first, second, mate)
+	}
+	table.Announce(func(self *Member) { self.Relay = false })
+	prober.turns = nil
+	if _, found := prober.next(farCircle); found {
+		t.Fatal("one that is not of the backbone probes over zones")
+	}
+}
