--- a/control/zoneview/zoneview.go
+++ b/control/zoneview/zoneview.go
@@ -110,15 +110,19 @@
 }
 
 // Elsewhere gives the fronts of the other zones from which some daemon of the
-// backbone answers, and the zones from which none does.
+// backbone answers, and the zones from which not all do: they may be out of
+// reach, even if that is not sure yet.
 //
 // Example:
 //
 //	reached, cut := watcher.Elsewhere()
 func (watcher *Watcher) Elsewhere() (reached []Fronts, cut []ids.Zone) {
-	answers := map[ids.Zone]bool{}
+	answers, silent := map[ids.Zone]bool{}, map[ids.Zone]bool{}
 	for _, member := range watcher.Table.Members() {
-		answers[member.Zone] = answers[member.Zone] || (member.Backbone() && member.State == cohort.Alive)
+		if member.Backbone() {
+			answers[member.Zone] = answers[member.Zone] || member.State == cohort.Alive
+			silent[member.Zone] = silent[member.Zone] || member.State == cohort.Suspect || member.State == cohort.Removed
+		}
 	}
 	own := watcher.Table.Self().Zone
 	for _, item := range watcher.News.Under(FrontsPrefix) {
@@ -128,7 +132,8 @@
 		}
 		if answers[fronts.Zone] {
 			reached = append(reached, fronts)
-		} else {
+		}
+		if !answers[fronts.Zone] || silent[fronts.Zone] {
 			cut = append(cut, fronts.Zone)
 		}
 	}
