--- a/data/answer/answer_test.go
+++ b/data/answer/answer_test.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"onyxwell/base/clock"
 	"strings"
 	"testing"
 
@@ -124,3 +125,25 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// TestOldConnectionDoubtsNobody has a request that may run only once meet a kept
+// connection of an age that nobody tried: it goes to the same runner on a new
+// one, and the runner stands as well as before.
+func TestOldConnectionDoubtsNobody(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	house.clock.Move(clock.Second)
+	for range 3 {
+		if got := house.ask("/once/x", "x"); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+		house.clock.Move(3 * clock.Second)
+	}
+	ledger := house.board.Look("i-1")
+	if arrivals(runner) != 3 || ledger.Doubted || len(house.board.Due(house.clock.Now(), clock.Second)) != 0 {
+		t.Fatalf("%d arrivals, %+v", arrivals(runner), ledger)
+	}
+	if sample := house.board.Collect(house.clock.Now(), clock.Second).Samples[0]; sample.Failed != 0 {
+		t.Fatalf("%+v", sample)
+	}
+}
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -118,8 +118,12 @@
 
 // broken tells whether a fate speaks against the runner: one that only turned
 // a request away is well; one that was silent for longer than an answer's goal
-// is not.
+// is not. Nothing was sent on a kept connection that was too old: that says
+// nothing of the runner.
 func broken(result forward.Result, late bool, ending metrics.Ending, route *spec.Route) bool {
+	if result.Stale {
+		return false
+	}
 	if result.Fate == forward.Refused {
 		return result.Response.StatusCode == http.StatusMisdirectedRequest
 	}
