--- a/base/program/program.go
+++ b/base/program/program.go
@@ -34,7 +34,7 @@
 type commandLine struct {
 	Boot     string           `help:"Path of the boot file; by default what ${variable} holds." placeholder:"FILE"`
 	LogLevel string           `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
-	Grouping string           `help:"Whether runners are grouped by the length of the work that they take: on or off." enum:"on,off" default:"on"`
+	Grouping string           `help:"Whether runners are grouped by the length of the work that they take: on or off." enum:"on,off" default:"off"`
 	Version  kong.VersionFlag `help:"Print the version and stop."`
 	Run      struct{}         `cmd:"" default:"1" help:"Run the daemon (the default)."`
 	Check    struct{}         `cmd:"" help:"Read and check the boot file, then stop."`
