--- a/base/boot/boot.go
+++ b/base/boot/boot.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -44,6 +46,25 @@
 	Platform    Platform                `toml:"cloud_api"`
 	// Grouping is of the command line.
 	Grouping bool `toml:"-"`
+	// Metrics is where the daemon's figures are served; it is of the command line.
+	Metrics MetricsPlace `toml:"-"`
+}
+
+// MetricsPlace is a port and a path; port 0 is nowhere.
+type MetricsPlace struct {
+	Port int
+	Path string
+}
+
+// UnmarshalText reads PORT/PATH, as in 9464/metrics; kong calls it.
+func (place *MetricsPlace) UnmarshalText(text []byte) error {
+	port, path, found := strings.Cut(string(text), "/")
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 || !found || path == "" || strings.ContainsAny(path, " {}") {
+		return fmt.Errorf("%q is no PORT/PATH such as 9464/metrics", text)
+	}
+	place.Port, place.Path = int(number), "/"+path
+	return nil
 }
 
 // Limits are what the machine allows the process.
--- a/base/call/serve.go
+++ b/base/call/serve.go
@@ -4,12 +4,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"onyxwell/base/clock"
 	"onyxwell/base/failure"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
+	"onyxwell/base/telemetry"
 )
 
 // Incoming is a call as it arrived: its tail is what follows a path that ends
@@ -38,8 +40,10 @@
 	Scope     scope.Scope
 	BodyLimit int64
 	// Gate may be left out.
-	Gate  Gate
-	exact map[string]func(scope.Scope, Incoming) reply.Reply
+	Gate Gate
+	// Metrics count the calls; they may be left out.
+	Metrics *telemetry.Metrics
+	exact   map[string]func(scope.Scope, Incoming) reply.Reply
 }
 
 // NewTable makes an empty table.
@@ -98,7 +102,10 @@
 		}
 	}
 	inner := table.Scope.Under(request.Context())
-	serve(inner, Incoming{Request: request, Tail: tail, Body: body}).Send(writer)
+	begin := inner.Now()
+	answer := serve(inner, Incoming{Request: request, Tail: tail, Body: body})
+	table.Metrics.Call(request.Method+" "+path[:len(path)-len(tail)], strconv.Itoa(answer.Status), inner.Now().Since(begin))
+	answer.Send(writer)
 }
 
 // refuse answers a call that was not read.
--- a/base/program/program.go
+++ b/base/program/program.go
@@ -32,12 +32,13 @@
 }
 
 type commandLine struct {
-	Boot     string           `help:"Path of the boot file; by default what ${variable} holds." placeholder:"FILE"`
-	LogLevel string           `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
-	Grouping string           `help:"Whether runners are grouped by the length of the work that they take: on or off." enum:"on,off" default:"off"`
-	Version  kong.VersionFlag `help:"Print the version and stop."`
-	Run      struct{}         `cmd:"" default:"1" help:"Run the daemon (the default)."`
-	Check    struct{}         `cmd:"" help:"Read and check the boot file, then stop."`
+	Boot     string            `help:"Path of the boot file; by default what ${variable} holds." placeholder:"FILE"`
+	LogLevel string            `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"warn"`
+	Grouping string            `help:"Whether runners are grouped by the length of the work that they take: on or off." enum:"on,off" default:"off"`
+	Metrics  boot.MetricsPlace `help:"Serve this daemon's figures as text at PORT/PATH of the machine's address." placeholder:"PORT/PATH"`
+	Version  kong.VersionFlag  `help:"Print the version and stop."`
+	Run      struct{}          `cmd:"" default:"1" help:"Run the daemon (the default)."`
+	Check    struct{}          `cmd:"" help:"Read and check the boot file, then stop."`
 }
 
 // Main parses the command line and runs a command; it gives the exit status.
@@ -67,7 +68,7 @@
 		return complain(daemon, fault)
 	}
 	if settings != nil {
-		settings.Grouping = line.Grouping == "on"
+		settings.Grouping, settings.Metrics = line.Grouping == "on", line.Metrics
 	}
 	commands := map[string]func() error{
 		"check": func() error {
--- /dev/null
+++ b/base/telemetry/telemetry.go
@@ -0,0 +1,179 @@
+// Package telemetry keeps a daemon's figures and serves them in Prometheus'
+// text format. Labels are bounded: names of routes, of kinds and of causes,
+// never a tenant, a key or the id of a request. Times are in seconds.
+package telemetry
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/invariant"
+)
+
+// namespace begins the names of all figures.
+const namespace = "onyxwell"
+
+// routesMost is how many routes have figures of their own; further ones are
+// counted together as otherRoutes.
+const (
+	routesMost  = 256
+	otherRoutes = "(other)"
+	// noRoute stands for requests that no route has.
+	noRoute = "(none)"
+)
+
+// Metrics are the figures of one daemon. A nil one counts nothing.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	spent    *prometheus.HistogramVec
+	lookups  *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+	called   *prometheus.HistogramVec
+
+	lock   sync.Mutex
+	routes map[string]bool
+}
+
+// waits are the upper ends of the histograms' classes: from a millisecond to
+// half a minute.
+var waits = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
+
+// New makes the figures of a daemon, with those of its process and of the
+// invariants that the monitor counts.
+//
+// Example:
+//
+//	metrics := telemetry.New(&invariant.Monitor{Log: top.Log})
+func New(monitor *invariant.Monitor) *Metrics {
+	metrics := &Metrics{registry: prometheus.NewRegistry(), routes: map[string]bool{}}
+	metrics.requests = counters("requests_total", "Requests of clients that ended, by route and outcome: answered, or the kind of failure told, or cut, or left.", "route", "outcome")
+	metrics.sends = counters("sends_total", "Requests sent to runners, by what is known of their fate and by cause.", "fate", "cause")
+	metrics.spent = histograms("request_seconds", "Time from a request's head to the end of its answer, by outcome.", "outcome")
+	metrics.lookups = counters("lookups_total", "Answers of the directory, by the circle that the routers are in: zone, region, away, or none.", "circle")
+	metrics.calls = counters("calls_total", "Calls of operators and of other daemons that were answered, by call and status.", "call", "status")
+	metrics.called = histograms("call_seconds", "Time to the answer of such calls.", "call")
+	metrics.registry.MustRegister(metrics.requests, metrics.sends, metrics.spent, metrics.lookups, metrics.calls, metrics.called,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, name := range invariant.Names {
+		metrics.Total("invariant_violations_total", "Violations of a promise that the code checks while it runs.",
+			map[string]string{"invariant": string(name)}, func() float64 { return float64(monitor.Count(name)) })
+	}
+	return metrics
+}
+
+func counters(name string, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histograms(name string, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: waits}, labels)
+}
+
+// Total adds a figure that only rises and is read when it is asked for.
+//
+// Example:
+//
+//	metrics.Total("messages_sent_total", "Messages sent.", nil, func() float64 { return float64(sent.Load()) })
+func (metrics *Metrics) Total(name string, help string, labels map[string]string, read func() float64) {
+	if metrics == nil {
+		return
+	}
+	metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: labels,
+	}, read))
+}
+
+// Gauge adds a figure that is read when it is asked for.
+//
+// Example:
+//
+//	metrics.Gauge("config_version", "Version acted on.", nil, func() float64 { return float64(serial()) })
+func (metrics *Metrics) Gauge(name string, help string, labels map[string]string, read func() float64) {
+	if metrics == nil {
+		return
+	}
+	metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: labels,
+	}, read))
+}
+
+// Request counts a client's request that ended, with the time that it took.
+//
+// Example:
+//
+//	metrics.Request("r-1", "answered", 120*clock.Millisecond)
+func (metrics *Metrics) Request(route string, outcome string, spent clock.Span) {
+	if metrics == nil {
+		return
+	}
+	metrics.requests.WithLabelValues(metrics.bounded(route), outcome).Inc()
+	metrics.spent.WithLabelValues(outcome).Observe(spent.Seconds())
+}
+
+// bounded gives the label of a route: the first ones have their own.
+func (metrics *Metrics) bounded(route string) string {
+	if route == "" {
+		return noRoute
+	}
+	metrics.lock.Lock()
+	defer metrics.lock.Unlock()
+	if !metrics.routes[route] && len(metrics.routes) >= routesMost {
+		return otherRoutes
+	}
+	metrics.routes[route] = true
+	return route
+}
+
+// Send counts a request sent to a runner, by its fate and the cause of a
+// further try.
+//
+// Example:
+//
+//	metrics.Send("refused", "declined")
+func (metrics *Metrics) Send(fate string, cause string) {
+	if metrics != nil {
+		metrics.sends.WithLabelValues(fate, cause).Inc()
+	}
+}
+
+// Lookup counts an answer of the directory by its circle.
+//
+// Example:
+//
+//	metrics.Lookup("zone")
+func (metrics *Metrics) Lookup(circle string) {
+	if metrics != nil {
+		metrics.lookups.WithLabelValues(circle).Inc()
+	}
+}
+
+// Call counts an answered call, with the time that it took.
+//
+// Example:
+//
+//	metrics.Call("PUT /settings", "200", 80*clock.Millisecond)
+func (metrics *Metrics) Call(call string, status string, spent clock.Span) {
+	if metrics == nil {
+		return
+	}
+	metrics.calls.WithLabelValues(call, status).Inc()
+	metrics.called.WithLabelValues(call).Observe(spent.Seconds())
+}
+
+// Handler serves the figures as text.
+//
+// Example:
+//
+//	common.ServeHTTP(inner, address, metrics.Handler("/metrics"))
+func (metrics *Metrics) Handler(path string) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+path, promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/base/telemetry/telemetry_test.go
@@ -0,0 +1,45 @@
+package telemetry
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/invariant"
+)
+
+func TestFiguresAsText(t *testing.T) {
+	monitor := &invariant.Monitor{Tolerant: true}
+	metrics := New(monitor)
+	for index := range routesMost + 2 {
+		metrics.Request(fmt.Sprintf("r-%d", index), "answered", 20*clock.Millisecond)
+	}
+	metrics.Request("", "no-route", 0)
+	metrics.Send("refused", "declined")
+	metrics.Lookup("zone")
+	metrics.Call("PUT /settings", "200", clock.Second)
+	monitor.Violated(invariant.Home, "planted")
+	writer := httptest.NewRecorder()
+	metrics.Handler("/metrics").ServeHTTP(writer, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`onyxwell_requests_total{outcome="answered",route="r-0"} 1`,
+		`onyxwell_requests_total{outcome="answered",route="(other)"} 2`,
+		`onyxwell_requests_total{outcome="no-route",route="(none)"} 1`,
+		`onyxwell_request_seconds_bucket{outcome="answered",le="0.025"} 258`,
+		`onyxwell_sends_total{cause="declined",fate="refused"} 1`,
+		`onyxwell_lookups_total{circle="zone"} 1`,
+		`onyxwell_calls_total{call="PUT /settings",status="200"} 1`,
+		`onyxwell_invariant_violations_total{invariant="home"} 1`,
+		`onyxwell_invariant_violations_total{invariant="run-once"} 0`,
+		`process_resident_memory_bytes`,
+	} {
+		if !strings.Contains(writer.Body.String(), want) {
+			t.Errorf("missing: %s", want)
+		}
+	}
+	var none *Metrics
+	none.Request("r", "answered", 0)
+	none.Gauge("g", "", nil, nil)
+}
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -4,14 +4,25 @@
 import (
 	"os"
 
+	"onyxwell/base/boot"
 	"onyxwell/base/program"
+	"onyxwell/base/scope"
+	"onyxwell/data/router"
 )
 
 func main() {
 	os.Exit(program.Main(program.Daemon{
-		Name:  "router",
+		Name:  router.Role,
 		Text:  "Carries visitors' requests to the model runners that the plan chooses.",
 		Needs: []string{"front", "readiness"},
 		Serve: serve,
 	}, os.Args[1:]))
 }
+
+func serve(top scope.Scope, reread <-chan *boot.Boot) error {
+	r, err := router.New(top, router.Options{})
+	if err != nil {
+		return err
+	}
+	return r.Run(top, reread)
+}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -116,6 +116,7 @@
 	if fault != nil {
 		return nil, fault
 	}
+	made.own.Acceptor.Monitor = made.common.Monitor
 	made.own.Serve(made.common.Calls)
 	made.keeper = register.NewKeeper(register.Options{
 		Address: made.common.Address, Line: made.own, Voters: made.own.Acceptor.Voters,
@@ -153,6 +154,7 @@
 	})
 	made.duty("plan", made.planner(top))
 	orders := call.NewTable(top, top.Boot.Limits.MemoryMB<<20/16)
+	orders.Metrics = common.Metrics
 	operator.Serve(orders, made.front)
 	operator.ServeRoom(orders, common.News)
 	made.serveStatus(orders)
@@ -160,6 +162,7 @@
 		return common.ServeHTTP(inner, top.Boot.Listen["control"], orders)
 	})
 	lookups := call.NewTable(top, 1<<16)
+	lookups.Metrics = common.Metrics
 	directory.Directory{Table: common.Table, Elsewhere: common.Zones.Elsewhere, Zones: top.Boot.Zones, Fewest: 1}.Serve(lookups)
 	common.Part("directory", func(inner scope.Scope) error {
 		return common.ServeHTTP(inner, top.Boot.Listen["directory"], lookups)
@@ -170,7 +173,7 @@
 func (made *Controller) duty(name string, work func(holder *lease.Holder) func(inner scope.Scope)) {
 	holder := lease.NewHolder(lease.Options{
 		Duty: name, Address: made.common.Address, Span: made.pace.Hold,
-		Ask: made.own.AskHold, Epoch: made.front.Epoch,
+		Ask: made.own.AskHold, Epoch: made.front.Epoch, Monitor: made.common.Monitor,
 	})
 	made.duties = append(made.duties, holder)
 	run := work(holder)
--- a/control/courier/gate.go
+++ b/control/courier/gate.go
@@ -29,6 +29,13 @@
 
 var flawNames = [flaws]string{"torn", "version", "deployment", "oversized", "unknown"}
 
+// FlawNames gives the names of all flaws, by flaw.
+//
+// Example:
+//
+//	for flaw, name := range courier.FlawNames() { ... }
+func FlawNames() []string { return flawNames[:] }
+
 // String gives the flaw's name as the log and the status carry it.
 //
 // Example:
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -12,7 +12,9 @@
 	"onyxwell/base/boot"
 	"onyxwell/base/call"
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/base/scope"
+	"onyxwell/base/telemetry"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
 	"onyxwell/control/eject"
@@ -35,6 +37,9 @@
 	Calls     *call.Table
 	Spreader  *spread.Spreader
 	Zones     *zoneview.Watcher
+	// Metrics are this daemon's figures, Monitor counts the promises that it broke.
+	Metrics *telemetry.Metrics
+	Monitor *invariant.Monitor
 	// Traffic counts what the daemon says to others of its kind.
 	Traffic call.Traffic
 	prober  *cohort.Prober
@@ -54,6 +59,8 @@
 	Fresh func(spread.Item)
 	// Network is the machine's own where none is given.
 	Network Network
+	// Monitor counts broken promises; one is made where none is given.
+	Monitor *invariant.Monitor
 }
 
 // New makes the common part for a role.
@@ -68,6 +75,11 @@
 		options.Network = Sockets{}
 	}
 	made := &Daemon{Scope: top, Network: options.Network, Address: settings.InnerAddress(settings.IP, role)}
+	made.Monitor = options.Monitor
+	if made.Monitor == nil {
+		made.Monitor = &invariant.Monitor{Log: top.Log}
+	}
+	made.Metrics = telemetry.New(made.Monitor)
 	made.Table = cohort.NewTable(top.Clock, cohort.Member{
 		Address: made.Address, Role: role, Zone: settings.Zone, Region: settings.Region,
 		Front: settings.Listen["front"], Core: settings.Listen["control"] != "" && role != Carrier,
@@ -83,6 +95,7 @@
 	made.Messenger.Gate = courier.NewGate(settings.Zones)
 	made.Calls = call.NewTable(top, settings.Limits.MemoryMB<<20/8)
 	made.Calls.Gate = made.Messenger.Gate
+	made.Calls.Metrics = made.Metrics
 	made.Spreader = &spread.Spreader{
 		News: made.News, Table: made.Table, Messenger: made.Messenger,
 		Seeds: settings.SeedAddresses(), Every: pace.Exchange, Limit: pace.Silence,
@@ -103,6 +116,7 @@
 	made.Part("probe", func(inner scope.Scope) error { made.prober.Run(inner); return nil })
 	made.Part("datagrams", made.receive)
 	made.serveSums()
+	made.serveMetrics()
 	made.Part("relays", func(inner scope.Scope) error {
 		for inner.Wait(pace.View) {
 			made.Table.Elect(pace.Relays, pace.Probe.Suspicion)
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -27,6 +27,7 @@
 	"onyxwell/base/chance"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/base/scope"
 )
 
@@ -61,6 +62,8 @@
 	Ask func(inner scope.Scope, asked Ask) bool
 	// Epoch writes a new epoch for the duty to the register.
 	Epoch func(inner scope.Scope, duty string) (int64, error)
+	// Monitor may be left out.
+	Monitor *invariant.Monitor
 	// Life tells this process from the one before; by default a random number.
 	Life int64
 }
@@ -176,6 +179,9 @@
 	if holder.released >= number || (epoch == 0 && !holder.held(inner.Now())) {
 		return false
 	}
+	if epoch > 0 && epoch <= holder.epoch {
+		holder.options.Monitor.Violated(invariant.EpochRises, "duty %s is gained under epoch %d after %d", holder.options.Duty, epoch, holder.epoch)
+	}
 	holder.epoch, holder.until = max(holder.epoch, epoch), until
 	return true
 }
--- a/control/register/acceptor.go
+++ b/control/register/acceptor.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/control/courier"
 )
 
@@ -21,6 +22,8 @@
 
 // Acceptor is one voter: what it promised and accepted for each key.
 type Acceptor struct {
+	// Monitor may be left out; it is set before the first call.
+	Monitor     *invariant.Monitor
 	lock        sync.Mutex
 	store       Store
 	address     ids.Address
@@ -139,7 +142,7 @@
 		return told
 	}
 	slot.Promised = asked.Epoch
-	acceptor.slots[asked.Key] = slot
+	acceptor.set(slot)
 	acceptor.lock.Unlock()
 	told.Slot, told.Verdict = slot, acceptor.grant(asked.Key)
 	return told
@@ -166,7 +169,7 @@
 		return told
 	}
 	slot.Promised, slot.Accepted = asked.Accepted.Epoch, asked.Accepted
-	acceptor.slots[asked.Key] = slot
+	acceptor.set(slot)
 	acceptor.seeVoters()
 	told.Generation = acceptor.voters.Generation
 	acceptor.lock.Unlock()
@@ -207,6 +210,14 @@
 	return slot
 }
 
+// set puts a slot in place of the one before, whose promise it may not lower.
+func (acceptor *Acceptor) set(slot Slot) {
+	if before := acceptor.slots[slot.Key].Promised; slot.Promised.Compare(before) < 0 {
+		acceptor.Monitor.Violated(invariant.PromiseRises, "key %s: promised %v after %v", slot.Key, slot.Promised, before)
+	}
+	acceptor.slots[slot.Key] = slot
+}
+
 func sorted(slots map[string]Slot) []Slot {
 	found := make([]Slot, 0, len(slots))
 	for _, slot := range slots {
--- a/control/register/learn.go
+++ b/control/register/learn.go
@@ -177,7 +177,7 @@
 		}
 		keys = append(keys, seen.Key)
 		if !same(mended, held) {
-			acceptor.slots[seen.Key] = mended
+			acceptor.set(mended)
 		}
 	}
 	acceptor.seeVoters()
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -65,6 +65,7 @@
 	if resumed {
 		trip.LastEvent = strconv.FormatInt(visit.last, 10)
 	}
+	visit.checkSending(runner, trip.Left, begin)
 	number := visit.front.number.Add(1)
 	options.Board.Sent(runner.ID, metrics.Sending{
 		Service: decision.Service(), Number: number, Tokens: visit.asking.Tokens, Urgency: visit.route.Urgency,
@@ -91,6 +92,11 @@
 	now := inner.Now()
 	ending.Finished = fate == forward.Answered
 	ending.Spent = now.Since(begin)
+	cause := result.Cause
+	if result.Fate != fate {
+		cause = "body"
+	}
+	visit.sentTo(runner, fate, cause, ending.Spent)
 	if ending.Finished && visit.asking.Tokens == 0 {
 		options.Board.Read(decision.Service(), visit.route.Name, 1, ending.Spent)
 	}
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -13,8 +13,10 @@
 	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 	"onyxwell/base/failure"
+	"onyxwell/base/invariant"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
+	"onyxwell/base/telemetry"
 	"onyxwell/control/spec"
 	"onyxwell/data/admit"
 	"onyxwell/data/forward"
@@ -31,6 +33,9 @@
 	Board  *metrics.Board
 	Warmth *warmth.Warmth
 	Sender *forward.Sender
+	// Metrics and Monitor may be left out.
+	Metrics *telemetry.Metrics
+	Monitor *invariant.Monitor
 }
 
 // Front answers visitors.
@@ -39,6 +44,7 @@
 	leaving atomic.Bool
 	number  atomic.Uint64
 	running atomic.Int64
+	lines   lines
 }
 
 // NewFront makes a front.
@@ -67,6 +73,7 @@
 	front.running.Add(1)
 	defer front.running.Add(-1)
 	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now()}
+	defer visit.record()
 	if fault := visit.read(); fault != nil {
 		visit.refuse(failure.KindOf(fault), failure.DetailOf(fault))
 		return
@@ -97,6 +104,13 @@
 	known   bool
 	gone    bool
 	last    int64
+	// sends are what was sent so far, outcome how the visit ended.
+	sends   []sending
+	outcome string
+	// status is that of the runner's answer that was passed on.
+	status int
+	// clientLeft is the time that the client gave; 0 is not told.
+	clientLeft clock.Span
 }
 
 // read takes the request in, within the spec's limits.
@@ -170,7 +184,8 @@
 func (visit *visit) time() {
 	span := boot.Milliseconds(visit.route.GiveUpMS)
 	if left, fault := strconv.ParseFloat(visit.request.Header.Get(forward.LeftHeader), 64); fault == nil && left > 0 {
-		span = min(span, boot.Milliseconds(left))
+		visit.clientLeft = boot.Milliseconds(left)
+		span = min(span, visit.clientLeft)
 	}
 	visit.limit = visit.since.Add(span)
 }
@@ -181,6 +196,10 @@
 	if visit.begun {
 		visit.abort()
 	}
+	if kind.Answer().NotRun && visit.mayHaveRun() {
+		visit.front.options.Monitor.Violated(invariant.PromiseNotRun, "attempt %s is answered %s after %v", visit.sent.Attempt, kind, visit.sends)
+	}
+	visit.outcome = kind.String()
 	made := reply.Of(kind, detail)
 	if kind.Answer().Status == http.StatusServiceUnavailable && visit.route != nil {
 		made = made.After(max(comeBack(kind, visit.route.Goal()), 20*clock.Millisecond))
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 
+	"onyxwell/base/invariant"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
@@ -55,12 +56,25 @@
 		visit.gone = true
 		return forward.Doubtful, true
 	}
+	visit.outcome = outcomeAnswered
+	if visit.status >= http.StatusInternalServerError {
+		visit.outcome = outcomeRunnerFailed
+	}
 	return forward.Answered, true
 }
 
 // begin writes the head. Asked for a head alone, a runner's length is that of the
 // body that it doesn't send.
 func (visit *visit) begin(response *http.Response, length int64) {
+	told, sealed := response.Header.Get(forward.AttemptHeader), response.Header.Get(forward.SealHeader) != ""
+	if told != visit.sent.Attempt || (response.StatusCode/100 == 2 && !sealed) {
+		visit.front.options.Monitor.Violated(invariant.AnswerSeal, "attempt %s gets an answer of %q, status %d, sealed %v", visit.sent.Attempt, told, response.StatusCode, sealed)
+	}
+	visit.status = response.StatusCode
+	visit.beginHead(response, length)
+}
+
+func (visit *visit) beginHead(response *http.Response, length int64) {
 	header := forward.PassedOn(response.Header)
 	told := header["Content-Length"]
 	delete(header, "Content-Length")
@@ -122,6 +136,9 @@
 		if wrote != nil {
 			return visit.took(wrote)
 		}
+		if visit.known && events.Known && events.Last != visit.last && events.Last != visit.last+1 {
+			visit.front.options.Monitor.Violated(invariant.EventOrder, "attempt %s gets event %d after %d", visit.sent.Attempt, events.Last, visit.last)
+		}
 		visit.last, visit.known = events.Last, events.Known
 	}
 }
--- a/data/forward/fate.go
+++ b/data/forward/fate.go
@@ -24,6 +24,15 @@
 	Garbled
 )
 
+var fateNames = [...]string{Unsent: "unsent", Refused: "refused", Answered: "answered", Doubtful: "doubtful", Garbled: "garbled"}
+
+// String gives the fate's name as logs and figures carry it.
+//
+// Example:
+//
+//	forward.Refused.String() // "refused"
+func (fate Fate) String() string { return fateNames[fate] }
+
 // sign is what a sending showed.
 type sign int
 
@@ -50,6 +59,14 @@
 	proper
 )
 
+var signNames = [...]string{
+	undialed: "undialed", stale: "stale", expired: "expired", unwritten: "unwritten", silent: "silent",
+	foreign: "foreign", declined: "declined", unsealed: "unsealed", unfounded: "unfounded", proper: "proper",
+}
+
+// String gives the sign's name as logs and figures carry it.
+func (sign sign) String() string { return signNames[sign] }
+
 // verdict is what follows from a sign.
 type verdict struct {
 	fate Fate
@@ -113,7 +130,7 @@
 	if fault == nil {
 		fault = told.fault
 	}
-	return Result{Fate: told.fate, Fault: fault, Response: response, Stale: sign == stale}
+	return Result{Fate: told.fate, Cause: sign.String(), Fault: fault, Response: response, Stale: sign == stale}
 }
 
 // ending is how an exchange over a connection ended.
--- a/data/forward/sender.go
+++ b/data/forward/sender.go
@@ -58,7 +58,9 @@
 // Result is what came of a trip. The response is there where it was answered
 // or refused; its body is the caller's to close.
 type Result struct {
-	Fate     Fate
+	Fate Fate
+	// Cause names what was seen, in a word.
+	Cause    string
 	Response *http.Response
 	Fault    error
 	// Stale says that nothing was sent since the kept connection was too old: the
--- a/cmd/router/confirm.go
+++ b/data/router/confirm.go
@@ -1,10 +1,10 @@
-package main
+package router
 
 import "onyxwell/base/ids"
 
 // serial is the version that this router acts on.
-func (made *router) serial() ids.Serial {
-	if seen := made.frame.Now(); seen.Spec != nil {
+func (r *Router) serial() ids.Serial {
+	if seen := r.frame.Now(); seen.Spec != nil {
 		return seen.Spec.Serial
 	}
 	return 0
--- a/cmd/router/doubt.go
+++ b/data/router/doubt.go
@@ -1,4 +1,4 @@
-package main
+package router
 
 import (
 	"net/http"
@@ -35,7 +35,7 @@
 	full := heard.Status == http.StatusServiceUnavailable && heard.Header.Get(reply.NotRunHeader) != ""
 	told.ill = heard.Status != http.StatusOK && !full
 	told.id = ids.RunnerID(heard.Header.Get(forward.RunnerHeader))
-	if left, fault := strconv.ParseFloat(heard.Header.Get(forward.ColdHeader), 64); fault == nil {
+	if left, err := strconv.ParseFloat(heard.Header.Get(forward.ColdHeader), 64); err == nil {
 		told.cold = boot.Milliseconds(left)
 	}
 	return nil
@@ -47,22 +47,22 @@
 
 // doubts tests runners that broke down until they are well again, and tells
 // the directory when this router reaches no runner for some route.
-func (made *router) doubts(inner scope.Scope) error {
-	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence}, Idle: made.pace.Connect, PerHost: 1})
+func (r *Router) doubts(inner scope.Scope) error {
+	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence}, Idle: r.pace.Connect, PerHost: 1})
 	unable, answered := 0, map[ids.Region]bool{}
-	for inner.Wait(made.pace.Connect / looksAtDoubt) {
+	for inner.Wait(r.pace.Connect / looksAtDoubt) {
 		now := inner.Now()
-		answered = made.doubtRegions(answered, now)
-		for _, id := range made.board.Due(now, made.pace.Connect/4) {
-			go made.test(inner, client, id)
+		answered = r.doubtRegions(answered, now)
+		for _, id := range r.board.Due(now, r.pace.Connect/4) {
+			go r.test(inner, client, id)
 		}
-		if made.reaches(now) {
+		if r.reaches(now) {
 			unable = 0
 		} else {
 			unable++
 		}
 		// A moment without runners is no reason to send visitors away.
-		made.common.Table.Announce(func(self *cohort.Member) { self.Unable = unable > looksAtDoubt/2 })
+		r.common.Table.Announce(func(self *cohort.Member) { self.Unable = unable > looksAtDoubt/2 })
 	}
 	return nil
 }
@@ -70,49 +70,49 @@
 // doubtRegions doubts all runners of a region as soon as no daemon there
 // answers any more: tests find out faster than visitors would. It gives the
 // regions that answer now.
-func (made *router) doubtRegions(answered map[ids.Region]bool, now clock.Instant) map[ids.Region]bool {
+func (r *Router) doubtRegions(answered map[ids.Region]bool, now clock.Instant) map[ids.Region]bool {
 	answers := map[ids.Region]bool{}
-	for _, member := range made.common.Table.Members() {
+	for _, member := range r.common.Table.Members() {
 		answers[member.Region] = answers[member.Region] || member.State == cohort.Alive
 	}
-	for _, runners := range made.frame.Now().Runners {
+	for _, runners := range r.frame.Now().Runners {
 		for _, runner := range runners {
 			if answered[runner.Region] && !answers[runner.Region] {
-				made.board.Doubt(runner.ID, now)
+				r.board.Doubt(runner.ID, now)
 			}
 		}
 	}
 	return answers
 }
 
-func (made *router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
-	seen := made.frame.Now()
+func (r *Router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
+	seen := r.frame.Now()
 	runner := seen.Find(id)
 	if runner == nil || seen.Spec == nil || seen.Spec.Service(runner.Service) == nil {
-		made.board.Drop(id)
+		r.board.Drop(id)
 		return
 	}
 	path := seen.Spec.Service(runner.Service).HealthPath
-	short, release := inner.WithLimit(made.pace.Connect)
+	short, release := inner.WithLimit(r.pace.Connect)
 	defer release()
-	told, fault := call.Ask[condition](short, client, runner.Address, health{path: path})
-	if fault != nil || (told.id != "" && told.id != id) {
+	told, err := call.Ask[condition](short, client, runner.Address, health{path: path})
+	if err != nil || (told.id != "" && told.id != id) {
 		return
 	}
-	if told.ill && (told.id != id || !made.board.SaysIll(id)) {
+	if told.ill && (told.id != id || !r.board.SaysIll(id)) {
 		return
 	}
 	now := inner.Now()
 	if told.cold > 0 {
-		made.warmth.Chill(id, now.Add(told.cold), now)
+		r.warmth.Chill(id, now.Add(told.cold), now)
 	}
-	made.board.Vouch(id, now)
+	r.board.Vouch(id, now)
 }
 
 // reaches tells whether every service that has routes has a runner that can be
 // sent to now.
-func (made *router) reaches(now clock.Instant) bool {
-	seen := made.frame.Now()
+func (r *Router) reaches(now clock.Instant) bool {
+	seen := r.frame.Now()
 	if seen.Spec == nil || seen.Runners == nil {
 		return true
 	}
@@ -123,16 +123,16 @@
 		}
 	}
 	for service, any := range wanted {
-		if any && !made.reachesOne(seen, service, now) {
+		if any && !r.reachesOne(seen, service, now) {
 			return false
 		}
 	}
 	return true
 }
 
-func (made *router) reachesOne(seen *snapshot.Snapshot, service ids.Service, now clock.Instant) bool {
+func (r *Router) reachesOne(seen *snapshot.Snapshot, service ids.Service, now clock.Instant) bool {
 	for _, runner := range seen.Runners[service] {
-		if seen.Open(runner) && !made.board.Look(runner.ID).Doubted && made.board.Silence(runner.ID, now) < made.pace.Connect {
+		if seen.Open(runner) && !r.board.Look(runner.ID).Doubted && r.board.Silence(runner.ID, now) < r.pace.Connect {
 			return true
 		}
 	}
--- /dev/null
+++ b/data/router/doubt_test.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/daemon"
+	"onyxwell/control/spread"
+	"onyxwell/data/metrics"
+	"onyxwell/data/snapshot"
+	"onyxwell/data/warmth"
+)
+
+const document = `{"config_version":1,"routes":[{"name":"a","hostname":"h","path_prefix":"/","give_up_ms":100,"service":"s"}],
+ "services":[{"name":"s","health_path":"/well"},{"name":"unused"}]}`
+
+func newRouter(t *testing.T, runners ...census.Runner) (*Router, *clock.Fake) {
+	t.Helper()
+	machine := clock.NewFake()
+	r := &Router{board: metrics.NewBoard(), warmth: warmth.New(chance), pace: daemon.Pace{Connect: clock.Second}}
+	r.common = &daemon.Daemon{Table: cohort.NewTable(machine, cohort.Member{Address: "self", Role: Role, Region: "north"})}
+	r.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
+	r.frame.Absorb(spread.Item{Key: "spec", Serial: 1, Body: []byte(document)})
+	body, err := courier.Pack(census.List{Runners: runners})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.frame.Absorb(spread.Item{Key: census.Key, Serial: 1, Body: body})
+	return r, machine
+}
+
+func TestLostRegionIsDoubtedOnce(t *testing.T) {
+	r, machine := newRouter(t, census.Runner{ID: "near", Service: "s", Zone: "n"}, census.Runner{ID: "far", Service: "s", Zone: "s"})
+	members := []cohort.Member{{Address: "x", Region: "south", Incarnation: 1}, {Address: "y", Region: "south", Incarnation: 1}}
+	r.common.Table.Merge(members)
+	answered := r.doubtRegions(nil, machine.Now())
+	if r.board.Look("far").Doubted {
+		t.Fatal("doubted before anything was heard of the region")
+	}
+	r.common.Table.Judge("x", cohort.Suspect)
+	answered = r.doubtRegions(answered, machine.Now())
+	if r.board.Look("far").Doubted {
+		t.Fatal("doubted while a daemon there answers")
+	}
+	r.common.Table.Judge("y", cohort.Removed)
+	answered = r.doubtRegions(answered, machine.Now())
+	if !r.board.Look("far").Doubted || r.board.Look("near").Doubted {
+		t.Fatal("not the runners of the lost region are doubted")
+	}
+	r.board.Vouch("far", machine.Now())
+	r.doubtRegions(answered, machine.Now())
+	if r.board.Look("far").Doubted {
+		t.Fatal("a runner that a test found well is doubted again")
+	}
+}
+
+func TestReachIsOfEveryRoutedService(t *testing.T) {
+	r, machine := newRouter(t, census.Runner{ID: "one", Service: "s", Zone: "n"}, census.Runner{ID: "two", Service: "s", Zone: "s", Draining: true})
+	if !r.reaches(machine.Now()) {
+		t.Fatal("a service without routes counts, or a ready runner does not")
+	}
+	r.board.Doubt("one", machine.Now())
+	if r.reaches(machine.Now()) {
+		t.Fatal("a doubted and a draining runner are reach enough")
+	}
+	r.board.Vouch("one", machine.Now())
+	r.board.Sent("one", metrics.Sending{Service: "s", Number: 1, Tokens: 0}, machine.Now())
+	machine.Move(2 * clock.Second)
+	if r.reaches(machine.Now()) {
+		t.Fatal("a silent runner is reach enough")
+	}
+}
+
+func TestHealthEndsDoubt(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		head   http.Header
+		well   bool
+		cold   bool
+	}{
+		{"well", 200, http.Header{"Onyxwell-Server-Id": {"i"}}, true, false},
+		{"well and cold", 200, http.Header{"Onyxwell-Server-Id": {"i"}, "Onyxwell-Cold-Ms": {"500"}}, true, true},
+		{"full", 503, http.Header{"Onyxwell-Not-Run": {"1"}}, true, false},
+		{"draining", 503, http.Header{"Onyxwell-Server-Id": {"i"}}, false, false},
+		{"another life", 200, http.Header{"Onyxwell-Server-Id": {"j"}}, false, false},
+	}
+	for _, example := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path != "/well" {
+				t.Errorf("asked %s", request.URL.Path)
+			}
+			for name, values := range example.head {
+				writer.Header()[name] = values
+			}
+			writer.WriteHeader(example.status)
+		}))
+		address := ids.Address(strings.TrimPrefix(server.URL, "http://"))
+		r, machine := newRouter(t, census.Runner{ID: "i", Service: "s", Zone: "n", Address: address})
+		r.warmth.List([]warmth.Entry{{ID: "i"}}, 0, machine.Now())
+		r.board.Doubt("i", machine.Now())
+		client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: clock.Second, Silence: clock.Second}, PerHost: 1})
+		r.test(scope.New(scope.Options{Clock: machine}), client, "i")
+		if well := !r.board.Look("i").Doubted; well != example.well || r.warmth.Cold("i", machine.Now()) != example.cold {
+			t.Errorf("%s: well %v, cold %v", example.name, well, r.warmth.Cold("i", machine.Now()))
+		}
+		server.Close()
+	}
+	r, machine := newRouter(t)
+	r.board.Doubt("gone", machine.Now())
+	r.test(scope.New(scope.Options{Clock: machine}), http.DefaultClient, "gone")
+	if len(r.board.Due(machine.Now(), clock.Second)) != 0 {
+		t.Error("a runner that is listed no more is tested for ever")
+	}
+}
--- a/cmd/router/leave.go
+++ b/data/router/leave.go
@@ -1,4 +1,4 @@
-package main
+package router
 
 import (
 	"math/rand/v2"
@@ -12,17 +12,17 @@
 func chance() float64 { return rand.Float64() }
 
 // door remembers the server that visitors come through.
-func (made *router) door(server *http.Server) { made.server.Store(server) }
+func (r *Router) door(server *http.Server) { r.server.Store(server) }
 
 // leave goes in order: out of the directory at once, the door open until
 // visitors have moved, then closed, and what runs is finished.
-func (made *router) leave(top scope.Scope) {
+func (r *Router) leave(top scope.Scope) {
 	grace := boot.Seconds(top.Boot.Bounds.GraceS)
 	begin := top.Now()
-	made.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
-	made.common.Tell(top)
-	made.front.Leave()
-	server := made.server.Load()
+	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
+	r.common.Tell(top)
+	r.front.Leave()
+	server := r.server.Load()
 	if server != nil {
 		server.SetKeepAlivesEnabled(false)
 	}
@@ -35,6 +35,6 @@
 		release()
 		_ = server.Close()
 	}
-	made.common.Leave(top)
-	top.Wait(made.pace.Probe.Answer)
+	r.common.Leave(top)
+	top.Wait(r.pace.Probe.Answer)
 }
--- /dev/null
+++ b/data/router/serve.go
@@ -0,0 +1,201 @@
+// Package router is the data plane's daemon: it carries clients' requests to
+// model runners, on every edge machine, and keeps no durable state.
+package router
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/call"
+	"onyxwell/base/clock"
+	"onyxwell/base/failure"
+	"onyxwell/base/invariant"
+	"onyxwell/base/reply"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+	"onyxwell/control/daemon"
+	"onyxwell/control/readindex"
+	"onyxwell/data/admit"
+	"onyxwell/data/answer"
+	"onyxwell/data/budget"
+	"onyxwell/data/forward"
+	"onyxwell/data/metrics"
+	"onyxwell/data/snapshot"
+	"onyxwell/data/warmth"
+)
+
+// Role is the routers' name in the deploy file and among members.
+const Role = "router"
+
+// Options are what a router stands on.
+type Options struct {
+	// Network is the machine's own where none is given.
+	Network daemon.Network
+}
+
+// Router is the daemon put together.
+type Router struct {
+	common *daemon.Daemon
+	pace   daemon.Pace
+	frame  *snapshot.Frame
+	board  *metrics.Board
+	warmth *warmth.Warmth
+	gate   *readindex.Gate
+	front  *answer.Front
+	server atomic.Pointer[http.Server]
+}
+
+// Run runs the router until the scope ends, then leaves in order.
+//
+// Example:
+//
+//	err := r.Run(top, reread)
+func (r *Router) Run(top scope.Scope, reread <-chan *boot.Boot) error {
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	ended := make(chan error, 1)
+	go func() { ended <- r.common.Run(running) }()
+	for {
+		select {
+		case fresh := <-reread:
+			r.common.Reread(fresh)
+		case err := <-ended:
+			return err
+		case <-top.Done():
+			r.leave(top.Detached())
+			return nil
+		}
+	}
+}
+
+// New puts a router together.
+//
+// Example:
+//
+//	r, err := router.New(top, router.Options{})
+func New(top scope.Scope, options Options) (*Router, error) {
+	monitor := &invariant.Monitor{Log: top.Log}
+	r := &Router{pace: daemon.PaceOf(top.Boot), board: metrics.NewBoard(), warmth: warmth.New(chance)}
+	r.frame = snapshot.NewFrame(snapshot.Options{Clock: top.Clock, Zones: top.Boot.Zones, Region: top.Boot.Region, Listed: r.listed(top), Monitor: monitor})
+	var err error
+	r.common, err = daemon.New(top, daemon.Options{Role: Role, Fresh: r.frame.Absorb, Network: options.Network, Monitor: monitor})
+	if err != nil {
+		return nil, err
+	}
+	bounds := top.Boot.Bounds
+	tries := budget.New(budget.Options{
+		Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: boot.Seconds(bounds.RetryWindowS), Sharers: r.sharers,
+	})
+	gate := admit.NewGate(admit.Options{
+		Scope: top, Frame: r.frame, Board: r.board, Budget: tries, Warmth: r.warmth,
+		Region: top.Boot.Region, Sharers: r.common.Zones.Sharers, Routers: r.sharers, Chance: chance,
+	})
+	sender := forward.NewSender(forward.Options{
+		Clock: top.Clock, Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence},
+		Idle: 8 * r.pace.Silence, PerHost: top.Boot.Limits.OpenFiles / 64,
+	})
+	r.front = answer.NewFront(answer.Options{
+		Scope: top, Frame: r.frame, Gate: gate, Board: r.board, Warmth: r.warmth, Sender: sender,
+		Metrics: r.common.Metrics, Monitor: r.common.Monitor,
+	})
+	r.gate = r.common.ReadIndex(r.frame.Ready(), r.serial)
+	r.common.Metrics.Gauge("config_version", "Version of the configuration that this router acts on.", nil, func() float64 { return float64(r.serial()) })
+	r.common.Metrics.Gauge("requests_running", "Requests of clients that are being answered.", nil, func() float64 { return float64(r.front.Running()) })
+	r.parts(top)
+	return r, nil
+}
+
+// sharers is how many routers there could be.
+func (r *Router) sharers() int { return r.common.Zones.Routers() }
+
+// listed keeps the warmth of runners up with each new list.
+func (r *Router) listed(top scope.Scope) func(*snapshot.Snapshot) {
+	lag := boot.Milliseconds(top.Boot.Platform.MaxLagMS)
+	return func(seen *snapshot.Snapshot) {
+		var entries []warmth.Entry
+		for name, runners := range seen.Runners {
+			warmup := clock.Span(0)
+			if seen.Spec != nil && seen.Spec.Service(name) != nil {
+				warmup = boot.Seconds(seen.Spec.Service(name).WarmupS)
+			}
+			for _, runner := range runners {
+				entries = append(entries, warmth.Entry{
+					ID: runner.ID, ColdLeft: boot.Milliseconds(float64(runner.ColdLeftMS)), Warmup: warmup,
+				})
+			}
+		}
+		r.warmth.List(entries, lag, top.Now())
+	}
+}
+
+func (r *Router) parts(top scope.Scope) {
+	common := r.common
+	common.Part("readiness", func(inner scope.Scope) error {
+		return common.ServeHTTP(inner, top.Boot.Listen["readiness"], http.HandlerFunc(r.readiness))
+	})
+	common.Once("readindex", r.gate.Run)
+	common.Part("front", r.serveFront)
+	common.Part("census", r.lookAfterCensus)
+	common.Part("report", r.report)
+	common.Part("doubts", r.doubts)
+}
+
+func (r *Router) readiness(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != "/ready" {
+		reply.Of(failure.UnknownCall, request.URL.Path).Send(writer)
+		return
+	}
+	if !r.common.Table.Self().Ready {
+		reply.Of(failure.Unready, "the version is "+r.gate.State()).Send(writer)
+		return
+	}
+	if state := r.gate.State(); state != readindex.Confirmed {
+		reply.Raw(http.StatusOK, "text/plain", []byte(state+"\n")).Send(writer)
+		return
+	}
+	reply.Empty(http.StatusOK).Send(writer)
+}
+
+// serveFront takes visitors in once a spec and the runners are known, and the
+// spec is confirmed as the newest. The door
+// opens a little earlier: those who come while these are on their way wait in
+// the listener's queue rather than being turned off.
+func (r *Router) serveFront(inner scope.Scope) error {
+	address := string(inner.Boot.Listen["front"])
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }()
+	select {
+	case <-inner.Done():
+		return nil
+	case <-r.gate.Ready():
+	case <-inner.Clock.After(r.pace.Connect):
+		_ = listener.Close()
+		select {
+		case <-inner.Done():
+			return nil
+		case <-r.gate.Ready():
+		}
+		if listener, err = net.Listen("tcp", address); err != nil {
+			return err
+		}
+	}
+	limits := r.frame.Now().Spec.Limits
+	server := answer.NewServer(r.front, boot.Milliseconds(limits.HeaderWaitMS), boot.Milliseconds(limits.IdleMS))
+	stop := context.AfterFunc(inner, func() { _ = server.Close() })
+	defer stop()
+	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
+	r.common.Tell(inner)
+	r.door(server)
+	if err := server.Serve(answer.Door(listener)); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-inner.Done()
+	return nil
+}
--- a/cmd/router/tasks.go
+++ b/data/router/tasks.go
@@ -1,4 +1,4 @@
-package main
+package router
 
 import (
 	"math/rand/v2"
@@ -13,38 +13,38 @@
 
 // lookAfterCensus asks the platform where no census came for long: slowly, so
 // that all daemons together stay under the platform's rate.
-func (made *router) lookAfterCensus(inner scope.Scope) error {
-	client := made.client()
+func (r *Router) lookAfterCensus(inner scope.Scope) error {
+	client := r.client()
 	// The holder tells the census once a span; a third of the time for
 	// draining without one is long.
-	patience := 3 * made.pace.Census
-	for pause := clock.Span(0); inner.Wait(pause); pause = made.pace.Census / 4 {
-		if made.censusFresh(inner, patience) {
+	patience := 3 * r.pace.Census
+	for pause := clock.Span(0); inner.Wait(pause); pause = r.pace.Census / 4 {
+		if r.censusFresh(inner, patience) {
 			continue
 		}
-		crowd := boot.Seconds(2 * float64(made.sharers()) / inner.Boot.Platform.RatePerS)
-		if !inner.Wait(rand.N(crowd)) || made.censusFresh(inner, patience) {
+		crowd := boot.Seconds(2 * float64(r.sharers()) / inner.Boot.Platform.RatePerS)
+		if !inner.Wait(rand.N(crowd)) || r.censusFresh(inner, patience) {
 			continue
 		}
 		inner.Log.Info().Str("part", "census").Msg("no news of it: the platform is asked from here")
-		short, release := inner.WithLimit(made.pace.Census)
-		list, fault := census.Fetch(short, client, inner.Boot.Platform.Address)
+		short, release := inner.WithLimit(r.pace.Census)
+		list, err := census.Fetch(short, client, inner.Boot.Platform.Address)
 		release()
-		if fault == nil {
-			made.frame.Take(list)
+		if err == nil {
+			r.frame.Take(list)
 		}
 	}
 	return nil
 }
 
-func (made *router) censusFresh(inner scope.Scope, patience clock.Span) bool {
-	seen := made.frame.Now()
+func (r *Router) censusFresh(inner scope.Scope, patience clock.Span) bool {
+	seen := r.frame.Now()
 	return seen.Runners != nil && inner.Now().Since(seen.Census) < patience
 }
 
-func (made *router) client() *http.Client {
+func (r *Router) client() *http.Client {
 	return call.Client(call.Pooling{
-		Dialing: call.Dialing{Limit: made.pace.Connect, Silence: made.pace.Silence}, Idle: 4 * made.pace.Silence, PerHost: 1,
+		Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence}, Idle: 4 * r.pace.Silence, PerHost: 1,
 	})
 }
 
@@ -56,18 +56,18 @@
 )
 
 // report sends what this router saw of the runners up to its zone's relay.
-func (made *router) report(inner scope.Scope) error {
+func (r *Router) report(inner scope.Scope) error {
 	last := inner.Now()
 	for turn := 1; inner.Wait(reportSpan / looks); turn++ {
-		made.board.Sample()
+		r.board.Sample()
 		if turn%looks != 0 {
 			continue
 		}
 		now := inner.Now()
-		asked := made.board.Collect(now, now.Since(last))
-		asked.From, asked.Region = made.common.Address, inner.Boot.Region
+		asked := r.board.Collect(now, now.Since(last))
+		asked.From, asked.Region = r.common.Address, inner.Boot.Region
 		last = now
-		go made.common.Report(inner, asked)
+		go r.common.Report(inner, asked)
 	}
 	return nil
 }
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -10,6 +10,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/control/census"
 	"onyxwell/control/courier"
 	"onyxwell/control/evacuation"
@@ -49,6 +50,8 @@
 	Region ids.Region
 	// Listed is told each new list, before it is acted on.
 	Listed func(seen *Snapshot)
+	// Monitor may be left out.
+	Monitor *invariant.Monitor
 }
 
 // Frame holds the snapshot of now.
@@ -202,48 +205,11 @@
 	if !change(&next) {
 		return
 	}
+	if before := frame.now.Load().Spec; before != nil && next.Spec.Serial < before.Serial {
+		frame.options.Monitor.Violated(invariant.VersionRises, "version %d after %d", next.Spec.Serial, before.Serial)
+	}
 	frame.now.Store(&next)
 	if next.Spec != nil && next.Runners != nil {
 		frame.once.Do(func() { close(frame.ready) })
 	}
 }
-
-// Find gives the listed runner of an id; nil where there is none.
-//
-// Example:
-//
-//	runner := seen.Find(id)
-func (seen *Snapshot) Find(id ids.RunnerID) *Runner {
-	for _, runners := range seen.Runners {
-		for _, runner := range runners {
-			if runner.ID == id {
-				return runner
-			}
-		}
-	}
-	return nil
-}
-
-// Usable tells whether a runner may be sent requests now: listed, ready, and
-// in a zone that is not being emptied.
-//
-// Example:
-//
-//	if !frame.Now().Usable(runner.Service, runner.ID) { chooseAnother() }
-func (seen *Snapshot) Usable(service ids.Service, id ids.RunnerID) bool {
-	for _, runner := range seen.Runners[service] {
-		if runner.ID == id {
-			return seen.Open(runner)
-		}
-	}
-	return false
-}
-
-// Open tells the same of a runner of this snapshot.
-//
-// Example:
-//
-//	for _, runner := range seen.Runners[service] { if seen.Open(runner) { ... } }
-func (seen *Snapshot) Open(runner *Runner) bool {
-	return !runner.Draining && !seen.Empty[runner.Zone]
-}
