One world for scale, emulator and soak: deployment and emulator/client

Cause: the soak needs machines, settings files, processes, a platform and clients that scale and the emulator's experiment had each for themselves. Change: scale's places, processes and platform are package deployment (errors, not faults; typed machines), the experiment's client and its requests are package emulator/client; no behaviour changes.

--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -18,6 +18,7 @@
 
 	"onyxwell/base/program"
 	"onyxwell/base/scope"
+	"onyxwell/emulator/client"
 	"onyxwell/emulator/experiment"
 	"onyxwell/emulator/runner"
 )
@@ -110,7 +111,7 @@
 func run(stopped context.Context, arguments []string, out io.Writer, errors io.Writer) int {
 	var line commandLine
 	shown := false
-	parser, fault := kong.New(&line, kong.Name("emulator"), kong.Writers(out, errors), kong.Vars{"version": "emulator " + program.Version, "rude": strings.Join(experiment.RudeKinds(), ", ")},
+	parser, fault := kong.New(&line, kong.Name("emulator"), kong.Writers(out, errors), kong.Vars{"version": "emulator " + program.Version, "rude": strings.Join(client.RudeKinds(), ", ")},
 		kong.Exit(func(int) { shown = true }),
 		kong.Description("Plays model runners over real connections that behave as the pages say and misbehave as they are told, "+
 			"and judges whether routers in front of them keep every answer with its caller and send nothing twice."))
--- /dev/null
+++ b/deployment/platform.go
@@ -0,0 +1,76 @@
+package deployment
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"onyxwell/base/clock"
+)
+
+// Listed is a runner as the platform lists it.
+type Listed struct {
+	ID        string  `json:"id"`
+	Service   string  `json:"service"`
+	Address   string  `json:"address"`
+	Zone      string  `json:"zone"`
+	Version   string  `json:"config_version"`
+	Capacity  int     `json:"capacity"`
+	Condition string  `json:"condition"`
+	ColdLeft  float64 `json:"cold_left_ms"`
+}
+
+// pageLength is how many runners the platform gives on one page.
+const pageLength = 100
+
+type page struct {
+	Servers []Listed `json:"servers"`
+	Next    *string  `json:"next_token"`
+}
+
+// Platform answers which runners there are.
+type Platform struct {
+	// List gives all runners now.
+	List func() []Listed
+	// Calls counts the questions.
+	Calls atomic.Int64
+	// Down has it answer 503.
+	Down atomic.Bool
+}
+
+// ServeHTTP answers GET /servers.
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	platform.Calls.Add(1)
+	if platform.Down.Load() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	list := platform.List()
+	first, _ := strconv.Atoi(request.URL.Query().Get("page_token"))
+	first = min(max(0, first), len(list))
+	last := min(len(list), first+pageLength)
+	answer := page{Servers: list[first:last]}
+	if last < len(list) {
+		next := strconv.Itoa(last)
+		answer.Next = &next
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(answer)
+}
+
+// Serve serves a handler at an address; the function it gives ends that.
+//
+// Example:
+//
+//	stop, err := deployment.Serve(layout.PlatformAddress(), platform)
+func Serve(address string, handler http.Handler) (stop func(), err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * clock.Second}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
--- /dev/null
+++ b/deployment/process.go
@@ -0,0 +1,157 @@
+package deployment
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"onyxwell/base/clock"
+)
+
+// Process is a daemon that this program started. It ends with this program,
+// also when that is killed.
+type Process struct {
+	Machine Machine
+	command *exec.Cmd
+	input   io.WriteCloser
+	ended   chan struct{}
+	err     error
+}
+
+// Start starts a command for a machine; what it writes goes to the log. Its
+// standard input is a pipe, whose end tells it that this program is gone.
+//
+// Example:
+//
+//	process, err := deployment.Start(machine, log, "target/router", "--boot", path)
+func Start(machine Machine, log io.Writer, name string, arguments ...string) (*Process, error) {
+	process := &Process{Machine: machine, command: exec.Command(name, arguments...), ended: make(chan struct{})}
+	process.command.Stdout, process.command.Stderr = log, log
+	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	input, err := process.command.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	process.input = input
+	if err := process.command.Start(); err != nil {
+		return nil, fmt.Errorf("%s of %s: %w", machine.Role(), machine.Name(), err)
+	}
+	go func() {
+		process.err = process.command.Wait()
+		close(process.ended)
+	}()
+	return process, nil
+}
+
+// Input is the process's standard input.
+//
+// Example:
+//
+//	_, err := io.WriteString(process.Input(), order)
+func (process *Process) Input() io.Writer { return process.input }
+
+// Ended is closed once the process has ended.
+//
+// Example:
+//
+//	<-process.Ended()
+func (process *Process) Ended() <-chan struct{} { return process.ended }
+
+// Err says how an ended process ended; nil is status 0.
+//
+// Example:
+//
+//	if err := process.Err(); err != nil { ... }
+func (process *Process) Err() error {
+	<-process.ended
+	return process.err
+}
+
+// Over tells whether the process has ended.
+//
+// Example:
+//
+//	if process.Over() { report(process.Err()) }
+func (process *Process) Over() bool {
+	select {
+	case <-process.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Signal sends the process a signal.
+//
+// Example:
+//
+//	process.Signal(syscall.SIGHUP)
+func (process *Process) Signal(signal syscall.Signal) { _ = process.command.Process.Signal(signal) }
+
+// Kill ends the process without asking and waits until it is gone.
+//
+// Example:
+//
+//	process.Kill()
+func (process *Process) Kill() {
+	_ = process.command.Process.Kill()
+	<-process.ended
+}
+
+// Stop ends processes: in order first, then, after the span, without asking.
+//
+// Example:
+//
+//	defer deployment.Stop(all, 5*clock.Second)
+func Stop(all []*Process, span clock.Span) {
+	for _, process := range all {
+		process.Signal(syscall.SIGTERM)
+	}
+	over := clock.Steady().After(span)
+	for _, process := range all {
+		select {
+		case <-process.ended:
+		case <-over:
+			process.Kill()
+		}
+	}
+}
+
+// Usage is what a process has taken so far.
+type Usage struct {
+	// ProcessorMS is processor time in milliseconds, MemoryMB resident memory now.
+	ProcessorMS float64
+	MemoryMB    float64
+}
+
+// Places of the fields of /proc/PID/stat behind the name of the command.
+const (
+	userField, systemField, residentField = 11, 12, 21
+	// tickMS is the length of a tick of the kernel's accounts.
+	tickMS = 10
+)
+
+// Usage reads what the system tells of the process.
+//
+// Example:
+//
+//	usage, err := process.Usage()
+func (process *Process) Usage() (Usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process.command.Process.Pid))
+	if err != nil {
+		return Usage{}, err
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) <= residentField {
+		return Usage{}, fmt.Errorf("/proc: %d fields of %s", len(fields), process.Machine.Name())
+	}
+	user, _ := strconv.ParseFloat(fields[userField], 64)
+	system, _ := strconv.ParseFloat(fields[systemField], 64)
+	pages, _ := strconv.ParseFloat(fields[residentField], 64)
+	return Usage{ProcessorMS: (user + system) * tickMS, MemoryMB: pages * float64(os.Getpagesize()) / (1 << 20)}, nil
+}
--- a/emulator/experiment/experiment.go
+++ b/emulator/experiment/experiment.go
@@ -9,6 +9,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/control/census"
+	"onyxwell/emulator/client"
 	"onyxwell/emulator/oracle"
 	"onyxwell/emulator/runner"
 )
@@ -169,19 +170,22 @@
 	last := made.number.Load() + int64(count)
 	var clients sync.WaitGroup
 	var sent atomic.Int64
-	for index := range made.options.Clients {
+	for range made.options.Clients {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			client := &client{made: made, number: index}
-			defer client.close()
+			played := &client.Client{
+				Front:    func(router int) string { return made.fronts[router] },
+				Patience: made.options.Patience, History: &made.history,
+			}
+			defer played.Close()
 			for top.Err() == nil {
 				number := made.number.Add(1)
 				if number > last {
 					return
 				}
 				sent.Add(1)
-				made.one(inner, client, int(number))
+				made.one(inner, played, int(number))
 			}
 		}()
 	}
@@ -195,14 +199,23 @@
 	made.history.Forget()
 }
 
-func (made *experiment) one(inner scope.Scope, client *client, number int) {
-	wish := made.wish(number)
+func (made *experiment) one(inner scope.Scope, played *client.Client, number int) {
+	wish := made.draw().Request(number)
 	begin := inner.Now()
-	got := client.send(inner, wish)
+	got := played.Send(inner, wish)
 	made.history.Got(got)
 	made.report.got(wish, got, inner.Now().Since(begin))
 }
 
+// draw is what the clients' requests are drawn from.
+func (made *experiment) draw() client.Draw {
+	options := made.options
+	return client.Draw{
+		Seed: options.Seed, Routers: options.Routers, Services: services, Patience: options.Patience,
+		Rude: options.Rude, RudeKinds: options.RudeKinds,
+	}
+}
+
 // rest waits until no router works on a request any more, and a little longer
 // for what may still be on its way to a runner.
 func (made *experiment) rest(inner scope.Scope) {
--- a/emulator/experiment/experiment_test.go
+++ b/emulator/experiment/experiment_test.go
@@ -202,10 +202,10 @@
 	first, again, other := &experiment{options: small(7, nil)}, &experiment{options: small(7, nil)}, &experiment{options: small(8, nil)}
 	same := 0
 	for number := range 50 {
-		if first.wish(number).text() != again.wish(number).text() {
+		if first.draw().Request(number).Text() != again.draw().Request(number).Text() {
 			t.Fatal("the same seed gave another request")
 		}
-		if first.wish(number).text() == other.wish(number).text() {
+		if first.draw().Request(number).Text() == other.draw().Request(number).Text() {
 			same++
 		}
 	}
--- a/emulator/experiment/options.go
+++ b/emulator/experiment/options.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"onyxwell/base/clock"
+	"onyxwell/emulator/client"
 	"onyxwell/emulator/runner"
 )
 
@@ -105,8 +106,8 @@
 		wrong = append(wrong, "rude-kind without a part of the requests: rude is wanted as well")
 	}
 	for _, name := range options.RudeKinds {
-		if !slices.Contains(RudeKinds(), name) {
-			wrong = append(wrong, fmt.Sprintf("rude-kind %q: one of %s is wanted", name, strings.Join(RudeKinds(), ", ")))
+		if !slices.Contains(client.RudeKinds(), name) {
+			wrong = append(wrong, fmt.Sprintf("rude-kind %q: one of %s is wanted", name, strings.Join(client.RudeKinds(), ", ")))
 		}
 	}
 	if fault := options.Mix.Check(); fault != nil {
--- a/emulator/experiment/report.go
+++ b/emulator/experiment/report.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"onyxwell/base/clock"
+	"onyxwell/emulator/client"
 	"onyxwell/emulator/oracle"
 	"onyxwell/emulator/runner"
 )
@@ -57,10 +58,10 @@
 // longest wait that is told apart, in microseconds.
 const longest = 120_000_000
 
-func (report *Report) got(wish wish, got oracle.Got, wait clock.Span) {
+func (report *Report) got(wish client.Request, got oracle.Got, wait clock.Span) {
 	report.lock.Lock()
 	defer report.lock.Unlock()
-	kind := wish.asked.Kind
+	kind := wish.Asked.Kind
 	if report.outcomes[kind] == nil {
 		report.outcomes[kind] = map[string]int{}
 		report.waits[kind] = hdrhistogram.New(1, longest, 3)
@@ -69,8 +70,8 @@
 	_ = report.waits[kind].RecordValue(min(longest, max(1, wait.Microseconds())))
 }
 
-func outcomeOf(wish wish, got oracle.Got) string {
-	if !got.Whole && wish.leaves {
+func outcomeOf(wish client.Request, got oracle.Got) string {
+	if !got.Whole && wish.Leaves {
 		return "left"
 	}
 	if got.Status == 0 {
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
@@ -16,6 +17,7 @@
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
+	"onyxwell/deployment"
 )
 
 // hollow is a daemon with all of a router's control and none of its requests.
@@ -32,13 +34,13 @@
 	end context.CancelFunc
 }
 
-func (places places) startHollows(folder string) (*hollows, error) {
+func startHollows(size Size, layout deployment.Layout, folder string) (*hollows, error) {
 	running, end := context.WithCancel(context.Background())
 	made := &hollows{end: end}
-	for _, zone := range places.zones {
-		for index := range places.size.Hollow {
-			number := 1 + places.size.Routers + index
-			settings, fault := parsed(places.settings(zone, number, folder))
+	for _, zone := range layout.AllZones() {
+		for index := range size.Hollow {
+			number := 1 + size.Routers + index
+			settings, fault := boot.Parse(layout.Settings(layout.Machine(zone, number), folder, true, layout.Seeds()))
 			if fault != nil {
 				return made, fault
 			}
--- a/scale/operator.go
+++ b/scale/operator.go
@@ -11,11 +11,13 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/deployment"
 )
 
 // operator sends configurations to one controller after another.
 type operator struct {
-	places  places
+	size    Size
+	layout  deployment.Layout
 	client  http.Client
 	version int
 	next    int
@@ -28,17 +30,18 @@
 	acked  time.Time
 }
 
-func newOperator(places places) *operator {
-	return &operator{places: places, client: http.Client{Timeout: clock.Second}}
+func newOperator(size Size, layout deployment.Layout) *operator {
+	return &operator{size: size, layout: layout, client: http.Client{Timeout: clock.Second}}
 }
 
 func (operator *operator) send(ctx context.Context, method string, body []byte, version int) (sent, error) {
 	var last error
 	begin := time.Now()
 	for range 40 {
-		zone := operator.places.zones[operator.next%len(operator.places.zones)]
+		zones := operator.layout.AllZones()
+		controller := operator.layout.Machine(zones[operator.next%len(zones)], 0)
 		operator.next++
-		url := fmt.Sprintf("http://%s:%d/settings", ip(zone, 0), controlPort)
+		url := "http://" + controller.Address(deployment.ControlPort) + "/settings"
 		request, fault := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 		if fault != nil {
 			return sent{}, fault
@@ -67,7 +70,7 @@
 
 // first sends the first configuration, whole.
 func (operator *operator) first(ctx context.Context) (sent, error) {
-	body, fault := document(operator.places.size, 1)
+	body, fault := document(operator.size, 1)
 	if fault != nil {
 		return sent{}, fault
 	}
@@ -77,18 +80,18 @@
 // changes sends changes at the size's rate until the time is over.
 func (operator *operator) changes(ctx context.Context) ([]sent, error) {
 	var all []sent
-	if operator.places.size.ChangesPerS <= 0 {
+	if operator.size.ChangesPerS <= 0 {
 		<-ctx.Done()
 		return nil, nil
 	}
-	ticker := time.NewTicker(clock.Span(float64(clock.Second) / operator.places.size.ChangesPerS))
+	ticker := time.NewTicker(clock.Span(float64(clock.Second) / operator.size.ChangesPerS))
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return all, nil
 		case <-ticker.C:
-			body, fault := change(operator.places.size, operator.version+1)
+			body, fault := change(operator.size, operator.version+1)
 			if fault != nil {
 				return all, fault
 			}
--- a/scale/outside.go
+++ b/scale/outside.go
@@ -1,88 +1,62 @@
 package scale
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"strconv"
 
-	"onyxwell/base/clock"
+	"onyxwell/deployment"
 )
 
-// outside is all that a deployment meets and does not run itself: the platform,
-// the runners and the operator, scripted.
+// outside is all that a deployment meets and does not run itself: the platform
+// and the runners, scripted.
 type outside struct {
-	places  places
-	servers []*http.Server
+	size   Size
+	layout deployment.Layout
+	stops  []func()
 }
 
 const service = "model"
 
-type listed struct {
-	ID        string  `json:"id"`
-	Service   string  `json:"service"`
-	Address   string  `json:"address"`
-	Zone      string  `json:"zone"`
-	Version   string  `json:"config_version"`
-	Capacity  int     `json:"capacity"`
-	Condition string  `json:"condition"`
-	ColdLeft  float64 `json:"cold_left_ms"`
-}
-
-// pageLength is how many runners the platform gives on one page.
-const pageLength = 100
-
 func (outside *outside) start() error {
-	var list []listed
-	for index := range outside.places.size.Runners {
-		zone := outside.places.zones[index%len(outside.places.zones)]
-		list = append(list, listed{
-			ID: fmt.Sprintf("i-%06d", index), Service: service, Address: fmt.Sprintf("%s:%d", runnerIP(index), runnerPort),
-			Zone: string(zone.name), Version: "v1", Capacity: 64, Condition: "ready",
+	var list []deployment.Listed
+	zones := outside.layout.AllZones()
+	for index := range outside.size.Runners {
+		list = append(list, deployment.Listed{
+			ID: fmt.Sprintf("i-%06d", index), Service: service, Address: fmt.Sprintf("%s:%d", outside.layout.RunnerIP(index), deployment.RunnerPort),
+			Zone: string(zones[index%len(zones)].Name), Version: "v1", Capacity: 64, Condition: "ready",
 		})
 	}
-	fault := outside.serve(string(platformAddress()), http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		first, _ := strconv.Atoi(request.URL.Query().Get("page_token"))
-		last := min(len(list), first+pageLength)
-		page := map[string]any{"servers": list[min(first, last):last], "next_token": nil}
-		if last < len(list) {
-			page["next_token"] = strconv.Itoa(last)
-		}
-		writer.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(writer).Encode(page)
-	}))
+	platform := &deployment.Platform{List: func() []deployment.Listed { return list }}
+	if err := outside.serve(outside.layout.PlatformAddress(), platform); err != nil {
+		return err
+	}
 	// One runner answers for all: what is measured is control, not the requests.
-	return errors.Join(fault, outside.serve(fmt.Sprintf("%s:%d", runnerIP(0), runnerPort), http.HandlerFunc(runner)))
-}
-
-func runner(writer http.ResponseWriter, request *http.Request) {
-	writer.Header().Set("Onyxwell-Attempt-Id", request.Header.Get("Onyxwell-Attempt-Id"))
-	writer.Header().Set("Onyxwell-Server-Seal", "scale")
-	writer.Header().Set("Onyxwell-Server-Id", request.Header.Get("Onyxwell-Target-Server"))
-	writer.Header().Set("Onyxwell-Server-Load", "1,0,64")
-	_, _ = writer.Write([]byte("done"))
+	return outside.serve(list[0].Address, http.HandlerFunc(runner))
 }
 
 func (outside *outside) serve(address string, handler http.Handler) error {
-	listener, fault := net.Listen("tcp", address)
-	if fault != nil {
-		return fault
+	stop, err := deployment.Serve(address, handler)
+	if err == nil {
+		outside.stops = append(outside.stops, stop)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * clock.Second}
-	outside.servers = append(outside.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	return nil
+	return err
 }
 
 func (outside *outside) stop() {
-	for _, server := range outside.servers {
-		_ = server.Shutdown(context.Background())
+	for _, stop := range outside.stops {
+		stop()
 	}
 }
 
+func runner(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Onyxwell-Attempt-Id", request.Header.Get("Onyxwell-Attempt-Id"))
+	writer.Header().Set("Onyxwell-Server-Seal", "scale")
+	writer.Header().Set("Onyxwell-Server-Id", request.Header.Get("Onyxwell-Target-Server"))
+	writer.Header().Set("Onyxwell-Server-Load", "1,0,64")
+	_, _ = writer.Write([]byte("done"))
+}
+
 // document is a configuration of so many routes; tenants with homes of their own
 // are routes' homes here, which is all that the system keeps of them.
 func document(size Size, version int) ([]byte, error) {
--- a/scale/run.go
+++ b/scale/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"onyxwell/base/clock"
+	"onyxwell/deployment"
 )
 
 // Options are what a run is made from.
@@ -68,8 +69,8 @@
 	}
 	bounded, end := context.WithTimeout(ctx, 2*(size.Warm+size.Span)+60*clock.Second)
 	defer end()
-	places := placesOf(size)
-	if fault := places.free(); fault != nil {
+	layout := size.layout()
+	if fault := layout.Free(); fault != nil {
 		return Result{}, fault
 	}
 	folder, fault := os.MkdirTemp("", "onyxwell-scale-")
@@ -77,24 +78,24 @@
 		return Result{}, fault
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	around := &outside{places: places}
+	around := &outside{size: size, layout: layout}
 	defer around.stop()
 	if fault := around.start(); fault != nil {
 		return Result{}, fault
 	}
-	real := &processes{}
-	defer real.stop()
-	if fault := real.start(options.Programs, folder, places); fault != nil {
+	daemons := &real{}
+	defer daemons.stop()
+	if fault := daemons.start(options.Programs, folder, layout); fault != nil {
 		return Result{}, fault
 	}
 	before := liveHeap()
-	beside, fault := places.startHollows(folder)
+	beside, fault := startHollows(size, layout, folder)
 	defer beside.end()
 	if fault != nil {
 		return Result{}, fault
 	}
 	options.Say(fmt.Sprintf("%d daemons in %d zones started", size.Daemons(), size.ZoneCount()))
-	measuring := &measuring{options: options, real: real, beside: beside, places: places, heapBefore: before}
+	measuring := &measuring{options: options, real: daemons, beside: beside, layout: layout, heapBefore: before}
 	return measuring.run(bounded)
 }
 
@@ -124,15 +125,15 @@
 
 type measuring struct {
 	options    Options
-	real       *processes
+	real       *real
 	beside     *hollows
-	places     places
+	layout     deployment.Layout
 	heapBefore float64
 }
 
 func (measuring *measuring) run(ctx context.Context) (Result, error) {
 	size := measuring.options.Size
-	operator := newOperator(measuring.places)
+	operator := newOperator(size, measuring.layout)
 	if _, fault := operator.first(ctx); fault != nil {
 		return Result{}, errors.Join(fmt.Errorf("the first configuration: %w", fault), measuring.real.died())
 	}
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 )
 
@@ -35,10 +36,10 @@
 func TestBootFilesAreGood(t *testing.T) {
 	size := small()
 	size.Regions, size.Zones = 3, 2
-	places := placesOf(size)
-	for _, zone := range places.zones {
+	layout := size.layout()
+	for _, zone := range layout.AllZones() {
 		for number := range 3 {
-			if _, fault := parsed(places.settings(zone, number, "/tmp")); fault != nil {
+			if _, fault := boot.Parse(layout.Settings(layout.Machine(zone, number), "/tmp", true, layout.Seeds())); fault != nil {
 				t.Fatal(fault)
 			}
 		}
--- a/scale/size.go
+++ b/scale/size.go
@@ -9,6 +9,7 @@
 	"fmt"
 
 	"onyxwell/base/clock"
+	"onyxwell/deployment"
 )
 
 // Size is one estate to run.
@@ -56,6 +57,11 @@
 //	perDaemon := sum / float64(size.Daemons())
 func (size Size) Daemons() int { return size.ZoneCount() * (size.Hollow + size.Routers + 1) }
 
+// layout is where the daemons of this size stand.
+func (size Size) layout() deployment.Layout {
+	return deployment.Layout{Regions: size.Regions, Zones: size.Zones, Routers: size.Routers, Subnet: 20, GraceS: 3, MemoryMB: 184}
+}
+
 type rule struct {
 	holds func(Size) bool
 	text  string
