--- /dev/null
+++ b/data/answer/planted_test.go
@@ -0,0 +1,60 @@
+package answer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/failure"
+	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
+	"onyxwell/base/scope"
+	"onyxwell/control/census"
+	"onyxwell/control/spec"
+	"onyxwell/data/forward"
+	"onyxwell/data/snapshot"
+)
+
+// TestInvariantsCountPlantedViolations has a visit do what the decision keeps it
+// from, and wants each counted.
+func TestInvariantsCountPlantedViolations(t *testing.T) {
+	runner := &snapshot.Runner{Runner: census.Runner{ID: "i"}, Region: "north"}
+	ran := []sending{{runner: "i", fate: forward.Doubtful}}
+	stamped := func(attempt string, seal string) *http.Response {
+		return &http.Response{StatusCode: 200, Header: http.Header{forward.AttemptHeader: {attempt}, forward.SealHeader: {seal}}}
+	}
+	cases := []struct {
+		name   invariant.Name
+		route  spec.Route
+		sends  []sending
+		act    func(visit *visit)
+		broken int64
+	}{
+		{invariant.RunOnce, spec.Route{Kind: spec.Unsafe, Tries: 3}, ran, func(visit *visit) { visit.checkSending(runner, 0, 0) }, 1},
+		{invariant.RunOnce, spec.Route{Kind: spec.Safe, Tries: 3}, ran, func(visit *visit) { visit.checkSending(runner, 0, 0) }, 0},
+		{invariant.Tries, spec.Route{Kind: spec.Safe, Tries: 1}, ran, func(visit *visit) { visit.checkSending(runner, 0, 0) }, 1},
+		{invariant.Home, spec.Route{Kind: spec.Safe, Homes: []ids.Region{"south"}}, nil, func(visit *visit) { visit.checkSending(runner, 0, 0) }, 1},
+		{invariant.TimeLeft, spec.Route{Kind: spec.Safe}, nil, func(visit *visit) {
+			visit.clientLeft = clock.Second
+			visit.checkSending(runner, 2*clock.Second, 0)
+		}, 1},
+		{invariant.PromiseNotRun, spec.Route{Kind: spec.Unsafe}, ran, func(visit *visit) { visit.refuse(failure.Crowded, "") }, 1},
+		{invariant.PromiseNotRun, spec.Route{Kind: spec.Unsafe}, ran, func(visit *visit) { visit.refuse(failure.RunnerLost, "") }, 0},
+		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("other", "s"), 0) }, 1},
+		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("a", ""), 0) }, 1},
+		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("a", "s"), 0) }, 0},
+	}
+	for _, example := range cases {
+		monitor := &invariant.Monitor{Tolerant: true}
+		front := NewFront(Options{Scope: scope.New(scope.Options{Clock: clock.NewFake()}), Monitor: monitor})
+		planted := &visit{
+			front: front, writer: httptest.NewRecorder(), request: httptest.NewRequest("GET", "/", nil),
+			route: &example.route, sent: &forward.Request{Attempt: "a"}, sends: example.sends,
+		}
+		example.act(planted)
+		if got := monitor.Count(example.name); got != example.broken {
+			t.Errorf("%s: counted %d, not %d", example.name, got, example.broken)
+		}
+	}
+}
--- /dev/null
+++ b/soak/daemon.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/program"
+	"onyxwell/base/scope"
+	"onyxwell/control/controller"
+	"onyxwell/data/router"
+	"onyxwell/emulator/links"
+)
+
+// Serve is one daemon of a soak: the same parts as the program that ships, on a
+// network whose links are broken as the orders say. It ends when the orders do.
+//
+// Example:
+//
+//	status := soak.Serve("router", []string{"--boot", path}, os.Stdin)
+func Serve(role string, arguments []string, orders io.Reader) int {
+	broken := &links.Links{}
+	go func() {
+		broken.Obey(orders)
+		os.Exit(0)
+	}()
+	network := func(top scope.Scope) links.Network { return links.Network{Links: broken, IP: top.Boot.IP} }
+	daemons := map[string]program.Daemon{
+		router.Role: {
+			Name: router.Role, Text: "A router of a soak.", Needs: []string{"front", "readiness"},
+			Serve: func(top scope.Scope, reread <-chan *boot.Boot) error {
+				r, err := router.New(top, router.Options{Network: network(top)})
+				if err != nil {
+					return err
+				}
+				return r.Run(top, reread)
+			},
+		},
+		controller.Role: {
+			Name: controller.Role, Text: "A controller of a soak.", Needs: []string{"control", "directory"},
+			Serve: func(top scope.Scope, reread <-chan *boot.Boot) error {
+				c, err := controller.New(top, controller.Options{Network: network(top)})
+				if err != nil {
+					return err
+				}
+				return c.Run(top, reread)
+			},
+		},
+	}
+	daemon, known := daemons[role]
+	if !known {
+		fmt.Fprintf(os.Stderr, "soak: no daemon is named %q\n", role)
+		return 1
+	}
+	return program.Main(daemon, arguments)
+}
--- /dev/null
+++ b/soak/examine.go
@@ -0,0 +1,262 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/scope"
+	"onyxwell/control/controller"
+	"onyxwell/data/router"
+	"onyxwell/deployment"
+	"onyxwell/emulator/client"
+	"onyxwell/emulator/links"
+)
+
+const (
+	frontPort = deployment.FrontPort
+	// examPrefix begins the ids of the examination's own requests.
+	examPrefix = "exam-"
+)
+
+// examine looks, once all trouble is over, whether everything that was promised
+// is there.
+func (e *estate) examine(inner scope.Scope, report *Report) {
+	for _, machine := range e.machines {
+		machine.cut(links.Order{})
+		machine.signal(continueSignal)
+	}
+	e.platform.Down.Store(false)
+	begin := inner.Now()
+	asker := newOperator(e, rand.New(rand.NewPCG(e.options.Seed, 4)))
+	if !e.until(inner, recovery, e.ready) {
+		e.find("RECOVER", "%v after all trouble: %s", recovery, e.ready())
+	}
+	report.Back = inner.Now().Since(begin)
+	e.examineChange(inner, asker, report)
+	e.examineEvacuation(inner, asker)
+	e.examineReads(inner, asker)
+	e.examineFigures(inner)
+	e.examineMemory(report)
+	e.ledger.judge(e.find)
+	for _, verdict := range e.history.Judge() {
+		e.find(verdict.Rule, "attempt %s: %s\n      %s", verdict.Attempt, verdict.Why, strings.Join(verdict.History, "\n      "))
+	}
+	e.examineLogs()
+}
+
+// until waits until nothing is left to say, at most for the span.
+func (e *estate) until(inner scope.Scope, limit clock.Span, left func() string) bool {
+	for begin := inner.Now(); left() != ""; {
+		if inner.Now().Since(begin) > limit || !inner.Wait(20*clock.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
+// ready says which router is not ready; "" is none.
+func (e *estate) ready() string {
+	for _, machine := range e.role(router.Role) {
+		if status, _ := get(machine.Address(deployment.ReadyPort), "/ready"); status != http.StatusOK {
+			return fmt.Sprintf("%s is not ready: %d", machine.Name(), status)
+		}
+	}
+	return ""
+}
+
+// get asks for a page, in a second at most.
+func get(address string, path string) (int, string) {
+	asking := http.Client{Timeout: clock.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := asking.Get("http://" + address + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(text)
+}
+
+// examineChange wants a change acknowledged and in force at every router.
+func (e *estate) examineChange(inner scope.Scope, asker *operator, report *Report) {
+	if !e.until(inner, recovery, func() string {
+		if _, found := asker.read(inner); !found {
+			return "no read is answered"
+		}
+		asker.last = nil
+		asker.change(inner)
+		if asker.last == nil {
+			return "no change is acknowledged"
+		}
+		return ""
+	}) {
+		e.find("ACKS", "no change is acknowledged %v after all trouble", recovery)
+		return
+	}
+	acked := inner.Now()
+	path := markPrefix + asker.last.id + "/exam"
+	var all sync.WaitGroup
+	for _, machine := range e.role(router.Role) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			last := ""
+			if !e.until(inner, applyWithin, func() string {
+				last = e.probe(machine, path)
+				return last
+			}) {
+				e.find("CONFIG", "%s does not serve the newest route %v after its acknowledgement: %s", machine.Name(), applyWithin, last)
+			}
+		}()
+	}
+	all.Wait()
+	report.Force = inner.Now().Since(acked)
+}
+
+// probe asks a router for a path; "" is a success.
+func (e *estate) probe(machine *machine, path string) string {
+	request, err := http.NewRequest(http.MethodGet, "http://"+machine.Address(frontPort)+path, nil)
+	if err != nil {
+		return err.Error()
+	}
+	request.Host = client.Host
+	request.Header.Set("Onyxwell-Attempt-Id", fmt.Sprintf("%s%x", examPrefix, rand.Uint64()))
+	asking := http.Client{Timeout: clock.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := asking.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return response.Status
+	}
+	return ""
+}
+
+// examineEvacuation wants a zone left alone once it is emptied.
+func (e *estate) examineEvacuation(inner scope.Scope, asker *operator) {
+	zone := e.layout.AllZones()[0].Name
+	if got := asker.call(inner, http.MethodPost, "/empty/"+string(zone), -1, nil); got.status != http.StatusOK {
+		e.find("EVAC", "an evacuation in calm gets %d", got.status)
+		return
+	}
+	acked := inner.Now()
+	for {
+		before := e.runsIn(zone)
+		for _, machine := range e.role(router.Role) {
+			for range 4 {
+				e.probe(machine, "/"+services[0]+"/safe/exam")
+			}
+		}
+		if e.runsIn(zone) == before {
+			break
+		}
+		if inner.Now().Since(acked) > evacuate || !inner.Wait(100*clock.Millisecond) {
+			e.find("EVAC", "%s still gets requests %v after its evacuation was acknowledged", zone, evacuate)
+			break
+		}
+	}
+	if got := asker.call(inner, http.MethodDelete, "/empty/"+string(zone), -1, nil); got.status != http.StatusOK {
+		e.find("EVAC", "an evacuation's end in calm gets %d", got.status)
+	}
+}
+
+func (e *estate) runsIn(zone any) int64 {
+	runs := int64(0)
+	for _, played := range e.runners {
+		if any(played.zone.Name) == zone {
+			runs += played.runs.Load()
+		}
+	}
+	return runs
+}
+
+// examineReads wants the newest configuration from every controller.
+func (e *estate) examineReads(inner scope.Scope, asker *operator) {
+	for _, machine := range e.role(controller.Role) {
+		begin := inner.Now()
+		if !e.until(inner, applyWithin, func() string {
+			begin = inner.Now()
+			got := asker.try(inner, machine.Address(deployment.ControlPort), http.MethodGet, "/settings", -1, nil)
+			if got.status != http.StatusOK {
+				return fmt.Sprint(got.status)
+			}
+			asker.note(begin, inner.Now(), got)
+			return ""
+		}) {
+			e.find("CONFIG", "%s answers no read in calm", machine.Name())
+		}
+	}
+}
+
+// examineFigures wants every daemon's figures, and no violation among them.
+func (e *estate) examineFigures(inner scope.Scope) {
+	for _, machine := range e.machines {
+		text := ""
+		if !e.until(inner, clock.Second, func() string {
+			status := 0
+			if status, text = get(machine.Address(metricsPort), "/metrics"); status != http.StatusOK {
+				return fmt.Sprint(status)
+			}
+			return ""
+		}) {
+			e.find("SIGHT", "%s does not tell its figures", machine.Name())
+		}
+		for _, line := range strings.Split(text, "\n") {
+			if strings.HasPrefix(line, "onyxwell_invariant_violations_total") && !strings.HasSuffix(line, " 0") {
+				e.find("INVARIANT", "%s: %s", machine.Name(), line)
+			}
+		}
+	}
+}
+
+func (e *estate) examineMemory(report *Report) {
+	for _, machine := range e.machines {
+		report.PeakMB = max(report.PeakMB, machine.peakMB)
+		if machine.peakMB > memoryMB {
+			e.find("MEMORY", "%s had %.0f MB of %d", machine.Name(), machine.peakMB, memoryMB)
+		}
+	}
+}
+
+// examineLogs looks for violations and panics of processes that are gone.
+func (e *estate) examineLogs() {
+	for _, machine := range e.machines {
+		file, err := os.Open(machine.log.Name())
+		if err != nil {
+			e.find("SOAK", "the log of %s: %v", machine.Name(), err)
+			continue
+		}
+		lines := bufio.NewScanner(file)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			text := lines.Text()
+			if strings.Contains(text, `"part":"invariant"`) || strings.HasPrefix(text, "panic:") || strings.HasPrefix(text, "fatal error:") {
+				e.find("INVARIANT", "%s: %.400s", machine.Name(), text)
+			}
+		}
+		_ = file.Close()
+	}
+}
+
+// summarize fills the report in.
+func (e *estate) summarize(report *Report) {
+	report.Requests, report.Served = e.requests.Load(), e.served.Load()
+	report.Acknowledged, report.Refused, report.Open, report.Longest = e.ledger.counts()
+	report.Reads = len(e.ledger.reads)
+	for _, machine := range e.machines {
+		report.Starts += machine.starts
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	report.Findings = e.findings
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/scope"
+	"onyxwell/emulator/client"
+)
+
+// Report is what a run saw.
+type Report struct {
+	Options  Options
+	Findings []Finding
+	// Requests were sent by clients, Served had a whole success.
+	Requests, Served int64
+	// Acknowledged, Refused and Open count changes of the configuration; Longest
+	// is the longest that an acknowledgement took.
+	Acknowledged, Refused, Open int
+	Longest                     clock.Span
+	Reads                       int
+	// Starts counts the processes that were started, Troubles what was played.
+	Starts   int
+	Troubles map[string]int
+	// Back is how long after all trouble everything served again, Force how long
+	// the last change took to be in force everywhere, PeakMB the most memory that
+	// a daemon had.
+	Back, Force clock.Span
+	PeakMB      float64
+}
+
+// Run plays one run. It ends all that it started, also when the scope ends.
+//
+// Example:
+//
+//	report, err := soak.Run(top, options)
+func Run(top scope.Scope, options Options) (Report, error) {
+	if err := options.Check(); err != nil {
+		return Report{}, err
+	}
+	inner, end := top.WithEnd()
+	e, err := newEstate(inner, options)
+	defer func() {
+		end()
+		if e != nil {
+			e.end()
+		}
+	}()
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{Options: options, Troubles: map[string]int{}}
+	go e.measure(inner)
+	if !e.first(inner) {
+		return report, fmt.Errorf("soak: the deployment does not serve: see the logs in %s", options.Folder)
+	}
+	e.busy(inner, &report)
+	e.examine(inner, &report)
+	e.summarize(&report)
+	return report, nil
+}
+
+// first sends the first configuration and waits until all routers are ready.
+func (e *estate) first(inner scope.Scope) bool {
+	asker := newOperator(e, rand.New(rand.NewPCG(e.options.Seed, 1)))
+	body, err := json.Marshal(firstDocument())
+	if err != nil {
+		return false
+	}
+	first := &change{id: "first", method: http.MethodPut, base: 0, version: 1, body: body, valid: true, note: "first"}
+	for begin := inner.Now(); inner.Now().Since(begin) < recovery; {
+		if e.ledger.newest() == 0 {
+			asker.send(inner, first)
+		}
+		if e.ledger.newest() > 0 && e.ready() == "" {
+			return true
+		}
+		if !inner.Wait(100 * clock.Millisecond) {
+			return false
+		}
+	}
+	return false
+}
+
+// busy has clients, operators and troubles go on together until the length is over.
+func (e *estate) busy(inner scope.Scope, report *Report) {
+	working, rest := inner.WithEnd()
+	var workers, troubles sync.WaitGroup
+	for index := range e.options.Clients {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			e.clientWork(working, index)
+		}()
+	}
+	for index := range e.options.Operators {
+		own := newOperator(e, rand.New(rand.NewPCG(e.options.Seed, uint64(100+index))))
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			own.work(working)
+		}()
+	}
+	e.play(inner, report, &troubles)
+	troubles.Wait()
+	// Clients and operators go on a little when all is over.
+	inner.Wait(clock.Second)
+	rest()
+	workers.Wait()
+}
+
+// play begins the troubles at their moments.
+func (e *estate) play(inner scope.Scope, report *Report, troubles *sync.WaitGroup) {
+	drawn := rand.New(rand.NewPCG(e.options.Seed, 2))
+	names := e.options.Kinds
+	if len(names) == 0 {
+		names = KindNames()
+	}
+	for begin := inner.Now(); inner.Now().Since(begin) < e.options.Length; {
+		for range e.options.Overlap {
+			kind, _ := kindNamed(one(drawn, names))
+			own, after := rand.New(rand.NewPCG(drawn.Uint64(), 3)), span(drawn, 0, clock.Second)
+			report.Troubles[kind.name]++
+			troubles.Add(1)
+			go func() {
+				defer troubles.Done()
+				if inner.Wait(after) {
+					kind.play(e, inner, own)
+				}
+			}()
+		}
+		if !inner.Wait(span(drawn, e.options.Every/2, e.options.Every*3/2)) {
+			return
+		}
+	}
+}
+
+// clientWork sends one request after another.
+func (e *estate) clientWork(inner scope.Scope, index int) {
+	routers := e.role("router")
+	own := &client.Client{
+		Front:    func(router int) string { return routers[router].Address(frontPort) },
+		Patience: 2 * clock.Second, History: &e.history,
+	}
+	defer own.Close()
+	draw := client.Draw{
+		Seed: e.options.Seed, Routers: len(routers), Services: services, Patience: 2 * clock.Second, Rude: e.options.Rude,
+	}
+	finish := inner.Detached()
+	for inner.Wait(4 * clock.Millisecond) {
+		asked := draw.Request(int(e.requests.Add(1)))
+		begin := inner.Now()
+		got := own.Send(finish, asked)
+		e.history.Got(got)
+		if got.Status == http.StatusOK && got.Whole {
+			e.served.Add(1)
+		}
+		if e.options.planned() && got.Status != 0 && !got.Whole && !asked.Leaves && inner.Now().Since(begin) < 2*clock.Second {
+			e.find("LOST", "attempt %s is cut in the middle of its answer at %s during planned work: %s", asked.Asked.Attempt, routers[asked.Router].Name(), got.Note)
+		}
+	}
+}
+
+// Show prints the report.
+//
+// Example:
+//
+//	report.Show(os.Stdout)
+func (report Report) Show(out io.Writer) {
+	fmt.Fprintf(out, "seed %d: %d requests, %d served; changes: %d acknowledged, %d refused, %d unclear, longest acknowledgement %.2f s; %d reads; %d processes started; troubles %v; all served %.2f s after trouble, a change in force everywhere after %.2f s; at most %.0f MB\n",
+		report.Options.Seed, report.Requests, report.Served, report.Acknowledged, report.Refused, report.Open, report.Longest.Seconds(), report.Reads,
+		report.Starts, report.Troubles, report.Back.Seconds(), report.Force.Seconds(), report.PeakMB)
+	for _, finding := range report.Findings {
+		fmt.Fprintf(out, "  %s: %s\n", finding.Promise, finding.Why)
+	}
+	if len(report.Findings) > 0 {
+		fmt.Fprintf(out, "  again: %s\n  logs: %s\n", report.Options.Again(), report.Options.Folder)
+	}
+}
+
+// Tidy removes the folder of a run that found nothing.
+//
+// Example:
+//
+//	err := report.Tidy()
+func (report Report) Tidy() error {
+	if len(report.Findings) > 0 {
+		return nil
+	}
+	return os.RemoveAll(report.Options.Folder)
+}
--- /dev/null
+++ b/tools/testjudge/main_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestWhatMayLand(t *testing.T) {
+	const good = `{"Action":"pass","Package":"p","Test":"TestGood"}` + "\n"
+	const bad = `{"Action":"output","Package":"p","Test":"TestBad","Output":"why\n"}
+{"Action":"fail","Package":"p","Test":"TestBad/part"}
+{"Action":"fail","Package":"p","Test":"TestBad"}
+{"Action":"fail","Package":"p"}
+`
+	cases := []struct {
+		name, list, events string
+		wrong              string
+	}{
+		{"all pass", "", good, ""},
+		{"a listed one fails", "p.TestBad | a cause | 19\n", good + bad, ""},
+		{"one that is not listed fails", "", good + bad, "p.TestBad fails"},
+		{"another is listed", "p.TestGood | a cause | 19", good + bad, "p.TestBad fails\np.TestGood is listed as known red and is: pass"},
+		{"a listed one is not there", "p.TestNone | a cause | 19", good, "p.TestNone is listed as known red and is: not there"},
+		{"a package does not build", "", good + `{"Action":"fail","Package":"q"}`, "package q fails as a whole"},
+		{"a listed one panics", "p.TestBad | a cause | 19", good + `{"Action":"output","Package":"p","Test":"TestBad","Output":"panic: x\n"}` + "\n" + bad, "package p fails as a whole"},
+		{"nothing runs", "", "", "no test passed"},
+		{"too many", strings.Repeat("p.TestBad | a cause | 19\n", 4), good, "4 tests, 3 at the most"},
+		{"no cause", "p.TestBad | | 19", good, "TEST | cause | issue is wanted"},
+	}
+	for _, example := range cases {
+		path := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
+		if err := os.WriteFile(path, []byte(example.list), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		err := run(path, strings.NewReader(example.events), io.Discard)
+		if (err == nil) != (example.wrong == "") || (err != nil && !strings.Contains(err.Error(), example.wrong)) {
+			t.Errorf("%s: %v", example.name, err)
+		}
+	}
+}
