--- /dev/null
+++ b/control/directory/away_test.go
@@ -0,0 +1,47 @@
+package directory
+
+import (
+	"slices"
+	"testing"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
+	"onyxwell/control/zoneview"
+)
+
+// TestClientsAreNotLedAwayWithoutALoss fixes the order in which a directory
+// hears of routers: other regions' are able while those of the client's are
+// not, but nothing says that the client's region is lost.
+func TestClientsAreNotLedAwayWithoutALoss(t *testing.T) {
+	asked := Lookup{Zone: "z1", Region: "r1"}
+	starting, leaving := router("a", "z1"), router("a", "z1")
+	starting.Ready = false
+	leaving.State, leaving.Ready = cohort.Left, false
+	suspect, unable := router("a", "z1"), router("a", "z1")
+	suspect.State, unable.Unable = cohort.Suspect, true
+	cases := []struct {
+		name    string
+		members []cohort.Member
+		own     zoneview.Fronts
+		want    []ids.Address
+	}{
+		{"nothing was heard of the region yet", nil, zoneview.Fronts{}, nil},
+		{"its routers start", []cohort.Member{starting}, zoneview.Fronts{}, nil},
+		{"its routers leave in order", []cohort.Member{leaving}, zoneview.Fronts{}, nil},
+		{"another zone of the region has none that is ready", []cohort.Member{leaving, relay("r2", "z2")}, zoneview.Fronts{Zone: "z2"}, nil},
+		{"another zone of the region has one", []cohort.Member{leaving, relay("r2", "z2")}, zoneview.Fronts{Zone: "z2", Able: []ids.Address{"fd"}}, []ids.Address{"fd"}},
+		{"its router answers no more", []cohort.Member{suspect}, zoneview.Fronts{}, []ids.Address{"fe"}},
+		{"its routers reach no runners", []cohort.Member{unable}, zoneview.Fronts{}, []ids.Address{"fe"}},
+	}
+	for _, example := range cases {
+		directory, news := directoryIn("z1")
+		directory.Table.Merge(append(example.members, relay("r3", "z3")))
+		tell(t, news, 1, zoneview.Fronts{Zone: "z3", Able: []ids.Address{"fe"}})
+		if example.own.Zone != "" {
+			tell(t, news, 1, example.own)
+		}
+		if got := directory.Choose(asked); !slices.Equal(got, example.want) {
+			t.Errorf("%s: %v, not %v", example.name, got, example.want)
+		}
+	}
+}
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"onyxwell/base/boot"
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
@@ -48,9 +49,15 @@
 }
 
 func newHouse(t testing.TB, extra float64, runners ...*script.Runner) *house {
+	t.Helper()
+	return newHouseOn(t, &boot.Boot{}, extra, runners...)
+}
+
+// newHouseOn makes a house on a machine of those settings.
+func newHouseOn(t testing.TB, settings *boot.Boot, extra float64, runners ...*script.Runner) *house {
 	t.Helper()
 	machine := clock.NewFake()
-	top := scope.New(scope.Options{Clock: machine})
+	top := scope.New(scope.Options{Clock: machine, Boot: settings})
 	made := &house{t: t, clock: machine, board: metrics.NewBoard()}
 	made.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.news = spread.NewNews(made.frame.Absorb)
--- /dev/null
+++ b/data/answer/limits_test.go
@@ -0,0 +1,118 @@
+package answer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxwell/base/boot"
+	"onyxwell/base/clock"
+	"onyxwell/data/script"
+)
+
+// deadlines is a listener whose connections tell the deadlines that are set.
+type deadlines struct {
+	net.Listener
+	set chan time.Duration
+}
+
+func (d deadlines) Accept() (net.Conn, error) {
+	conn, err := d.Listener.Accept()
+	return watchedDeadlines{Conn: conn, set: d.set}, err
+}
+
+type watchedDeadlines struct {
+	net.Conn
+	set chan time.Duration
+}
+
+func (w watchedDeadlines) SetReadDeadline(until time.Time) error {
+	if !until.IsZero() {
+		w.set <- time.Until(until)
+	}
+	return w.Conn.SetReadDeadline(until)
+}
+
+func limitsDocument(headWaitMS int, idleMS int) string {
+	return strings.NewReplacer(`"header_wait_ms":3000`, fmt.Sprintf(`"header_wait_ms":%d`, headWaitMS),
+		`"idle_ms":15000`, fmt.Sprintf(`"idle_ms":%d`, idleMS)).Replace(document)
+}
+
+// TestLimitsOfANewVersionBind has a configuration with longer limits come into
+// force after the server was made: heads and rests get the time that it allows.
+func TestLimitsOfANewVersionBind(t *testing.T) {
+	house := newHouse(t, 0, script.Start(t, script.Plain(200, "s", "ok")))
+	house.spec(2, limitsDocument(1000, 1500))
+	set := make(chan time.Duration, 64)
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &httptest.Server{Listener: Door(deadlines{Listener: plain, set: set}), Config: NewServer(house.front, 1000*clock.Millisecond, 1500*clock.Millisecond)}
+	server.Start()
+	t.Cleanup(server.Close)
+	house.spec(3, limitsDocument(60000, 90000))
+	conn, err := net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if head := <-set; head < 50*time.Second {
+		t.Errorf("a head gets %v of 60 s", head)
+	}
+	fmt.Fprintf(conn, "GET /safe/1 HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	// The last that is set while nothing is asked is the time to rest.
+	rest := time.Duration(0)
+	for rest < 70*time.Second {
+		select {
+		case rest = <-set:
+		case <-time.After(2 * time.Second):
+			t.Fatalf("a connection may rest for %v of 90 s", rest)
+		}
+	}
+}
+
+// TestBodiesAreBoundedTogether has clients hold back the ends of bodies that are
+// each inside the limits and together more than the router's memory.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	house := newHouseOn(t, &boot.Boot{Limits: boot.Limits{MemoryMB: 8}}, 0, script.Start(t, script.Plain(200, "s", "ok")))
+	house.spec(2, strings.Replace(document, `"max_body_bytes":100`, `"max_body_bytes":4194304`, 1))
+	const size, clients = 1 << 20, 24
+	answers := make(chan string, clients)
+	for range clients {
+		conn, err := net.Dial("tcp", house.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			fmt.Fprintf(conn, "POST /safe/1 HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-1))
+		}()
+		go func() {
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			answers <- response.Status + " " + response.Header.Get("Retry-After")
+		}()
+	}
+	if got := <-answers; !strings.HasPrefix(got, "503 Service Unavailable 0.") {
+		t.Errorf("the first that is too much gets %q", got)
+	}
+	if got := house.ask("/safe/2", "small"); got.status != 200 {
+		t.Errorf("a small request beside them gets %d %v", got.status, got.fault)
+	}
+}
