Directory: clients are led out of their region only where it is known to be lost

Change: outside the region only after one of its daemons ceased to answer, its routers reach no runners, or none was able for recovery_s; it stays lost until one is able again. A router says that it reaches no runners only after it reached them once. Answers are counted by circle, a way out without a loss violates led-away.

--- a/control/cohort/scope.go
+++ b/control/cohort/scope.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// Now is the present instant on the table's clock.
+//
+// Example:
+//
+//	if table.Now().Since(seen) > patience { ... }
+func (table *Table) Now() clock.Instant { return table.clock.Now() }
+
 // Seasoned tells whether the daemon has lived for as long as members that are
 // gone are remembered.
 //
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -163,7 +163,11 @@
 	})
 	lookups := call.NewTable(top, 1<<16)
 	lookups.Metrics = common.Metrics
-	directory.Directory{Table: common.Table, Elsewhere: common.Zones.Elsewhere, Zones: top.Boot.Zones, Fewest: 1}.Serve(lookups)
+	front := &directory.Directory{
+		Table: common.Table, Elsewhere: common.Zones.Elsewhere, Zones: top.Boot.Zones,
+		Patience: max(boot.Seconds(top.Boot.Bounds.RecoveryS), pace.Hold), Metrics: common.Metrics, Monitor: common.Monitor,
+	}
+	front.Serve(lookups)
 	common.Part("directory", func(inner scope.Scope) error {
 		return common.ServeHTTP(inner, top.Boot.Listen["directory"], lookups)
 	})
--- a/control/directory/away_test.go
+++ b/control/directory/away_test.go
@@ -4,7 +4,9 @@
 	"slices"
 	"testing"
 
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/control/cohort"
 	"onyxwell/control/zoneview"
 )
@@ -45,3 +47,46 @@
 		}
 	}
 }
+
+// TestRegionStaysLostUntilItHasAnAbleRouter walks a region through a loss and
+// its return, and through an absence for no known reason.
+func TestRegionStaysLostUntilItHasAnAbleRouter(t *testing.T) {
+	machine := clock.NewFake()
+	directory, news := directoryOn(machine, "z1")
+	asked := Lookup{Zone: "z1", Region: "r1"}
+	expect := func(what string, want ...ids.Address) {
+		t.Helper()
+		if got := directory.Choose(asked); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, not %v", what, got, want)
+		}
+	}
+	directory.Table.Merge([]cohort.Member{router("a", "z1"), relay("r3", "z3")})
+	tell(t, news, 1, zoneview.Fronts{Zone: "z3", Able: []ids.Address{"fe"}})
+	expect("all is well", "fa")
+	directory.Table.Judge("a", cohort.Suspect)
+	expect("its router answers no more", "fe")
+	back := router("a", "z1")
+	back.Incarnation, back.Ready = 2, false
+	directory.Table.Merge([]cohort.Member{back})
+	expect("it is back and not ready", "fe")
+	back.Incarnation, back.Ready = 3, true
+	directory.Table.Merge([]cohort.Member{back})
+	expect("it is ready", "fa")
+	back.Incarnation, back.Ready = 4, false
+	directory.Table.Merge([]cohort.Member{back})
+	expect("it leaves in order")
+	machine.Move(patience)
+	expect("it stays away for as long as that may be")
+	machine.Move(clock.Millisecond)
+	expect("it stays away for longer", "fe")
+}
+
+func TestPlantedWayOutOfARegionIsCounted(t *testing.T) {
+	directory, _ := directoryIn("z1")
+	directory.Monitor = &invariant.Monitor{Tolerant: true}
+	directory.watch(Lookup{Zone: "z1", Region: "r1"}, []ids.Address{"fe"}, 0)
+	directory.watch(Lookup{Zone: "z9", Region: "r9"}, []ids.Address{"fe"}, 0)
+	if got := directory.Monitor.Count(invariant.LedAway); got != 1 {
+		t.Errorf("counted %d", got)
+	}
+}
--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -6,9 +6,12 @@
 	"net/http"
 
 	"onyxwell/base/call"
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/base/invariant"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
+	"onyxwell/base/telemetry"
 	"onyxwell/control/cohort"
 	"onyxwell/control/zoneview"
 )
@@ -44,15 +47,21 @@
 }
 
 // Directory answers from the members of its own zone that this daemon knows,
-// and from what the relays of the other zones tell of theirs.
+// and from what the relays of the other zones tell of theirs. It leads clients
+// out of their region only where that is known to be lost (regions.go).
 type Directory struct {
 	Table *cohort.Table
 	// Elsewhere gives the routers of the other zones that are in reach, and the
 	// zones that are not.
 	Elsewhere func() (reached []zoneview.Fronts, cut []ids.Zone)
 	Zones     map[ids.Zone]ids.Region
-	// Fewest is how many routers a near choice must have to be enough.
-	Fewest int
+	// Patience is how long a region may be without any able router, for no reason
+	// that is known, before it counts as lost.
+	Patience clock.Span
+	// Metrics and Monitor may be left out.
+	Metrics *telemetry.Metrics
+	Monitor *invariant.Monitor
+	regions regions
 }
 
 // place is a router that a client may go to.
@@ -66,47 +75,103 @@
 //
 // Example:
 //
-//	directory.Directory{Table: table, Fewest: 2}.Serve(calls)
-func (directory Directory) Serve(calls *call.Table) {
+//	(&directory.Directory{Table: table, Zones: zones}).Serve(calls)
+func (directory *Directory) Serve(calls *call.Table) {
 	call.Handle(calls, http.MethodGet, "/lookup", func(inner scope.Scope, asked Lookup) (Found, error) {
 		return Found{Addresses: directory.Choose(asked), TTLS: min(1, inner.Boot.Bounds.TTLMaxS)}, nil
 	})
 }
 
-// nearness are the circles around a client, the closest first.
-var nearness = []func(place, Lookup) bool{
-	func(router place, asked Lookup) bool { return router.zone == asked.Zone },
-	func(router place, asked Lookup) bool { return router.region == asked.Region },
-	func(place, Lookup) bool { return true },
+// circle is a set of routers around a client.
+type circle struct {
+	name string
+	has  func(place, Lookup) bool
 }
 
-// Choose picks the routers of the closest circle that has enough of them. Those
-// that reach no runners are passed over; where only such are left while others
-// are out of reach, there is no answer, so that the client asks a directory
-// elsewhere.
+// near are the circles that a client needs no reason for, the closest first.
+var near = []circle{
+	{"zone", func(router place, asked Lookup) bool { return router.zone == asked.Zone }},
+	{"region", func(router place, asked Lookup) bool { return router.region == asked.Region }},
+}
+
+// away is the circle of all routers.
+var away = circle{"away", func(place, Lookup) bool { return true }}
+
+// noCircle is told of look-ups that get no answer.
+const noCircle = "none"
+
+// Choose picks the routers of the closest circle that has any. Those that reach
+// no runners are passed over, unless there are no others. Where nobody near is
+// able there is no answer, so that the client asks another directory or stays
+// with what it has, unless its region is known to be lost: one whose routers
+// start, leave in order or were not heard of yet is not.
 //
 // Example:
 //
 //	addresses := directory.Choose(directory.Lookup{Region: region, Zone: zone})
-func (directory Directory) Choose(asked Lookup) []ids.Address {
-	able, unable, cut := directory.own()
-	if directory.Elsewhere != nil {
-		reached, away := directory.Elsewhere()
-		for _, fronts := range reached {
-			able = append(able, directory.places(fronts.Zone, fronts.Able)...)
-			unable = append(unable, directory.places(fronts.Zone, fronts.Unable)...)
+func (directory *Directory) Choose(asked Lookup) []ids.Address {
+	able, unable, cut := directory.all()
+	now := directory.Table.Now()
+	for _, circle := range near {
+		if chosen := circle.of(able, asked); len(chosen) > 0 {
+			directory.regions.able(asked.Region, now)
+			return directory.tell(circle, chosen)
 		}
-		cut = cut || len(away) > 0
 	}
 	if len(able) == 0 && !cut {
+		// All are in reach, and none is better than those nearby.
+		for _, circle := range near {
+			if chosen := circle.of(unable, asked); len(chosen) > 0 {
+				return directory.tell(circle, chosen)
+			}
+		}
 		able = unable
 	}
-	return directory.closest(able, asked)
+	if !directory.lost(asked.Region, unable, now) {
+		return directory.tell(circle{name: noCircle}, nil)
+	}
+	chosen := away.of(able, asked)
+	directory.watch(asked, chosen, now)
+	if len(chosen) == 0 {
+		return directory.tell(circle{name: noCircle}, nil)
+	}
+	return directory.tell(away, chosen)
+}
+
+func (directory *Directory) tell(circle circle, chosen []ids.Address) []ids.Address {
+	directory.Metrics.Lookup(circle.name)
+	return chosen
+}
+
+// of gives the fronts of the routers in the circle, as many as a client reads.
+func (circle circle) of(routers []place, asked Lookup) []ids.Address {
+	var chosen []ids.Address
+	for _, router := range routers {
+		if circle.has(router, asked) && len(chosen) < listLimit {
+			chosen = append(chosen, router.front)
+		}
+	}
+	return chosen
+}
+
+// all gives the routers everywhere: those that serve, those that reach no
+// runners, and whether some are out of reach.
+func (directory *Directory) all() (able []place, unable []place, cut bool) {
+	able, unable, cut = directory.own()
+	if directory.Elsewhere == nil {
+		return able, unable, cut
+	}
+	reached, gone := directory.Elsewhere()
+	for _, fronts := range reached {
+		able = append(able, directory.places(fronts.Zone, fronts.Able)...)
+		unable = append(unable, directory.places(fronts.Zone, fronts.Unable)...)
+	}
+	return able, unable, cut || len(gone) > 0
 }
 
 // own gives the routers of the directory's zone: those that serve, those that
 // reach no runners, and whether some are out of reach.
-func (directory Directory) own() (able []place, unable []place, cut bool) {
+func (directory *Directory) own() (able []place, unable []place, cut bool) {
 	zone := directory.Table.Self().Zone
 	for _, member := range directory.Table.Members() {
 		if member.Zone != zone || member.Front == "" {
@@ -124,25 +189,10 @@
 	return able, unable, cut
 }
 
-func (directory Directory) places(zone ids.Zone, fronts []ids.Address) []place {
+func (directory *Directory) places(zone ids.Zone, fronts []ids.Address) []place {
 	var found []place
 	for _, front := range fronts {
 		found = append(found, place{front: front, zone: zone, region: directory.Zones[zone]})
 	}
 	return found
 }
-
-func (directory Directory) closest(ready []place, asked Lookup) []ids.Address {
-	for _, near := range nearness {
-		var chosen []ids.Address
-		for _, router := range ready {
-			if near(router, asked) && len(chosen) < listLimit {
-				chosen = append(chosen, router.front)
-			}
-		}
-		if len(chosen) >= min(directory.Fewest, len(ready)) && len(chosen) > 0 {
-			return chosen
-		}
-	}
-	return nil
-}
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -22,12 +22,17 @@
 	return cohort.Member{Address: address, Zone: zone, Region: zones[zone], Relay: true, Incarnation: 1}
 }
 
+// patience is the directories' own.
+const patience = 12 * clock.Second
+
 // directoryIn makes a directory in a zone that hears news of the others.
-func directoryIn(zone ids.Zone) (Directory, *spread.News) {
+func directoryIn(zone ids.Zone) (*Directory, *spread.News) { return directoryOn(clock.NewFake(), zone) }
+
+func directoryOn(machine *clock.Fake, zone ids.Zone) (*Directory, *spread.News) {
 	self := cohort.Member{Address: "c", Role: "fleet-controller", Zone: zone, Region: zones[zone], Ready: true, Core: true}
-	table, news := cohort.NewTable(clock.NewFake(), self), spread.NewNews(nil)
+	table, news := cohort.NewTable(machine, self), spread.NewNews(nil)
 	watcher := &zoneview.Watcher{Table: table, News: news, Zones: zones, Role: "router"}
-	return Directory{Table: table, Elsewhere: watcher.Elsewhere, Zones: zones, Fewest: 1}, news
+	return &Directory{Table: table, Elsewhere: watcher.Elsewhere, Zones: zones, Patience: patience}, news
 }
 
 func tell(t *testing.T, news *spread.News, serial ids.Serial, fronts zoneview.Fronts) {
--- a/data/router/doubt.go
+++ b/data/router/doubt.go
@@ -49,7 +49,7 @@
 // the directory when this router reaches no runner for some route.
 func (r *Router) doubts(inner scope.Scope) error {
 	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence}, Idle: r.pace.Connect, PerHost: 1})
-	unable, answered := 0, map[ids.Region]bool{}
+	unable, reached, answered := 0, false, map[ids.Region]bool{}
 	for inner.Wait(r.pace.Connect / looksAtDoubt) {
 		now := inner.Now()
 		answered = r.doubtRegions(answered, now)
@@ -57,8 +57,9 @@
 			go r.test(inner, client, id)
 		}
 		if r.reaches(now) {
-			unable = 0
-		} else {
+			unable, reached = 0, true
+		} else if reached {
+			// Before that the list of runners may not be whole yet.
 			unable++
 		}
 		// A moment without runners is no reason to send visitors away.
