Bodies are bounded together; limits are those of the configuration in force

Cause: (1) each body was bounded, all together were not: 120 clients that hold back the ends of 4 MB bodies took a router of 184 MB to 707 MB; (2) net/http's server had the limits of the first configuration for its life, so that a client inside the limits in force was cut off. Classes: a bound for one and none for all; a part of the configuration copied at a start. Change: (1) base/quota, a quarter of memory_mb for the bodies of requests and answers; a body reserves its room before it is read, small ones have a part of their own, what does not fit is answered 503 no-memory with when to come back, and an answer that does not fit is passed on as it comes; (2) the connection puts the deadlines of the limits in force in place of the server's, also for a rest that has begun.

--- a/base/failure/failure.go
+++ b/base/failure/failure.go
@@ -37,6 +37,7 @@
 	Forgotten
 	Internal
 	SentAhead
+	NoMemory
 	kinds
 )
 
@@ -72,6 +73,7 @@
 	Unsettled:      {Status: 503, Name: "unsettled", Text: "no majority of the voters answered in time"},
 	Forgotten:      {Status: 503, Name: "forgotten", Text: "it is too long ago to know whether this was taken"},
 	Internal:       {Status: 500, Name: "internal", Text: "a part of the program failed"},
+	NoMemory:       {Status: 503, Name: "no-memory", Text: "the bodies at hand take all the memory that they may", NotRun: true, Closing: true},
 	SentAhead:      {Status: 503, Name: "sent-ahead", Text: "the request came before the answer to the one before it", NotRun: true, Closing: true},
 }
 
--- /dev/null
+++ b/base/quota/quota_test.go
@@ -0,0 +1,89 @@
+package quota
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+
+	"onyxwell/base/fixed"
+	"onyxwell/base/invariant"
+)
+
+func TestMain(tests *testing.M) { fixed.Run(tests) }
+
+// TestBodiesAreReadWholeOrRefused reads bodies of all sizes, told or not, in
+// pieces or not, beside what others hold: what is read is what was sent, room
+// is never overdrawn, and all of it comes back.
+func TestBodiesAreReadWholeOrRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := int64(rapid.IntRange(first, 20*first).Draw(t, "limit"))
+		bodies := New(limit, nil)
+		var held []*Body
+		for range rapid.IntRange(1, 12).Draw(t, "bodies") {
+			text := bytes.Repeat([]byte("abc"), rapid.IntRange(0, 2*first/3).Draw(t, "size"))
+			from := io.Reader(bytes.NewReader(text))
+			if rapid.Bool().Draw(t, "in pieces") {
+				from = iotest.HalfReader(from)
+			}
+			told := int64(len(text))
+			if rapid.Bool().Draw(t, "not told") {
+				told = -1
+			}
+			body := bodies.Hold()
+			err := body.Read(from, told, 2*first+3)
+			if err != nil && !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+			if errors.Is(err, ErrFull) {
+				rest, _ := io.ReadAll(from)
+				body.Bytes = append(body.Bytes, rest...)
+			}
+			if !bytes.Equal(body.Bytes, text) {
+				t.Fatalf("%d bytes of %d", len(body.Bytes), len(text))
+			}
+			if bodies.Taken() > max(limit, first) {
+				t.Fatalf("%d bytes are taken of %d", bodies.Taken(), limit)
+			}
+			held = append(held, body)
+		}
+		for _, body := range held {
+			body.Release()
+			body.Release()
+		}
+		if bodies.Taken() != 0 {
+			t.Fatalf("%d bytes are still taken", bodies.Taken())
+		}
+	})
+}
+
+// TestSmallBodiesPassBesideLargeOnes fills the room with a large body.
+func TestSmallBodiesPassBesideLargeOnes(t *testing.T) {
+	bodies := New(8*first, nil)
+	large, small := bodies.Hold(), bodies.Hold()
+	if err := large.Read(bytes.NewReader(make([]byte, 5*first)), 5*first, 5*first); err != nil {
+		t.Fatal(err)
+	}
+	if err := bodies.Hold().Read(bytes.NewReader(make([]byte, 5*first)), 5*first, 5*first); !errors.Is(err, ErrFull) {
+		t.Errorf("a second large body: %v", err)
+	}
+	if err := small.Read(bytes.NewReader(make([]byte, 100)), 100, 5*first); err != nil {
+		t.Errorf("a small body: %v", err)
+	}
+	var none *Quota
+	if err := none.Hold().Read(bytes.NewReader(make([]byte, 100)), -1, 5*first); err != nil || none.Taken() != 0 {
+		t.Errorf("without a quota: %v", err)
+	}
+}
+
+func TestPlantedReturnOfMoreIsCounted(t *testing.T) {
+	monitor := &invariant.Monitor{Tolerant: true}
+	bodies := New(first, monitor)
+	bodies.give(&bodies.small, 1)
+	if got := monitor.Count(invariant.MemoryReserved); got != 1 {
+		t.Errorf("counted %d", got)
+	}
+}
--- a/data/answer/door.go
+++ b/data/answer/door.go
@@ -7,21 +7,27 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"onyxwell/base/call"
-	"onyxwell/base/clock"
 	"onyxwell/base/failure"
 )
 
 // NewServer makes the server of a front. What it can't read gets a 4xx and a
-// closed connection; nothing is answered past the front.
+// closed connection; nothing is answered past the front. How long heads and
+// rests may take is up to the configuration in force.
 //
 // Example:
 //
-//	server := answer.NewServer(front, 3*clock.Second, 15*clock.Second)
-//	fault := server.Serve(answer.Door(listener))
-func NewServer(front *Front, headWait clock.Span, idle clock.Span) *http.Server {
-	server := call.Server(front, headWait, idle)
+//	server := answer.NewServer(front)
+//	err := server.Serve(answer.Door(front, listener))
+func NewServer(front *Front) *http.Server {
+	server := call.Server(front, asTheConnectionSays, asTheConnectionSays)
+	server.ConnState = func(link net.Conn, state http.ConnState) {
+		if watched, known := link.(*watched); known {
+			rests(watched, state)
+		}
+	}
 	// Its answer to "OPTIONS *" would be a success that no runner gave.
 	server.DisableGeneralOptionsHandler = true
 	server.ConnContext = func(ctx context.Context, link net.Conn) context.Context {
@@ -34,14 +40,20 @@
 }
 
 // Door has the connections of a listener watched for heads that say two things
-// of where a body ends, which net/http mends without a word.
+// of where a body ends, which net/http mends without a word, and held to the
+// limits in force.
 //
 // Example:
 //
-//	server.Serve(answer.Door(listener))
-func Door(listener net.Listener) net.Listener { return door{listener} }
+//	server.Serve(answer.Door(front, listener))
+func Door(front *Front, listener net.Listener) net.Listener {
+	return door{Listener: listener, front: front}
+}
 
-type door struct{ net.Listener }
+type door struct {
+	net.Listener
+	front *Front
+}
 
 // Accept gives the next connection.
 func (door door) Accept() (net.Conn, error) {
@@ -49,7 +61,10 @@
 	if fault != nil {
 		return nil, fault
 	}
-	return &watched{Conn: link}, nil
+	made := &watched{Conn: link}
+	made.timing.limits = door.front.limits
+	made.timing.enter(readingHead)
+	return made, nil
 }
 
 type watchedKey struct{}
@@ -59,6 +74,7 @@
 // looked at, and turned away where that leaves its frame in doubt.
 type watched struct {
 	net.Conn
+	timing timing
 	// answered says that something was written since the last head began.
 	answered atomic.Bool
 	// over says that the head has ended; line is the begin of its present line.
@@ -75,6 +91,15 @@
 // Read reads along.
 func (link *watched) Read(buffer []byte) (int, error) {
 	size, fault := link.Conn.Read(buffer)
+	for size == 0 {
+		until, more := link.timing.longer(fault)
+		if !more {
+			break
+		}
+		if fault = link.Conn.SetReadDeadline(until); fault == nil {
+			size, fault = link.Conn.Read(buffer)
+		}
+	}
 	if size > 0 {
 		if link.answered.Swap(false) {
 			link.over, link.line = false, link.line[:0]
@@ -89,6 +114,12 @@
 	return size, fault
 }
 
+// SetReadDeadline sets the deadline of the limits in force in place of
+// net/http's, but while a request is being answered.
+func (link *watched) SetReadDeadline(set time.Time) error {
+	return link.Conn.SetReadDeadline(link.timing.deadline(set))
+}
+
 // Write notes that an answer went out.
 func (link *watched) Write(buffer []byte) (int, error) {
 	link.answered.Store(true)
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/failure"
 	"onyxwell/base/invariant"
+	"onyxwell/base/quota"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/base/telemetry"
@@ -45,6 +45,8 @@
 	number  atomic.Uint64
 	running atomic.Int64
 	lines   lines
+	// bodies bounds what bodies take together.
+	bodies *quota.Quota
 }
 
 // NewFront makes a front.
@@ -52,7 +54,26 @@
 // Example:
 //
 //	front := answer.NewFront(answer.Options{Scope: top, Frame: frame, Gate: gate, Sender: sender})
-func NewFront(options Options) *Front { return &Front{options: options} }
+func NewFront(options Options) *Front {
+	front := &Front{options: options}
+	if memory := options.Scope.Boot.Limits.MemoryMB << 20; memory > 0 {
+		front.bodies = quota.New(memory/bodiesPart, options.Monitor)
+		options.Metrics.Gauge("body_bytes", "Bytes reserved for the bodies of requests and answers.", nil, func() float64 { return float64(front.bodies.Taken()) })
+	}
+	return front
+}
+
+// bodiesPart is the part of the memory, one in so many, that bodies may take
+// together: what is freed waits for the collector, and connections take more.
+const bodiesPart = 4
+
+// limits are those of the configuration in force.
+func (front *Front) limits() spec.Limits {
+	if seen := front.options.Frame.Now(); seen.Spec != nil {
+		return seen.Spec.Limits
+	}
+	return spec.Limits{}
+}
 
 // Leave has every answer from now on ask its visitor to go elsewhere next.
 //
@@ -72,8 +93,12 @@
 func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	front.running.Add(1)
 	defer front.running.Add(-1)
-	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now()}
+	if link, known := request.Context().Value(watchedKey{}).(*watched); known {
+		link.timing.enter(handling)
+	}
+	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now(), held: front.bodies.Hold()}
 	defer visit.record()
+	defer visit.held.Release()
 	if fault := visit.read(); fault != nil {
 		visit.refuse(failure.KindOf(fault), failure.DetailOf(fault))
 		return
@@ -107,6 +132,8 @@
 	// sends are what was sent so far, outcome how the visit ended.
 	sends   []sending
 	outcome string
+	// held is the request's body.
+	held *quota.Body
 	// status is that of the runner's answer that was passed on.
 	status int
 	// clientLeft is the time that the client gave; 0 is not told.
@@ -163,11 +190,17 @@
 	if most <= 0 {
 		most = visit.front.options.Scope.Boot.Limits.MemoryMB << 20 / 64
 	}
+	if visit.request.ContentLength == 0 {
+		return nil, nil
+	}
 	reply.ReadWithin(visit.writer, boot.Milliseconds(limits.IdleMS))
-	body, fault := io.ReadAll(http.MaxBytesReader(visit.writer, visit.request.Body, most))
+	fault := visit.held.Read(http.MaxBytesReader(visit.writer, visit.request.Body, most), visit.request.ContentLength, most)
 	reply.ReadWithin(visit.writer, 0)
 	if fault == nil {
-		return body, nil
+		return visit.held.Bytes, nil
+	}
+	if errors.Is(fault, quota.ErrFull) {
+		return nil, failure.Of(failure.NoMemory, "")
 	}
 	var large *http.MaxBytesError
 	if errors.As(fault, &large) {
--- a/data/answer/limits_test.go
+++ b/data/answer/limits_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"onyxwell/base/boot"
-	"onyxwell/base/clock"
 	"onyxwell/data/script"
 )
 
@@ -54,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &httptest.Server{Listener: Door(deadlines{Listener: plain, set: set}), Config: NewServer(house.front, 1000*clock.Millisecond, 1500*clock.Millisecond)}
+	server := &httptest.Server{Listener: Door(house.front, deadlines{Listener: plain, set: set}), Config: NewServer(house.front)}
 	server.Start()
 	t.Cleanup(server.Close)
 	house.spec(3, limitsDocument(60000, 90000))
@@ -116,3 +115,18 @@
 		t.Errorf("a small request beside them gets %d %v", got.status, got.fault)
 	}
 }
+
+// TestAnswerBeyondTheMemoryIsPassedOn has answers be larger than the room that
+// is left: they go to their clients whole, without being held first.
+func TestAnswerBeyondTheMemoryIsPassedOn(t *testing.T) {
+	text := strings.Repeat("y", 200<<10)
+	house := newHouseOn(t, &boot.Boot{Limits: boot.Limits{MemoryMB: 8}}, 0, script.Start(t, script.Plain(200, "s", text), script.Plain(200, "s", text)))
+	full := house.front.bodies.Hold()
+	defer full.Release()
+	if err := full.Read(strings.NewReader(strings.Repeat("z", 1500<<10)), 1500<<10, 1500<<10); err != nil {
+		t.Fatal(err)
+	}
+	if got := house.ask("/safe/1", ""); got.status != 200 || got.body != text || got.fault != nil {
+		t.Errorf("%d, %d bytes, %v", got.status, len(got.body), got.fault)
+	}
+}
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"onyxwell/base/invariant"
+	"onyxwell/base/quota"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/control/spec"
@@ -25,22 +26,62 @@
 		// A stream's rest was asked for and something else came.
 		return forward.Garbled, false
 	}
-	most, source := visit.answerMost(), io.Reader(response.Body)
-	if response.ContentLength < 0 || response.ContentLength >= most {
-		source = io.LimitReader(source, most)
+	most := visit.answerMost()
+	if response.ContentLength >= most {
+		return forward.Garbled, false
+	}
+	source := &io.LimitedReader{R: response.Body, N: most}
+	body := visit.front.bodies.Hold()
+	defer body.Release()
+	fault := body.Read(source, response.ContentLength, most)
+	if errors.Is(fault, quota.ErrFull) {
+		return visit.passUnheld(response, body, source)
+	}
+	if fault != nil {
+		return forward.Doubtful, false
+	}
+	if int64(len(body.Bytes)) == most {
+		return forward.Garbled, false
 	}
-	body, fault := io.ReadAll(source)
+	visit.begin(response, int64(len(body.Bytes)))
+	_, fault = visit.writer.Write(body.Bytes)
+	return visit.took(fault)
+}
+
+// passUnheld passes on as it comes what the memory has no room for: after a
+// break it cannot be asked for again, and looks broken.
+func (visit *visit) passUnheld(response *http.Response, body *quota.Body, rest *io.LimitedReader) (forward.Fate, bool) {
+	visit.begin(response, max(unknown, response.ContentLength))
+	_, fault := visit.writer.Write(body.Bytes)
+	body.Release()
 	if fault != nil {
+		return visit.took(fault)
+	}
+	source := &read{from: rest}
+	if _, fault = io.Copy(visit.writer, source); source.fault != nil {
 		return forward.Doubtful, false
 	}
-	if int64(len(body)) == most {
+	if rest.N <= 0 {
 		return forward.Garbled, false
 	}
-	visit.begin(response, int64(len(body)))
-	_, fault = visit.writer.Write(body)
 	return visit.took(fault)
 }
 
+// read tells a source's failure from that of where its bytes go.
+type read struct {
+	from  io.Reader
+	fault error
+}
+
+// Read reads on.
+func (read *read) Read(buffer []byte) (int, error) {
+	size, fault := read.from.Read(buffer)
+	if fault != nil && !errors.Is(fault, io.EOF) {
+		read.fault = fault
+	}
+	return size, fault
+}
+
 // answerMost is the size that no answer has: one that does not end must not take
 // the memory of all.
 func (visit *visit) answerMost() int64 {
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -186,14 +186,13 @@
 			return err
 		}
 	}
-	limits := r.frame.Now().Spec.Limits
-	server := answer.NewServer(r.front, boot.Milliseconds(limits.HeaderWaitMS), boot.Milliseconds(limits.IdleMS))
+	server := answer.NewServer(r.front)
 	stop := context.AfterFunc(inner, func() { _ = server.Close() })
 	defer stop()
 	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
 	r.common.Tell(inner)
 	r.door(server)
-	if err := server.Serve(answer.Door(listener)); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(answer.Door(r.front, listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-inner.Done()
--- a/emulator/experiment/router.go
+++ b/emulator/experiment/router.go
@@ -101,7 +101,8 @@
 	}
 	return Router{
 		Handler: front, List: made.list, Leave: front.Leave, Reread: reread,
-		Server: answer.NewServer(front, 3*clock.Second, 15*clock.Second), Door: answer.Door,
+		Server: answer.NewServer(front),
+		Door:   func(listener net.Listener) net.Listener { return answer.Door(front, listener) },
 	}
 }
 
