--- a/base/program/watch_test.go
+++ b/base/program/watch_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	"onyxwell/base/boot"
 	"onyxwell/base/clock"
@@ -58,3 +59,33 @@
 		}
 	}
 }
+
+// TestChangeDuringTheFirstReadIsSeen has the settings file change after it was
+// read and before anybody watches it.
+func TestChangeDuringTheFirstReadIsSeen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, bootText, "one"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := boot.Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, fmt.Appendf(nil, bootText, "the second"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
+	defer end()
+	reread := Watch(top, path)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case fresh := <-reread:
+		if fresh.NodeName != "the second" {
+			t.Errorf("%q was read", fresh.NodeName)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the change is never seen")
+	}
+}
