SIGHUP at any time, changes during the first read, bodies with an end, leaving routers

Cause: (1) SIGHUP was taken over after the command line and the settings were read; (2) the settings file's stamp was taken after it was read, so that a change in between was never seen; (3) ports for operators and daemons waited for a body for ever; (4) a router that got SIGTERM during its start announced itself ready after it had left; (5) a leaving router took requests until 3.6 s after SIGTERM, whose cut at its end counts as lost from 3 s on. Classes: windows at a start; a bound in size and none in time. Change: SIGHUP is ignored from the program's load and told from the first line of main; program.File stamps before it reads; bodies of calls have 10 s, and a common bound in memory; open and withdraw go together under one lock; a leaving front answers 503 from 2.75 s on.

--- a/base/call/serve.go
+++ b/base/call/serve.go
@@ -9,6 +9,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/failure"
+	"onyxwell/base/quota"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
 	"onyxwell/base/telemetry"
@@ -41,6 +42,9 @@
 	BodyLimit int64
 	// Gate may be left out.
 	Gate Gate
+	// Bodies bounds what bodies take together; it may be left out, and several
+	// tables may share it.
+	Bodies *quota.Quota
 	// Metrics count the calls; they may be left out.
 	Metrics *telemetry.Metrics
 	exact   map[string]func(scope.Scope, Incoming) reply.Reply
@@ -90,11 +94,13 @@
 		table.refuse(request, failure.Of(failure.UnknownCall, "%s %s", request.Method, path)).Send(writer)
 		return
 	}
-	body, fault := readWhole(http.MaxBytesReader(writer, request.Body, table.BodyLimit), request.ContentLength)
-	if fault != nil {
+	held := table.Bodies.Hold()
+	defer held.Release()
+	if fault := table.read(writer, request, held); fault != nil {
 		table.refuse(request, bodyFault(fault)).Send(writer)
 		return
 	}
+	body, fault := held.Bytes, error(nil)
 	if table.Gate != nil {
 		if body, fault = table.Gate.Enter(body); fault != nil {
 			table.refuse(request, fault).Send(writer)
@@ -108,6 +114,20 @@
 	answer.Send(writer)
 }
 
+// bodyWait is how long a body may take from the end of its head: some times as
+// long as the largest one takes on the slowest link.
+const bodyWait = 10 * clock.Second
+
+// read takes a call's body in.
+func (table *Table) read(writer http.ResponseWriter, request *http.Request, held *quota.Body) error {
+	if request.ContentLength == 0 {
+		return nil
+	}
+	reply.ReadWithin(writer, bodyWait)
+	defer reply.ReadWithin(writer, 0)
+	return held.Read(http.MaxBytesReader(writer, request.Body, table.BodyLimit), request.ContentLength, table.BodyLimit)
+}
+
 // refuse answers a call that was not read.
 func (table *Table) refuse(request *http.Request, fault error) reply.Reply {
 	if table.Gate != nil {
@@ -122,6 +142,13 @@
 	if errors.As(fault, &large) {
 		return failure.Of(failure.BodyTooLarge, "body: over %d bytes", large.Limit)
 	}
+	if errors.Is(fault, quota.ErrFull) {
+		return failure.Of(failure.NoMemory, "")
+	}
+	var slow interface{ Timeout() bool }
+	if errors.As(fault, &slow) && slow.Timeout() {
+		return failure.Of(failure.TooSlow, "body: not there within %v", bodyWait)
+	}
 	return failure.Of(failure.BadRequest, "body: it is not whole")
 }
 
--- a/base/program/program.go
+++ b/base/program/program.go
@@ -47,6 +47,7 @@
 //
 //	func main() { os.Exit(program.Main(program.Daemon{Name: "router", Serve: serve}, os.Args[1:])) }
 func Main(daemon Daemon, arguments []string) int {
+	hangups := Hangups()
 	var line commandLine
 	parser, fault := kong.New(&line, kong.Name(daemon.Name), kong.Description(daemon.Text),
 		kong.Vars{"version": daemon.Name + " " + Version, "variable": boot.Variable})
@@ -60,7 +61,7 @@
 	if line.Boot == "" {
 		line.Boot = boot.Path()
 	}
-	settings, fault := boot.Read(line.Boot)
+	file, settings, fault := Open(line.Boot)
 	if fault == nil {
 		fault = settings.Require(daemon.Needs...)
 	}
@@ -75,7 +76,7 @@
 			_, fault := fmt.Printf("%s: boot file %s is good: %s in %s\n", daemon.Name, line.Boot, settings.NodeName, settings.Zone)
 			return fault
 		},
-		"run": func() error { return run(daemon, line, settings) },
+		"run": func() error { return run(daemon, line, settings, file, hangups) },
 	}
 	if fault := commands[parsed.Command()](); fault != nil {
 		return complain(daemon, fault)
@@ -88,12 +89,12 @@
 	return 1
 }
 
-func run(daemon Daemon, line commandLine, settings *boot.Boot) error {
+func run(daemon Daemon, line commandLine, settings *boot.Boot, file *File, hangups <-chan os.Signal) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(settings.Limits.MemoryMB << 20 * 6 / 10)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	top := scope.New(scope.Options{Boot: settings, Log: scope.Logger(line.LogLevel, os.Stderr)}).Under(ctx)
-	return daemon.Serve(top, Watch(top, line.Boot))
+	return daemon.Serve(top, file.Watch(top, hangups))
 }
--- a/base/program/watch.go
+++ b/base/program/watch.go
@@ -2,46 +2,61 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"onyxwell/base/boot"
 	"onyxwell/base/scope"
 )
 
-// Watch rereads the boot file on SIGHUP, and when the file changes without any
-// signal, and gives each new one. From its return on a SIGHUP no longer ends
-// the process.
+// File is a settings file as it was read last.
+type File struct {
+	path string
+	// last is the stamp from before it was read: a change that comes while it is
+	// read is seen as one.
+	last stamp
+}
+
+// Open reads a settings file for the first time.
+//
+// Example:
+//
+//	file, settings, err := program.Open("/etc/onyxwell/boot.toml")
+func Open(path string) (*File, *boot.Boot, error) {
+	file := &File{path: path, last: stampOf(path)}
+	settings, err := boot.Read(path)
+	return file, settings, err
+}
+
+// Watch reads the settings file again on each SIGHUP, and when the file changes
+// without any signal, and gives each new one.
 //
 // Example:
 //
-//	for fresh := range program.Watch(top, path) { daemon.Reread(fresh) }
-func Watch(top scope.Scope, path string) <-chan *boot.Boot {
-	reread, hangup := make(chan *boot.Boot, 1), make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	go watch(top, path, hangup, stampOf(path), reread)
+//	for fresh := range file.Watch(top, hangups) { daemon.Reread(fresh) }
+func (file *File) Watch(top scope.Scope, hangups <-chan os.Signal) <-chan *boot.Boot {
+	reread := make(chan *boot.Boot, 1)
+	go file.watch(top, hangups, reread)
 	return reread
 }
 
-func watch(top scope.Scope, path string, hangup <-chan os.Signal, last stamp, reread chan<- *boot.Boot) {
+func (file *File) watch(top scope.Scope, hangups <-chan os.Signal, reread chan<- *boot.Boot) {
 	pause := max(boot.Seconds(top.Boot.Bounds.SeedLagS), boot.Milliseconds(top.Boot.Bounds.ApplyWithinMS))
 	for {
 		select {
 		case <-top.Done():
 			return
-		case <-hangup:
+		case <-hangups:
 		case <-top.Clock.After(pause):
 		}
-		stamp := stampOf(path)
-		if stamp == last {
+		stamp := stampOf(file.path)
+		if stamp == file.last {
 			continue
 		}
-		fresh, fault := boot.Read(path)
-		if fault != nil {
-			top.Log.Error().Str("part", "boot").Err(fault).Msg("the changed boot file is not taken")
+		fresh, err := boot.Read(file.path)
+		if err != nil {
+			top.Log.Error().Str("part", "boot").Err(err).Msg("the changed boot file is not taken")
 			continue
 		}
-		last = stamp
+		file.last = stamp
 		select {
 		case reread <- fresh:
 		case <-top.Done():
@@ -55,8 +70,8 @@
 }
 
 func stampOf(path string) stamp {
-	found, fault := os.Stat(path)
-	if fault != nil {
+	found, err := os.Stat(path)
+	if err != nil {
 		return stamp{}
 	}
 	return stamp{size: found.Size(), moved: found.ModTime().UnixNano()}
--- a/base/program/watch_test.go
+++ b/base/program/watch_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 )
@@ -32,7 +31,7 @@
 rate_per_s = 42.0
 `
 
-// TestHangupRereads sends this process a SIGHUP at once after Watch: it lives,
+// TestHangupRereads sends this process a SIGHUP at once after Hangups: it lives,
 // and the changed file is there though no time passes.
 func TestHangupRereads(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "boot.toml")
@@ -42,13 +41,14 @@
 		}
 	}
 	write("one")
-	settings, fault := boot.Read(path)
+	hangups := Hangups()
+	file, settings, fault := Open(path)
 	if fault != nil {
 		t.Fatal(fault)
 	}
 	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
 	defer end()
-	reread := Watch(top, path)
+	reread := file.Watch(top, hangups)
 	for _, name := range []string{"the second", "the third one"} {
 		write(name)
 		if fault := syscall.Kill(os.Getpid(), syscall.SIGHUP); fault != nil {
@@ -67,7 +67,8 @@
 	if err := os.WriteFile(path, fmt.Appendf(nil, bootText, "one"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	settings, err := boot.Read(path)
+	hangups := Hangups()
+	file, settings, err := Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +77,7 @@
 	}
 	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
 	defer end()
-	reread := Watch(top, path)
+	reread := file.Watch(top, hangups)
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -154,7 +154,7 @@
 	})
 	made.duty("plan", made.planner(top))
 	orders := call.NewTable(top, top.Boot.Limits.MemoryMB<<20/16)
-	orders.Metrics = common.Metrics
+	orders.Metrics, orders.Bodies = common.Metrics, common.Bodies
 	operator.Serve(orders, made.front)
 	operator.ServeRoom(orders, common.News)
 	made.serveStatus(orders)
@@ -162,7 +162,7 @@
 		return common.ServeHTTP(inner, top.Boot.Listen["control"], orders)
 	})
 	lookups := call.NewTable(top, 1<<16)
-	lookups.Metrics = common.Metrics
+	lookups.Metrics, lookups.Bodies = common.Metrics, common.Bodies
 	front := &directory.Directory{
 		Table: common.Table, Elsewhere: common.Zones.Elsewhere, Zones: top.Boot.Zones,
 		Patience: max(boot.Seconds(top.Boot.Bounds.RecoveryS), pace.Hold), Metrics: common.Metrics, Monitor: common.Monitor,
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"onyxwell/base/call"
 	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
+	"onyxwell/base/quota"
 	"onyxwell/base/scope"
 	"onyxwell/base/telemetry"
 	"onyxwell/control/cohort"
@@ -40,6 +41,8 @@
 	// Metrics are this daemon's figures, Monitor counts the promises that it broke.
 	Metrics *telemetry.Metrics
 	Monitor *invariant.Monitor
+	// Bodies bounds what the bodies of all calls take together.
+	Bodies *quota.Quota
 	// Traffic counts what the daemon says to others of its kind.
 	Traffic call.Traffic
 	prober  *cohort.Prober
@@ -63,6 +66,10 @@
 	Monitor *invariant.Monitor
 }
 
+// bodiesPart is the part of the memory, one in so many, that the bodies of calls
+// may take together: each is read and kept in further forms while it is acted on.
+const bodiesPart = 4
+
 // New makes the common part for a role.
 //
 // Example:
@@ -96,6 +103,8 @@
 	made.Calls = call.NewTable(top, settings.Limits.MemoryMB<<20/8)
 	made.Calls.Gate = made.Messenger.Gate
 	made.Calls.Metrics = made.Metrics
+	made.Bodies = quota.New(settings.Limits.MemoryMB<<20/bodiesPart, made.Monitor)
+	made.Calls.Bodies = made.Bodies
 	made.Spreader = &spread.Spreader{
 		News: made.News, Table: made.Table, Messenger: made.Messenger,
 		Seeds: settings.SeedAddresses(), Every: pace.Exchange, Limit: pace.Silence,
--- a/data/answer/answer_test.go
+++ b/data/answer/answer_test.go
@@ -130,7 +130,7 @@
 func TestLeavingClosesAfterTheAnswer(t *testing.T) {
 	runner := script.Start(t, script.Plain(200, "s", "x"))
 	house := newHouse(t, 10, runner)
-	house.front.Leave()
+	house.front.Leave(house.clock.Now())
 	if got := house.ask("/safe/x", "x"); got.status != 200 || !got.closing {
 		t.Fatalf("%+v", got)
 	}
@@ -157,3 +157,16 @@
 		t.Fatalf("%+v", sample)
 	}
 }
+
+// TestLeavingFrontTakesNoLateRequest turns away, with a promise, what comes too
+// late to be finished before the process ends.
+func TestLeavingFrontTakesNoLateRequest(t *testing.T) {
+	runner := script.Start(t, script.Plain(200, "s", "x"))
+	house := newHouse(t, 10, runner)
+	house.front.Leave(house.clock.Now().Add(clock.Second))
+	house.clock.Move(clock.Second + clock.Millisecond)
+	got := house.ask("/once/x", "")
+	if got.status != 503 || !got.closing || got.header.Get("Retry-After") == "" || arrivals(runner) != 0 {
+		t.Errorf("%+v, %d arrivals", got, arrivals(runner))
+	}
+}
--- a/data/answer/fate_test.go
+++ b/data/answer/fate_test.go
@@ -124,7 +124,7 @@
 	for _, path := range []string{"/once/x", "/stream/x"} {
 		var house *house
 		trouble := func(seen script.Seen, writer io.Writer) bool {
-			house.front.Leave()
+			house.front.Leave(house.clock.Now())
 			house.server.Config.SetKeepAlivesEnabled(false)
 			go func() { _ = house.server.Config.Shutdown(context.Background()) }()
 			house.spec(2, strings.ReplaceAll(document, path[:len(path)-1], "/other/"))
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -42,6 +42,8 @@
 type Front struct {
 	options Options
 	leaving atomic.Bool
+	// last is when a leaving front takes its last request.
+	last    atomic.Int64
 	number  atomic.Uint64
 	running atomic.Int64
 	lines   lines
@@ -75,12 +77,16 @@
 	return spec.Limits{}
 }
 
-// Leave has every answer from now on ask its visitor to go elsewhere next.
+// Leave has every answer from now on ask its visitor to go elsewhere next, and
+// requests that come later than the last be turned away.
 //
 // Example:
 //
-//	front.Leave()
-func (front *Front) Leave() { front.leaving.Store(true) }
+//	front.Leave(top.Now().Add(3 * clock.Second))
+func (front *Front) Leave(last clock.Instant) {
+	front.last.Store(int64(last))
+	front.leaving.Store(true)
+}
 
 // Running tells how many requests are being answered.
 //
@@ -158,6 +164,9 @@
 	if visit.route == nil {
 		return failure.Of(failure.NoRoute, "")
 	}
+	if visit.front.leaving.Load() && visit.since > clock.Instant(visit.front.last.Load()) {
+		return failure.Of(failure.Leaving, "")
+	}
 	if told := visit.request.Header[forward.AttemptHeader]; len(told) != 1 || told[0] == "" {
 		return failure.Of(failure.BadRequest, "there must be one "+forward.AttemptHeader)
 	}
--- a/data/router/doubt_test.go
+++ b/data/router/doubt_test.go
@@ -122,3 +122,21 @@
 		t.Error("a runner that is listed no more is tested for ever")
 	}
 }
+
+// TestLeavingRouterIsNeverReadyAgain has the door of a router open while it
+// leaves already, as after a SIGTERM during its start.
+func TestLeavingRouterIsNeverReadyAgain(t *testing.T) {
+	r, _ := newRouter(t)
+	if r.withdraw() != nil {
+		t.Error("there is a server before there is a door")
+	}
+	r.open(&http.Server{})
+	if r.common.Table.Self().Ready || r.server != nil {
+		t.Error("a leaving router is ready")
+	}
+	r, _ = newRouter(t)
+	r.open(&http.Server{})
+	if !r.common.Table.Self().Ready || r.withdraw() == nil || r.common.Table.Self().Ready {
+		t.Error("a router does not become ready, or stays so")
+	}
+}
--- a/data/router/leave.go
+++ b/data/router/leave.go
@@ -5,32 +5,62 @@
 	"net/http"
 
 	"onyxwell/base/boot"
+	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
 )
 
 func chance() float64 { return rand.Float64() }
 
-// door remembers the server that visitors come through.
-func (r *Router) door(server *http.Server) { r.server.Store(server) }
+// open has the router be ready with the server that its clients come through; it
+// does not where the router leaves already.
+func (r *Router) open(server *http.Server) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.leaving {
+		return
+	}
+	r.server = server
+	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
+}
+
+// withdraw has the router not be ready any more; it gives the server that its
+// clients came through, nil where they never did.
+func (r *Router) withdraw() *http.Server {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.leaving = true
+	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
+	return r.server
+}
+
+const (
+	// lastRequest is after what time from its SIGTERM a leaving router turns new
+	// requests away, though its door is open still: those that are sent later than
+	// three seconds may not be cut when its time is over.
+	lastRequest = 2750 * clock.Millisecond
+	// movingPart and closingPart are the parts of the grace, in hundredths, after
+	// which the door closes and after which all that still runs is cut.
+	movingPart  = 45
+	closingPart = 90
+)
 
 // leave goes in order: out of the directory at once, the door open until
-// visitors have moved, then closed, and what runs is finished.
+// clients have moved, then closed, and what runs is finished.
 func (r *Router) leave(top scope.Scope) {
 	grace := boot.Seconds(top.Boot.Bounds.GraceS)
 	begin := top.Now()
-	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
+	server := r.withdraw()
 	r.common.Tell(top)
-	r.front.Leave()
-	server := r.server.Load()
+	r.front.Leave(begin.Add(lastRequest))
 	if server != nil {
 		server.SetKeepAlivesEnabled(false)
 	}
-	// Visitors hold an answer of the directory for up to three times its time.
-	moving := min(4*boot.Seconds(min(1, top.Boot.Bounds.TTLMaxS)), grace*45/100)
+	// Clients hold an answer of the directory for up to three times its time.
+	moving := min(4*boot.Seconds(min(1, top.Boot.Bounds.TTLMaxS)), grace*movingPart/100)
 	top.Wait(moving)
 	if server != nil {
-		closing, release := top.WithLimit(grace*9/10 - top.Now().Since(begin))
+		closing, release := top.WithLimit(grace*closingPart/100 - top.Now().Since(begin))
 		_ = server.Shutdown(closing)
 		release()
 		_ = server.Close()
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -7,7 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 
 	"onyxwell/base/boot"
 	"onyxwell/base/call"
@@ -16,7 +16,6 @@
 	"onyxwell/base/invariant"
 	"onyxwell/base/reply"
 	"onyxwell/base/scope"
-	"onyxwell/control/cohort"
 	"onyxwell/control/daemon"
 	"onyxwell/control/readindex"
 	"onyxwell/data/admit"
@@ -46,7 +45,11 @@
 	warmth *warmth.Warmth
 	gate   *readindex.Gate
 	front  *answer.Front
-	server atomic.Pointer[http.Server]
+	lock   sync.Mutex
+	// server is the one that clients come through, once there is one; leaving says
+	// that the router leaves.
+	server  *http.Server
+	leaving bool
 }
 
 // Run runs the router until the scope ends, then leaves in order.
@@ -189,9 +192,8 @@
 	server := answer.NewServer(r.front)
 	stop := context.AfterFunc(inner, func() { _ = server.Close() })
 	defer stop()
-	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
+	r.open(server)
 	r.common.Tell(inner)
-	r.door(server)
 	if err := server.Serve(answer.Door(r.front, listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/emulator/experiment/process.go
+++ b/emulator/experiment/process.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"syscall"
 
-	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 	"onyxwell/base/program"
 	"onyxwell/base/scope"
@@ -47,11 +46,12 @@
 	if fault != nil {
 		return fault
 	}
-	settings, fault := boot.Read(first.Boot)
+	hangups := program.Hangups()
+	file, settings, fault := program.Open(first.Boot)
 	if fault != nil {
 		return fault
 	}
-	reread := program.Watch(scope.New(scope.Options{Clock: top.Clock, Boot: settings}).Under(top), first.Boot)
+	reread := file.Watch(scope.New(scope.Options{Clock: top.Clock, Boot: settings}).Under(top), hangups)
 	inner, end := top.Detached().WithEnd()
 	defer end()
 	router := Real(inner, first.Document, Options{Forgive: first.Forgive})
--- a/emulator/experiment/router.go
+++ b/emulator/experiment/router.go
@@ -100,7 +100,7 @@
 		made.frame.Absorb(spread.Item{Key: spec.Key, Serial: serial, Body: document})
 	}
 	return Router{
-		Handler: front, List: made.list, Leave: front.Leave, Reread: reread,
+		Handler: front, List: made.list, Leave: func() { front.Leave(top.Now().Add(3 * clock.Second)) }, Reread: reread,
 		Server: answer.NewServer(front),
 		Door:   func(listener net.Listener) net.Listener { return answer.Door(front, listener) },
 	}
