Clients' connections are bounded; a want of descriptors is not the runner's

Cause: clients could take all descriptors; a dial that failed for it counted against the runner, so that a crowded router would have doubted all of them. Class: bounds for one, none for all.

--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -149,10 +149,10 @@
 
 // broken tells whether a fate speaks against the runner: one that only turned
 // a request away is well; one that was silent for longer than an answer's goal
-// is not. Nothing was sent on a kept connection that was too old: that says
-// nothing of the runner.
+// is not. Nothing was sent on a kept connection that was too old, or for want of
+// this machine's own descriptors: that says nothing of the runner.
 func broken(result forward.Result, late bool, ending metrics.Ending, route *spec.Route) bool {
-	if result.Stale {
+	if result.Stale || result.Local {
 		return false
 	}
 	if result.Fate == forward.Refused {
--- a/data/answer/door.go
+++ b/data/answer/door.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,21 +48,32 @@
 //
 //	server.Serve(answer.Door(front, listener))
 func Door(front *Front, listener net.Listener) net.Listener {
-	return door{Listener: listener, front: front}
+	return door{Listener: listener, front: front, places: placesOf(front.options.Scope.Boot.Limits.OpenFiles)}
 }
 
 type door struct {
 	net.Listener
-	front *Front
+	front  *Front
+	places *places
+}
+
+// Close closes the door.
+func (door door) Close() error {
+	door.places.close()
+	return door.Listener.Close()
 }
 
 // Accept gives the next connection.
 func (door door) Accept() (net.Conn, error) {
+	if fault := door.places.take(); fault != nil {
+		return nil, fault
+	}
 	link, fault := door.Listener.Accept()
 	if fault != nil {
+		door.places.leave()
 		return nil, fault
 	}
-	made := &watched{Conn: link}
+	made := &watched{Conn: link, places: door.places}
 	made.timing.limits = door.front.limits
 	made.timing.enter(readingHead)
 	return made, nil
@@ -75,6 +87,8 @@
 type watched struct {
 	net.Conn
 	timing timing
+	places *places
+	left   sync.Once
 	// answered says that something was written since the last head began.
 	answered atomic.Bool
 	// over says that the head has ended; line is the begin of its present line.
@@ -126,6 +140,12 @@
 	return link.Conn.Write(buffer)
 }
 
+// Close ends the connection and gives its place to another.
+func (link *watched) Close() error {
+	link.left.Do(link.places.leave)
+	return link.Conn.Close()
+}
+
 // CloseWrite ends our side alone, so that a last answer is not lost by a reset.
 func (link *watched) CloseWrite() error {
 	if half, able := link.Conn.(interface{ CloseWrite() error }); able {
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -125,7 +125,7 @@
 			header["Content-Length"] = told[:1]
 		}
 	}
-	reply.Begin(visit.writer, response.StatusCode, header, length, visit.front.leaving.Load())
+	reply.Begin(visit.writer, response.StatusCode, header, length, visit.closes())
 	visit.begun = true
 }
 
--- a/data/forward/fate.go
+++ b/data/forward/fate.go
@@ -39,6 +39,8 @@
 const (
 	// undialed: no connection came up.
 	undialed sign = iota
+	// starved: no connection came up for want of this machine's own resources.
+	starved
 	// stale: the kept connections were too old; nothing was written.
 	stale
 	// expired: the time was over before the first byte was written.
@@ -60,7 +62,7 @@
 )
 
 var signNames = [...]string{
-	undialed: "undialed", stale: "stale", expired: "expired", unwritten: "unwritten", silent: "silent",
+	undialed: "undialed", starved: "starved", stale: "stale", expired: "expired", unwritten: "unwritten", silent: "silent",
 	foreign: "foreign", declined: "declined", unsealed: "unsealed", unfounded: "unfounded", proper: "proper",
 }
 
@@ -80,6 +82,7 @@
 // request's own id says otherwise.
 var verdicts = [...]verdict{
 	undialed:  {fate: Unsent},
+	starved:   {fate: Unsent},
 	stale:     {fate: Unsent, fault: errors.New("forward: the kept connection is too old to be trusted")},
 	expired:   {fate: Unsent, fault: errors.New("forward: the time was over before anything was sent")},
 	unwritten: {fate: Unsent},
@@ -130,7 +133,7 @@
 	if fault == nil {
 		fault = told.fault
 	}
-	return Result{Fate: told.fate, Cause: sign.String(), Fault: fault, Response: response, Stale: sign == stale}
+	return Result{Fate: told.fate, Cause: sign.String(), Fault: fault, Response: response, Stale: sign == stale, Local: sign == starved}
 }
 
 // ending is how an exchange over a connection ended.
--- a/data/forward/pool.go
+++ b/data/forward/pool.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
@@ -79,11 +81,24 @@
 	}
 	opened, fault := sender.dial(inner, "tcp", string(trip.Address))
 	if fault != nil {
-		return nil, undialed, fault
+		return nil, dialSign(fault), fault
 	}
 	return newConnection(opened, sender.options.Clock, host), proper, nil
 }
 
+// shortages are errors of this machine: it has no descriptor, port or memory left.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM}
+
+// dialSign tells by which sign a failed dial is known.
+func dialSign(err error) sign {
+	for _, shortage := range shortages {
+		if errors.Is(err, shortage) {
+			return starved
+		}
+	}
+	return undialed
+}
+
 // fewestKept is how many idle connections to one runner are kept at least.
 const fewestKept = 2
 
--- a/data/forward/sender.go
+++ b/data/forward/sender.go
@@ -66,6 +66,8 @@
 	// Stale says that nothing was sent since the kept connection was too old: the
 	// runner itself may be asked again at once.
 	Stale bool
+	// Local says that nothing was sent for want of this machine's own resources.
+	Local bool
 }
 
 // Options are what a sender is made from.
