--- a/soak/estate.go
+++ b/soak/estate.go
@@ -37,6 +37,8 @@
 	requests atomic.Int64
 	served   atomic.Int64
 
+	// wiped is when the last disk was lost; 0 is never.
+	wiped atomic.Int64
 	// ending says that no process is started any more.
 	ending   atomic.Bool
 	lock     sync.Mutex
--- a/soak/options.go
+++ b/soak/options.go
@@ -121,6 +121,7 @@
 	applyWithin = 3 * clock.Second
 	evacuate    = 5 * clock.Second
 	recovery    = 12 * clock.Second
+	catchUp     = 4 * clock.Second
 	memoryMB    = 184
 )
 
--- a/soak/troubles.go
+++ b/soak/troubles.go
@@ -132,16 +132,28 @@
 	e.tell("go on %s", machine.Name())
 }
 
-// wipeOne takes a controller's disk, unless another loss has not been made good:
-// no more disks are lost at one time than the deployment bears.
+// mostDown is how long a machine that lost its disk is down at the most.
+const mostDown = 2 * clock.Second
+
+// mayWipe tells whether a disk may be lost now, and notes that it is: no more are
+// lost at one time than the deployment bears. A controller's word that all is made
+// good may be older than the last loss, so that the loss has its time as well.
+func (e *estate) mayWipe(inner scope.Scope) bool {
+	now, last := inner.Now(), e.wiped.Load()
+	if last != 0 && now.Since(clock.Instant(last)) < mostDown+catchUp {
+		return false
+	}
+	return e.bearsLoss(inner) && e.wiped.CompareAndSwap(last, int64(now))
+}
+
 func wipeOne(e *estate, inner scope.Scope, drawn *rand.Rand) {
 	machine := one(drawn, e.role(controller.Role))
-	if !e.bearsLoss(inner) {
+	if !e.mayWipe(inner) {
 		e.tell("wipe %s: not now, an earlier loss has not been made good", machine.Name())
 		return
 	}
 	e.tell("wipe %s", machine.Name())
-	machine.kill(span(drawn, 0, 2*clock.Second), true)
+	machine.kill(span(drawn, 0, mostDown), true)
 }
 
 func platformDown(e *estate, inner scope.Scope, drawn *rand.Rand) {
