--- a/base/boot/boot.go
+++ b/base/boot/boot.go
@@ -119,7 +119,7 @@
 //
 // Example:
 //
-//	settings, fault := boot.Read(boot.Path())
+//	settings, err := boot.Read(boot.Path())
 func Path() string {
 	if path := os.Getenv(Variable); path != "" {
 		return path
@@ -131,11 +131,11 @@
 //
 // Example:
 //
-//	settings, fault := boot.Read("/etc/onyxwell/boot.toml")
+//	settings, err := boot.Read("/etc/onyxwell/boot.toml")
 func Read(path string) (*Boot, error) {
-	text, fault := os.ReadFile(path)
-	if fault != nil {
-		return nil, fmt.Errorf("boot file: %w", fault)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("boot file: %w", err)
 	}
 	return Parse(string(text))
 }
@@ -144,14 +144,14 @@
 //
 // Example:
 //
-//	settings, fault := boot.Parse(text)
+//	settings, err := boot.Parse(text)
 func Parse(text string) (*Boot, error) {
 	settings := &Boot{}
-	if _, fault := toml.Decode(text, settings); fault != nil {
-		return nil, fmt.Errorf("boot file: %w", fault)
+	if _, err := toml.Decode(text, settings); err != nil {
+		return nil, fmt.Errorf("boot file: %w", err)
 	}
-	if fault := errors.Join(settings.problems()...); fault != nil {
-		return nil, fmt.Errorf("boot file: %w", fault)
+	if err := errors.Join(settings.problems()...); err != nil {
+		return nil, fmt.Errorf("boot file: %w", err)
 	}
 	return settings, nil
 }
@@ -173,6 +173,6 @@
 func Seconds(figure float64) time.Duration { return time.Duration(figure * float64(time.Second)) }
 
 func validAddress(address ids.Address) bool {
-	_, fault := netip.ParseAddrPort(string(address))
-	return fault == nil
+	_, err := netip.ParseAddrPort(string(address))
+	return err == nil
 }
--- a/base/boot/boot_test.go
+++ b/base/boot/boot_test.go
@@ -29,9 +29,9 @@
 `
 
 func TestGoodFileIsTaken(t *testing.T) {
-	settings, fault := Parse(good)
-	if fault != nil {
-		t.Fatal(fault)
+	settings, err := Parse(good)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if settings.InnerAddress("10.9.9.9", "fleet-controller") != "10.9.9.9:7721" || settings.SeedAddresses()[1] != "10.2.0.30:7721" {
 		t.Fatalf("%v %v", settings.InnerAddress("10.9.9.9", "fleet-controller"), settings.SeedAddresses())
@@ -58,11 +58,11 @@
 	}
 	for name, change := range cases {
 		text := strings.Replace(good, change[0], change[1], 1)
-		if _, fault := Parse(text); fault == nil || !strings.Contains(fault.Error(), name) {
-			t.Errorf("%s: %v", name, fault)
+		if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, fault := Read(t.TempDir() + "/none.toml"); fault == nil {
+	if _, err := Read(t.TempDir() + "/none.toml"); err == nil {
 		t.Error("a missing file is taken")
 	}
 }
--- a/base/boot/check.go
+++ b/base/boot/check.go
@@ -33,8 +33,8 @@
 func (settings *Boot) SeedAddresses() []ids.Address {
 	var found []ids.Address
 	for _, seed := range settings.Seeds {
-		parsed, fault := netip.ParseAddrPort(string(seed))
-		if fault == nil {
+		parsed, err := netip.ParseAddrPort(string(seed))
+		if err == nil {
 			found = append(found, settings.InnerAddress(parsed.Addr().String(), "fleet-controller"))
 		}
 	}
@@ -55,7 +55,7 @@
 
 var checks = []check{
 	{func(settings *Boot) bool { return settings.NodeName != "" }, "node_name is missing"},
-	{func(settings *Boot) bool { _, fault := netip.ParseAddr(settings.IP); return fault == nil }, "ip is not an address"},
+	{func(settings *Boot) bool { _, err := netip.ParseAddr(settings.IP); return err == nil }, "ip is not an address"},
 	{func(settings *Boot) bool { return settings.Zone != "" }, "zone is missing"},
 	{func(settings *Boot) bool { return settings.Region != "" }, "region is missing"},
 	{func(settings *Boot) bool {
@@ -98,7 +98,7 @@
 //
 // Example:
 //
-//	fault := settings.Require("front", "readiness")
+//	err := settings.Require("front", "readiness")
 func (settings *Boot) Require(names ...string) error {
 	for _, name := range names {
 		if settings.Listen[name] == "" {
--- a/base/call/ask.go
+++ b/base/call/ask.go
@@ -41,13 +41,13 @@
 func readWhole(from io.Reader, told int64) ([]byte, error) {
 	whole := make([]byte, 0, min(max(told, 0), presized)+1)
 	for {
-		size, fault := from.Read(whole[len(whole):cap(whole)])
+		size, err := from.Read(whole[len(whole):cap(whole)])
 		whole = whole[:len(whole)+size]
-		if fault == io.EOF {
+		if err == io.EOF {
 			return whole, nil
 		}
-		if fault != nil {
-			return whole, fault
+		if err != nil {
+			return whole, err
 		}
 		if len(whole) == cap(whole) {
 			whole = slices.Grow(whole, 512)
@@ -60,29 +60,29 @@
 //
 // Example:
 //
-//	page, fault := call.Ask[census.Page](short, client, platform, census.PageQuestion{Zone: zone})
+//	page, err := call.Ask[census.Page](short, client, platform, census.PageQuestion{Zone: zone})
 func Ask[Told any, Pointer interface {
 	*Told
 	Hearing
 }](inner scope.Scope, client *http.Client, address ids.Address, asking Asking) (Told, error) {
 	var told Told
 	outgoing := asking.Outgoing()
-	request, fault := http.NewRequestWithContext(inner, outgoing.Method, "http://"+string(address)+outgoing.Path, bytes.NewReader(outgoing.Body))
-	if fault != nil {
-		return told, fault
+	request, err := http.NewRequestWithContext(inner, outgoing.Method, "http://"+string(address)+outgoing.Path, bytes.NewReader(outgoing.Body))
+	if err != nil {
+		return told, err
 	}
 	for name, values := range outgoing.Header {
 		request.Header[name] = values
 	}
 	request.Header.Set("User-Agent", "")
-	response, fault := client.Do(request)
-	if fault != nil {
-		return told, fault
+	response, err := client.Do(request)
+	if err != nil {
+		return told, err
 	}
 	defer response.Body.Close()
-	body, fault := readWhole(io.LimitReader(response.Body, answerLimit), response.ContentLength)
-	if fault != nil {
-		return told, fault
+	body, err := readWhole(io.LimitReader(response.Body, answerLimit), response.ContentLength)
+	if err != nil {
+		return told, err
 	}
 	return told, Pointer(&told).Hear(Heard{Status: response.StatusCode, Header: response.Header, Body: body})
 }
--- a/base/call/dial.go
+++ b/base/call/dial.go
@@ -29,7 +29,7 @@
 //
 // Example:
 //
-//	connection, fault := call.Dialing{Limit: limit, Silence: silence}.Dial(ctx, "tcp", address)
+//	connection, err := call.Dialing{Limit: limit, Silence: silence}.Dial(ctx, "tcp", address)
 func (dialing Dialing) Dial(ctx context.Context, network string, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialing.Limit,
@@ -42,9 +42,9 @@
 			})
 		},
 	}
-	link, fault := dialer.DialContext(ctx, network, address)
-	if fault != nil {
-		return nil, fault
+	link, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
 	return Counting(link, dialing.Count), nil
 }
--- a/base/call/serve.go
+++ b/base/call/serve.go
@@ -33,7 +33,7 @@
 // read, and is told of each call that was refused unread.
 type Gate interface {
 	Enter(body []byte) ([]byte, error)
-	Refused(inner scope.Scope, sender string, fault error)
+	Refused(inner scope.Scope, sender string, err error)
 }
 
 // Table holds the calls that a daemon serves.
@@ -71,12 +71,12 @@
 }, Told Answer](table *Table, method string, path string, serve func(scope.Scope, Asked) (Told, error)) {
 	table.exact[method+" "+path] = func(inner scope.Scope, incoming Incoming) reply.Reply {
 		var asked Asked
-		if fault := Pointer(&asked).Read(incoming); fault != nil {
-			return table.refuse(incoming.Request, fault)
+		if err := Pointer(&asked).Read(incoming); err != nil {
+			return table.refuse(incoming.Request, err)
 		}
-		told, fault := serve(inner, asked)
-		if fault != nil {
-			return reply.Failure(fault)
+		told, err := serve(inner, asked)
+		if err != nil {
+			return reply.Failure(err)
 		}
 		return told.Reply()
 	}
@@ -96,14 +96,14 @@
 	}
 	held := table.Bodies.Hold()
 	defer held.Release()
-	if fault := table.read(writer, request, held); fault != nil {
-		table.refuse(request, bodyFault(fault)).Send(writer)
+	if err := table.read(writer, request, held); err != nil {
+		table.refuse(request, bodyFault(err)).Send(writer)
 		return
 	}
-	body, fault := held.Bytes, error(nil)
+	body, err := held.Bytes, error(nil)
 	if table.Gate != nil {
-		if body, fault = table.Gate.Enter(body); fault != nil {
-			table.refuse(request, fault).Send(writer)
+		if body, err = table.Gate.Enter(body); err != nil {
+			table.refuse(request, err).Send(writer)
 			return
 		}
 	}
@@ -129,24 +129,24 @@
 }
 
 // refuse answers a call that was not read.
-func (table *Table) refuse(request *http.Request, fault error) reply.Reply {
+func (table *Table) refuse(request *http.Request, err error) reply.Reply {
 	if table.Gate != nil {
 		sender, _, _ := net.SplitHostPort(request.RemoteAddr)
-		table.Gate.Refused(table.Scope, sender, fault)
+		table.Gate.Refused(table.Scope, sender, err)
 	}
-	return reply.Failure(fault)
+	return reply.Failure(err)
 }
 
-func bodyFault(fault error) error {
+func bodyFault(err error) error {
 	var large *http.MaxBytesError
-	if errors.As(fault, &large) {
+	if errors.As(err, &large) {
 		return failure.Of(failure.BodyTooLarge, "body: over %d bytes", large.Limit)
 	}
-	if errors.Is(fault, quota.ErrFull) {
+	if errors.Is(err, quota.ErrFull) {
 		return failure.Of(failure.NoMemory, "")
 	}
 	var slow interface{ Timeout() bool }
-	if errors.As(fault, &slow) && slow.Timeout() {
+	if errors.As(err, &slow) && slow.Timeout() {
 		return failure.Of(failure.TooSlow, "body: not there within %v", bodyWait)
 	}
 	return failure.Of(failure.BadRequest, "body: it is not whole")
--- a/base/call/traffic.go
+++ b/base/call/traffic.go
@@ -16,16 +16,16 @@
 
 // Read counts what comes in.
 func (link counted) Read(buffer []byte) (int, error) {
-	size, fault := link.Conn.Read(buffer)
+	size, err := link.Conn.Read(buffer)
 	link.traffic.BytesIn.Add(int64(size))
-	return size, fault
+	return size, err
 }
 
 // Write counts what goes out.
 func (link counted) Write(buffer []byte) (int, error) {
-	size, fault := link.Conn.Write(buffer)
+	size, err := link.Conn.Write(buffer)
 	link.traffic.BytesOut.Add(int64(size))
-	return size, fault
+	return size, err
 }
 
 // Counting counts the bytes of a connection; without a count it stays as it is.
@@ -47,9 +47,9 @@
 
 // Accept counts the bytes of what it accepts.
 func (listener countedListener) Accept() (net.Conn, error) {
-	link, fault := listener.Listener.Accept()
-	if fault != nil {
-		return nil, fault
+	link, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
 	return Counting(link, listener.traffic), nil
 }
--- a/base/pack/pack.go
+++ b/base/pack/pack.go
@@ -26,14 +26,14 @@
 		return body, false
 	}
 	var small bytes.Buffer
-	writer, fault := flate.NewWriter(&small, flate.DefaultCompression)
-	if fault != nil {
+	writer, err := flate.NewWriter(&small, flate.DefaultCompression)
+	if err != nil {
 		return body, false
 	}
-	if _, fault = writer.Write(body); fault == nil {
-		fault = writer.Close()
+	if _, err = writer.Write(body); err == nil {
+		err = writer.Close()
 	}
-	if fault != nil || small.Len() >= len(body) {
+	if err != nil || small.Len() >= len(body) {
 		return body, false
 	}
 	return small.Bytes(), true
@@ -43,7 +43,7 @@
 //
 // Example:
 //
-//	document, fault := pack.Unpack(kept.Document, kept.Packed)
+//	document, err := pack.Unpack(kept.Document, kept.Packed)
 func Unpack(body []byte, packed bool) ([]byte, error) {
 	if !packed {
 		return body, nil
--- a/base/pack/pack_test.go
+++ b/base/pack/pack_test.go
@@ -18,8 +18,8 @@
 		if len(small) > len(body) {
 			t.Fatalf("%d bytes became %d", len(body), len(small))
 		}
-		if back, fault := Unpack(small, packed); fault != nil || !bytes.Equal(back, body) {
-			t.Fatalf("%v", fault)
+		if back, err := Unpack(small, packed); err != nil || !bytes.Equal(back, body) {
+			t.Fatalf("%v", err)
 		}
 	})
 }
@@ -29,10 +29,10 @@
 	if !packed || len(small) > 600 {
 		t.Fatalf("%d bytes", len(small))
 	}
-	if _, fault := Unpack(small[:len(small)/2], true); fault == nil {
+	if _, err := Unpack(small[:len(small)/2], true); err == nil {
 		t.Fatal("half a body is a whole one")
 	}
-	if _, fault := Unpack([]byte("no deflate at all"), true); fault == nil {
+	if _, err := Unpack([]byte("no deflate at all"), true); err == nil {
 		t.Fatal("any bytes are a body")
 	}
 }
--- a/base/program/program.go
+++ b/base/program/program.go
@@ -49,43 +49,43 @@
 func Main(daemon Daemon, arguments []string) int {
 	hangups := Hangups()
 	var line commandLine
-	parser, fault := kong.New(&line, kong.Name(daemon.Name), kong.Description(daemon.Text),
+	parser, err := kong.New(&line, kong.Name(daemon.Name), kong.Description(daemon.Text),
 		kong.Vars{"version": daemon.Name + " " + Version, "variable": boot.Variable})
-	if fault != nil {
-		return complain(daemon, fault)
+	if err != nil {
+		return complain(daemon, err)
 	}
-	parsed, fault := parser.Parse(arguments)
-	if fault != nil {
-		return complain(daemon, fault)
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		return complain(daemon, err)
 	}
 	if line.Boot == "" {
 		line.Boot = boot.Path()
 	}
-	file, settings, fault := Open(line.Boot)
-	if fault == nil {
-		fault = settings.Require(daemon.Needs...)
+	file, settings, err := Open(line.Boot)
+	if err == nil {
+		err = settings.Require(daemon.Needs...)
 	}
-	if fault != nil {
-		return complain(daemon, fault)
+	if err != nil {
+		return complain(daemon, err)
 	}
 	if settings != nil {
 		settings.Grouping, settings.Metrics = line.Grouping == "on", line.Metrics
 	}
 	commands := map[string]func() error{
 		"check": func() error {
-			_, fault := fmt.Printf("%s: boot file %s is good: %s in %s\n", daemon.Name, line.Boot, settings.NodeName, settings.Zone)
-			return fault
+			_, err := fmt.Printf("%s: boot file %s is good: %s in %s\n", daemon.Name, line.Boot, settings.NodeName, settings.Zone)
+			return err
 		},
 		"run": func() error { return run(daemon, line, settings, file, hangups) },
 	}
-	if fault := commands[parsed.Command()](); fault != nil {
-		return complain(daemon, fault)
+	if err := commands[parsed.Command()](); err != nil {
+		return complain(daemon, err)
 	}
 	return 0
 }
 
-func complain(daemon Daemon, fault error) int {
-	fmt.Fprintf(os.Stderr, "%s: %v\n", daemon.Name, fault)
+func complain(daemon Daemon, err error) int {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", daemon.Name, err)
 	return 1
 }
 
--- a/base/program/watch_test.go
+++ b/base/program/watch_test.go
@@ -36,23 +36,23 @@
 func TestHangupRereads(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "boot.toml")
 	write := func(name string) {
-		if fault := os.WriteFile(path, fmt.Appendf(nil, bootText, name), 0o600); fault != nil {
-			t.Fatal(fault)
+		if err := os.WriteFile(path, fmt.Appendf(nil, bootText, name), 0o600); err != nil {
+			t.Fatal(err)
 		}
 	}
 	write("one")
 	hangups := Hangups()
-	file, settings, fault := Open(path)
-	if fault != nil {
-		t.Fatal(fault)
+	file, settings, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
 	}
 	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
 	defer end()
 	reread := file.Watch(top, hangups)
 	for _, name := range []string{"the second", "the third one"} {
 		write(name)
-		if fault := syscall.Kill(os.Getpid(), syscall.SIGHUP); fault != nil {
-			t.Fatal(fault)
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
 		}
 		if fresh := <-reread; fresh.NodeName != name {
 			t.Fatalf("%q was read, not %q", fresh.NodeName, name)
--- a/base/reply/reply.go
+++ b/base/reply/reply.go
@@ -49,9 +49,9 @@
 //
 // Example:
 //
-//	if fault != nil { reply.Failure(fault).Send(writer) }
-func Failure(fault error) Reply {
-	return Of(failure.KindOf(fault), failure.DetailOf(fault))
+//	if err != nil { reply.Failure(err).Send(writer) }
+func Failure(err error) Reply {
+	return Of(failure.KindOf(err), failure.DetailOf(err))
 }
 
 // JSON makes an answer with a JSON body.
@@ -60,8 +60,8 @@
 //
 //	reply.JSON(200, map[string]int{"ttl_s": 1}).Send(writer)
 func JSON(status int, value any) Reply {
-	body, fault := json.Marshal(value)
-	if fault != nil {
+	body, err := json.Marshal(value)
+	if err != nil {
 		return Of(failure.Internal, "")
 	}
 	return Raw(status, "application/json", body)
--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -35,8 +35,8 @@
 		mix = runner.All()
 	}
 	for _, text := range troubles.Trouble {
-		if fault := mix.Set(text); fault != nil {
-			return nil, fmt.Errorf("%w (--list-troubles shows all)", fault)
+		if err := mix.Set(text); err != nil {
+			return nil, fmt.Errorf("%w (--list-troubles shows all)", err)
 		}
 	}
 	return mix, nil
@@ -111,21 +111,21 @@
 func run(stopped context.Context, arguments []string, out io.Writer, errors io.Writer) int {
 	var line commandLine
 	shown := false
-	parser, fault := kong.New(&line, kong.Name("emulator"), kong.Writers(out, errors), kong.Vars{"version": "emulator " + program.Version, "rude": strings.Join(client.RudeKinds(), ", ")},
+	parser, err := kong.New(&line, kong.Name("emulator"), kong.Writers(out, errors), kong.Vars{"version": "emulator " + program.Version, "rude": strings.Join(client.RudeKinds(), ", ")},
 		kong.Exit(func(int) { shown = true }),
 		kong.Description("Plays model runners over real connections that behave as the pages say and misbehave as they are told, "+
 			"and judges whether routers in front of them keep every answer with its caller and send nothing twice."))
 	var parsed *kong.Context
-	if fault == nil {
-		if parsed, fault = parser.Parse(arguments); fault != nil {
-			fault = fmt.Errorf("%w (--help shows what there is)", fault)
+	if err == nil {
+		if parsed, err = parser.Parse(arguments); err != nil {
+			err = fmt.Errorf("%w (--help shows what there is)", err)
 		}
 	}
 	if shown {
 		return 0
 	}
 	status := 0
-	if fault == nil {
+	if err == nil {
 		commands := map[string]func() (int, error){
 			"run": func() (int, error) { return line.Run.play(stopped, out) },
 			"router": func() (int, error) {
@@ -134,19 +134,19 @@
 			},
 			"experiment": func() (int, error) { return line.Experiment.play(stopped, out, errors) },
 		}
-		status, fault = commands[parsed.Command()]()
+		status, err = commands[parsed.Command()]()
 	}
-	if fault != nil {
-		fmt.Fprintf(errors, "emulator: %v\n", fault)
+	if err != nil {
+		fmt.Fprintf(errors, "emulator: %v\n", err)
 		return 1
 	}
 	return status
 }
 
 func (command experimentCommand) play(stopped context.Context, out io.Writer, errors io.Writer) (int, error) {
-	mix, fault := command.mix()
-	if fault != nil {
-		return 0, fault
+	mix, err := command.mix()
+	if err != nil {
+		return 0, err
 	}
 	if command.Limit < 0 {
 		return 0, fmt.Errorf("limit %v: 0s or more is wanted", command.Limit)
@@ -155,9 +155,9 @@
 	log.SetOutput(io.Discard)
 	var program []string
 	if command.Processes {
-		own, fault := os.Executable()
-		if fault != nil {
-			return 0, fault
+		own, err := os.Executable()
+		if err != nil {
+			return 0, err
 		}
 		program = []string{own, "router"}
 	}
@@ -167,13 +167,13 @@
 		defer release()
 		top = limited
 	}
-	report, fault := experiment.Run(top, experiment.Options{
+	report, err := experiment.Run(top, experiment.Options{
 		Requests: command.Requests, Clients: command.Clients, Routers: command.Routers, Runners: command.Runners,
 		Seed: command.Seed, Mix: mix, Round: command.Round, Patience: command.Patience, Forgive: command.Forgive, Restart: command.Restart, Freeze: command.Freeze, Hangup: command.Hangup, Program: program, Rude: command.Rude, RudeKinds: command.RudeKind,
 		Progress: func(sent int) { fmt.Fprintf(errors, "%d of %d requests\n", sent, command.Requests) },
 	})
-	if fault != nil {
-		return 0, fault
+	if err != nil {
+		return 0, err
 	}
 	report.Show(out)
 	if len(report.Verdicts) > 0 {
--- a/cmd/emulator/run.go
+++ b/cmd/emulator/run.go
@@ -27,9 +27,9 @@
 }
 
 func (command runCommand) play(stopped context.Context, out io.Writer) (int, error) {
-	mix, fault := command.mix()
-	if fault != nil {
-		return 0, fault
+	mix, err := command.mix()
+	if err != nil {
+		return 0, err
 	}
 	var lock sync.Mutex
 	lines := json.NewEncoder(out)
@@ -39,7 +39,7 @@
 		Cold: command.Cold, ColdPerS: command.ColdPerS, KeepIdle: command.KeepIdle, Silent: command.Silent,
 		Version: command.Weights, Phase: command.Phase, Health: command.Health, Seed: command.Seed, Mix: mix,
 	}
-	played, fault := runner.Start(runner.Options{
+	played, err := runner.Start(runner.Options{
 		Scope: scope.New(scope.Options{}), Settings: settings, Address: command.Address,
 		Tell: func(run oracle.Run) {
 			lock.Lock()
@@ -50,8 +50,8 @@
 			})
 		},
 	})
-	if fault != nil {
-		return 0, fault
+	if err != nil {
+		return 0, err
 	}
 	defer played.Close()
 	lock.Lock()
--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -61,13 +61,13 @@
 
 func run(ctx context.Context, arguments []string, out io.Writer, complaints io.Writer) int {
 	var line commandLine
-	parser, fault := kong.New(&line, kong.Name("scale"), kong.Writers(out, complaints), kong.Vars{"version": "scale " + program.Version},
+	parser, err := kong.New(&line, kong.Name("scale"), kong.Writers(out, complaints), kong.Vars{"version": "scale " + program.Version},
 		kong.Description("Measures what control costs on an estate of real and hollow daemons, on loopback addresses."))
 	var parsed *kong.Context
-	if fault == nil {
-		parsed, fault = parser.Parse(arguments)
+	if err == nil {
+		parsed, err = parser.Parse(arguments)
 	}
-	if fault == nil {
+	if err == nil {
 		commands := map[string]func() error{
 			"run": func() error { return line.Run.sizes.sweep(ctx, out, "", nil) },
 			"sweep <variable> <values>": func() error {
@@ -75,10 +75,10 @@
 			},
 			"fit <variable> <file>": func() error { return fit(out, line.Fit.Variable, line.Fit.File, line.Fit.At) },
 		}
-		fault = commands[parsed.Command()]()
+		err = commands[parsed.Command()]()
 	}
-	if fault != nil {
-		fmt.Fprintf(complaints, "scale: %v\n", fault)
+	if err != nil {
+		fmt.Fprintf(complaints, "scale: %v\n", err)
 		return 1
 	}
 	return 0
@@ -94,9 +94,9 @@
 // sweep runs the estates one after another; the file must be writable before the
 // first of them starts.
 func (sizes sizes) sweep(ctx context.Context, out io.Writer, variable string, values []int) error {
-	file, fault := os.OpenFile(sizes.Out, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
-	if fault != nil {
-		return fault
+	file, err := os.OpenFile(sizes.Out, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
 	}
 	var estates []scale.Size
 	for _, value := range values {
@@ -108,16 +108,16 @@
 		estates = []scale.Size{sizes.size()}
 	}
 	for _, size := range estates {
-		result, fault := scale.Run(ctx, scale.Options{Size: size, Programs: sizes.Programs, Say: func(text string) { fmt.Fprintln(out, text) }})
-		if fault != nil {
-			return errors.Join(fault, file.Close())
+		result, err := scale.Run(ctx, scale.Options{Size: size, Programs: sizes.Programs, Say: func(text string) { fmt.Fprintln(out, text) }})
+		if err != nil {
+			return errors.Join(err, file.Close())
 		}
-		text, fault := json.Marshal(result)
-		if fault == nil {
-			_, fault = file.Write(append(text, '\n'))
+		text, err := json.Marshal(result)
+		if err == nil {
+			_, err = file.Write(append(text, '\n'))
 		}
-		if fault != nil {
-			return errors.Join(fault, file.Close())
+		if err != nil {
+			return errors.Join(err, file.Close())
 		}
 		fmt.Fprintf(out, "%s\n", text)
 	}
@@ -125,23 +125,23 @@
 }
 
 func fit(out io.Writer, variable string, path string, at float64) error {
-	file, fault := os.Open(path)
-	if fault != nil {
-		return fault
+	file, err := os.Open(path)
+	if err != nil {
+		return err
 	}
 	defer file.Close()
 	var results []scale.Result
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		var result scale.Result
-		if fault := json.Unmarshal(lines.Bytes(), &result); fault != nil {
-			return fmt.Errorf("%s, line %d: %w", path, len(results)+1, fault)
+		if err := json.Unmarshal(lines.Bytes(), &result); err != nil {
+			return fmt.Errorf("%s, line %d: %w", path, len(results)+1, err)
 		}
 		results = append(results, result)
 	}
-	fits, fault := scale.Fits(variable, results)
-	if fault != nil {
-		return errors.Join(fault, lines.Err())
+	fits, err := scale.Fits(variable, results)
+	if err != nil {
+		return errors.Join(err, lines.Err())
 	}
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(table, "measure\tat none\tone more adds\tresidual\tpoints\tfrom\tto\tat %g\n", at)
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -53,7 +53,7 @@
 //
 // Example:
 //
-//	fault := made.Run(top, reread)
+//	err := made.Run(top, reread)
 func (made *Controller) Run(top scope.Scope, reread <-chan *boot.Boot) error {
 	defer made.own.Close()
 	running, end := context.WithCancel(context.Background())
@@ -65,8 +65,8 @@
 		select {
 		case fresh := <-reread:
 			made.common.Reread(fresh)
-		case fault := <-ended:
-			return fault
+		case err := <-ended:
+			return err
 		case <-top.Done():
 			// Calls that run are answered; others find another controller.
 			leaving := top.Detached()
@@ -86,35 +86,35 @@
 //
 // Example:
 //
-//	made, fault := controller.New(top, controller.Options{})
+//	made, err := controller.New(top, controller.Options{})
 func New(top scope.Scope, options Options) (*Controller, error) {
 	made := &Controller{pace: daemon.PaceOf(top.Boot)}
-	var fault error
-	made.common, fault = daemon.New(top, daemon.Options{Role: Role, Fresh: func(spread.Item) {}, Network: options.Network})
-	if fault != nil {
-		return nil, fault
+	var err error
+	made.common, err = daemon.New(top, daemon.Options{Role: Role, Fresh: func(spread.Item) {}, Network: options.Network})
+	if err != nil {
+		return nil, err
 	}
 	disk := options.Disk
 	if disk == nil {
 		disk = journal.Folder(top.Boot.DataFolder)
 	}
 	members := &cohort.Keeper{Table: made.common.Table, Disk: disk, Name: "members", Sizes: made.common.Zones.Sizes, Sized: made.common.Zones.Learn}
-	if fault := members.Load(); fault != nil {
-		top.Log.Warn().Str("part", "members").Err(fault).Msg("the members of before can't be read")
+	if err := members.Load(); err != nil {
+		top.Log.Warn().Str("part", "members").Err(err).Msg("the members of before can't be read")
 	}
 	made.common.Part("members", func(inner scope.Scope) error { members.Run(inner, made.pace.Hold); return nil })
 	made.reach = contact.New(contact.Options{
 		Address: made.common.Address, Messenger: made.common.Messenger, Fresh: made.pace.Pass,
 		Voters: func() register.Voters { return made.own.Acceptor.Voters() },
 	})
-	made.own, fault = seat.Open(top, seat.Options{
+	made.own, err = seat.Open(top, seat.Options{
 		Address: made.common.Address, Disk: disk, First: top.Boot.FirstStart,
 		Seeds: top.Boot.SeedAddresses(), Table: made.common.Table, Messenger: made.common.Messenger, Contact: made.reach,
 		Patience: made.pace.Hold, Limit: 3 * made.pace.Order, HoldSpan: made.pace.Hold,
 		Seats: seat.Wanted(top.Boot), Zones: top.Boot.Zones, Pace: seat.PaceOf(top.Boot, made.pace.Hold, made.pace.Pass),
 	})
-	if fault != nil {
-		return nil, fault
+	if err != nil {
+		return nil, err
 	}
 	made.own.Acceptor.Monitor = made.common.Monitor
 	made.own.Serve(made.common.Calls)
--- a/control/controller/look.go
+++ b/control/controller/look.go
@@ -47,7 +47,7 @@
 //
 // Example:
 //
-//	value, fault := made.Read(short, evacuation.Key(zone))
+//	value, err := made.Read(short, evacuation.Key(zone))
 func (made *Controller) Read(inner scope.Scope, key string) ([]byte, error) {
 	return made.front.Do(inner, desk.Order{Key: key, Verb: desk.VerbRead})
 }
--- a/control/controller/room.go
+++ b/control/controller/room.go
@@ -29,8 +29,8 @@
 		if !known {
 			continue
 		}
-		body, fault := json.Marshal(room.Estimate(seen))
-		if now, held := holder.Held(inner.Now()); fault != nil || !held || now != epoch {
+		body, err := json.Marshal(room.Estimate(seen))
+		if now, held := holder.Held(inner.Now()); err != nil || !held || now != epoch {
 			continue
 		}
 		made.common.News.Put(spread.Item{Key: room.Key, Serial: census.SerialOf(epoch, counter), Body: body})
@@ -44,8 +44,8 @@
 	if !found {
 		return room.Seen{}, false
 	}
-	version, fault := spec.Read(item.Body)
-	if fault != nil {
+	version, err := spec.Read(item.Body)
+	if err != nil {
 		return room.Seen{}, false
 	}
 	seen := room.Seen{Spec: version}
@@ -88,14 +88,14 @@
 	if !found {
 		return false
 	}
-	kept, fault := evacuation.Read(item.Body)
-	return fault == nil && kept.Empty
+	kept, err := evacuation.Read(item.Body)
+	return err == nil && kept.Empty
 }
 
 func (made *Controller) resting() map[ids.RunnerID]bool {
 	resting := map[ids.RunnerID]bool{}
 	item, _ := made.common.News.Get(scaler.Key)
-	if plan, fault := scaler.ReadPlan(item.Body); fault == nil {
+	if plan, err := scaler.ReadPlan(item.Body); err == nil {
 		for _, planned := range plan.Runners {
 			resting[planned.Runner] = planned.Resting
 		}
--- a/control/controller/status.go
+++ b/control/controller/status.go
@@ -49,9 +49,9 @@
 
 // Reply gives the status as JSON.
 func (told status) Reply() reply.Reply {
-	body, fault := json.MarshalIndent(told, "", "  ")
-	if fault != nil {
-		return reply.Failure(fault)
+	body, err := json.MarshalIndent(told, "", "  ")
+	if err != nil {
+		return reply.Failure(err)
 	}
 	return reply.Raw(http.StatusOK, "application/json", append(body, '\n'))
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -74,7 +74,7 @@
 //
 // Example:
 //
-//	common, fault := daemon.New(top, daemon.Options{Role: "router", Fresh: snapshot.Absorb})
+//	common, err := daemon.New(top, daemon.Options{Role: "router", Fresh: snapshot.Absorb})
 func New(top scope.Scope, options Options) (*Daemon, error) {
 	settings, role := top.Boot, options.Role
 	pace := PaceOf(settings)
@@ -112,9 +112,9 @@
 		Zones: settings.Zones, Relays: pace.Relays, Fanout: pace.Fanout,
 	}
 	made.Spreader.Serve(made.Calls)
-	var fault error
-	if made.socket, fault = made.Network.Datagrams(made.Address); fault != nil {
-		return nil, fault
+	var err error
+	if made.socket, err = made.Network.Datagrams(made.Address); err != nil {
+		return nil, err
 	}
 	made.prober = &cohort.Prober{Table: made.Table, Pace: pace.Probe, Send: made.send, Gate: made.Messenger.Gate}
 	made.tree = suture.New(role, suture.Spec{
@@ -175,7 +175,7 @@
 //
 // Example:
 //
-//	fault := common.Run(ctx)
+//	err := common.Run(ctx)
 func (daemon *Daemon) Run(ctx context.Context) error { return daemon.tree.Serve(ctx) }
 
 // ServeHTTP serves a handler at an address until the scope ends.
@@ -202,9 +202,9 @@
 	defer stop()
 	buffer := make([]byte, 64<<10)
 	for {
-		size, sender, fault := daemon.socket.Receive(buffer)
-		if fault != nil {
-			return fault
+		size, sender, err := daemon.socket.Receive(buffer)
+		if err != nil {
+			return err
 		}
 		daemon.Traffic.BytesIn.Add(int64(size))
 		daemon.prober.Take(inner, sender, buffer[:size])
--- a/control/daemon/network.go
+++ b/control/daemon/network.go
@@ -38,15 +38,15 @@
 
 // Serve listens at the address and answers calls there.
 func (Sockets) Serve(inner scope.Scope, address ids.Address, handler http.Handler, count *call.Traffic) error {
-	listener, fault := net.Listen("tcp", string(address))
-	if fault != nil {
-		return fault
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return err
 	}
 	server := call.Server(handler, 5*clock.Second, 60*clock.Second)
 	stop := context.AfterFunc(inner, func() { _ = server.Close() })
 	defer stop()
-	if fault := server.Serve(call.CountingListener(listener, count)); !errors.Is(fault, http.ErrServerClosed) {
-		return fault
+	if err := server.Serve(call.CountingListener(listener, count)); !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
 	return nil
 }
@@ -56,13 +56,13 @@
 
 // Datagrams opens a UDP socket.
 func (Sockets) Datagrams(address ids.Address) (Socket, error) {
-	place, fault := net.ResolveUDPAddr("udp", string(address))
-	if fault != nil {
-		return nil, fault
+	place, err := net.ResolveUDPAddr("udp", string(address))
+	if err != nil {
+		return nil, err
 	}
-	opened, fault := net.ListenUDP("udp", place)
-	if fault != nil {
-		return nil, fault
+	opened, err := net.ListenUDP("udp", place)
+	if err != nil {
+		return nil, err
 	}
 	return socket{opened}, nil
 }
@@ -70,7 +70,7 @@
 type socket struct{ opened *net.UDPConn }
 
 func (socket socket) Send(to ids.Address, body []byte) {
-	if address, fault := net.ResolveUDPAddr("udp", string(to)); fault == nil {
+	if address, err := net.ResolveUDPAddr("udp", string(to)); err == nil {
 		_, _ = socket.opened.WriteToUDP(body, address)
 	}
 }
--- a/control/daemon/sums.go
+++ b/control/daemon/sums.go
@@ -48,7 +48,7 @@
 	}
 	key := eject.Key(daemon.Table.Self().Zone)
 	known, _ := daemon.News.Get(key)
-	if body, fault := courier.Pack(rests); fault == nil {
+	if body, err := courier.Pack(rests); err == nil {
 		daemon.News.Put(spread.Item{Key: key, Serial: spread.NextSerial(known.Serial, daemon.Address), Body: body})
 	}
 }
@@ -86,8 +86,8 @@
 func (daemon *Daemon) carry(inner scope.Scope, to ids.Address, name string, report scaler.ReportAsk) error {
 	short, release := inner.WithLimit(daemon.Spreader.Limit)
 	defer release()
-	_, fault := courier.Send[scaler.ReportTold](short, daemon.Messenger, to, name, report)
-	return fault
+	_, err := courier.Send[scaler.ReportTold](short, daemon.Messenger, to, name, report)
+	return err
 }
 
 // planner tells who made the newest plan; the plan is read once a version.
@@ -99,7 +99,7 @@
 	daemon.lock.Lock()
 	defer daemon.lock.Unlock()
 	if item.Serial != daemon.planned {
-		if plan, fault := scaler.ReadPlan(item.Body); fault == nil {
+		if plan, err := scaler.ReadPlan(item.Body); err == nil {
 			daemon.planned, daemon.holder = item.Serial, plan.Holder
 		}
 	}
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -37,9 +37,9 @@
 
 func tell(t *testing.T, news *spread.News, serial ids.Serial, fronts zoneview.Fronts) {
 	t.Helper()
-	body, fault := courier.Pack(fronts)
-	if fault != nil {
-		t.Fatal(fault)
+	body, err := courier.Pack(fronts)
+	if err != nil {
+		t.Fatal(err)
 	}
 	news.Put(spread.Item{Key: zoneview.FrontsPrefix + string(fronts.Zone), Serial: serial, Body: body})
 }
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -44,8 +44,8 @@
 	if found == nil {
 		return failure.Of(failure.BadRequest, "If-Match: %q is no version", matches[0])
 	}
-	match, fault := strconv.ParseInt(found[1]+found[2], 10, 64)
-	if fault != nil {
+	match, err := strconv.ParseInt(found[1]+found[2], 10, 64)
+	if err != nil {
 		return failure.Of(failure.BadRequest, "If-Match: %s is above any version", matches[0])
 	}
 	asked.Change = revision.Change{
@@ -129,28 +129,28 @@
 //	operator.Serve(calls, front)
 func Serve(calls *call.Table, front Desk) {
 	change := func(inner scope.Scope, asked SettingsChange) (SettingsTaken, error) {
-		_, fault := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbChange, Change: asked.Change})
-		return SettingsTaken{Serial: asked.Change.Serial()}, fault
+		_, err := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbChange, Change: asked.Change})
+		return SettingsTaken{Serial: asked.Change.Serial()}, err
 	}
 	call.Handle(calls, http.MethodPut, "/settings", change)
 	call.Handle(calls, http.MethodPatch, "/settings", change)
 	call.Handle(calls, http.MethodGet, "/settings", func(inner scope.Scope, _ Nothing) (Settings, error) {
-		value, fault := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
-		if fault != nil {
-			return Settings{}, fault
+		value, err := front.Do(inner, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
+		if err != nil {
+			return Settings{}, err
 		}
-		kept, fault := revision.ReadKept(value)
-		if fault == nil && kept.Serial == 0 {
-			fault = failure.Of(failure.Unready, "no spec was taken yet")
+		kept, err := revision.ReadKept(value)
+		if err == nil && kept.Serial == 0 {
+			err = failure.Of(failure.Unready, "no spec was taken yet")
 		}
-		return Settings{Document: kept.Document}, fault
+		return Settings{Document: kept.Document}, err
 	})
 	empty := func(inner scope.Scope, asked ZoneOrder) (Done, error) {
 		if _, known := inner.Boot.Zones[asked.Zone]; !known {
 			return Done{}, failure.Of(failure.UnknownZone, "%q", asked.Zone)
 		}
-		_, fault := front.Do(inner, desk.Order{Key: evacuation.Key(asked.Zone), Verb: asked.Verb})
-		return Done{}, fault
+		_, err := front.Do(inner, desk.Order{Key: evacuation.Key(asked.Zone), Verb: asked.Verb})
+		return Done{}, err
 	}
 	call.Handle(calls, http.MethodPost, "/empty/", empty)
 	call.Handle(calls, http.MethodDelete, "/empty/", empty)
--- a/control/operator/operator_test.go
+++ b/control/operator/operator_test.go
@@ -56,13 +56,13 @@
 	made := &office{t: t, news: spread.NewNews(nil), disk: &store{}}
 	machine := clock.NewFake()
 	top := scope.New(scope.Options{Clock: machine, Boot: &boot.Boot{Zones: map[ids.Zone]ids.Region{"hall": "north"}}})
-	voter, fault := register.NewAcceptor("a", nil)
-	if fault != nil {
-		t.Fatal(fault)
+	voter, err := register.NewAcceptor("a", nil)
+	if err != nil {
+		t.Fatal(err)
 	}
 	voter.Attach(made.disk)
-	if fault := voter.Form(register.Voters{Generation: 1, Seats: []register.Seat{{Address: "a"}}}); fault != nil {
-		t.Fatal(fault)
+	if err := voter.Form(register.Voters{Generation: 1, Seats: []register.Seat{{Address: "a"}}}); err != nil {
+		t.Fatal(err)
 	}
 	var front *desk.Desk
 	keeper := register.NewKeeper(register.Options{
@@ -84,16 +84,16 @@
 
 func (office *office) ask(method string, path string, match string, body string) (int, string) {
 	office.t.Helper()
-	request, fault := http.NewRequest(method, office.server.URL+path, strings.NewReader(body))
-	if fault != nil {
-		office.t.Fatal(fault)
+	request, err := http.NewRequest(method, office.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		office.t.Fatal(err)
 	}
 	if match != "" {
 		request.Header.Set("If-Match", match)
 	}
-	response, fault := http.DefaultClient.Do(request)
-	if fault != nil {
-		office.t.Fatal(fault)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		office.t.Fatal(err)
 	}
 	defer response.Body.Close()
 	text, _ := io.ReadAll(response.Body)
--- a/control/operator/refusal_test.go
+++ b/control/operator/refusal_test.go
@@ -19,11 +19,11 @@
 type cut struct{ io.Reader }
 
 func (body cut) Read(buffer []byte) (int, error) {
-	size, fault := body.Reader.Read(buffer)
-	if errors.Is(fault, io.EOF) {
-		fault = io.ErrUnexpectedEOF
+	size, err := body.Reader.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
 	}
-	return size, fault
+	return size, err
 }
 
 // TestOddOrdersAreRefusedByField sends what no operator should: each gets its
@@ -162,14 +162,14 @@
 		"a folded version":       length + "If-Match: 0\r\n 1\r\n",
 	}
 	for name, head := range heads {
-		link, fault := net.Dial("tcp", office.server.Listener.Addr().String())
-		if fault != nil {
-			t.Fatal(fault)
+		link, err := net.Dial("tcp", office.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
 		}
 		_, _ = fmt.Fprintf(link, "PUT /settings HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n%s", head, good)
-		told, fault := http.ReadResponse(bufio.NewReader(link), nil)
-		if fault != nil || told.StatusCode/100 != 4 && told.StatusCode != http.StatusNotImplemented {
-			t.Errorf("%s: %+v %v", name, told, fault)
+		told, err := http.ReadResponse(bufio.NewReader(link), nil)
+		if err != nil || told.StatusCode/100 != 4 && told.StatusCode != http.StatusNotImplemented {
+			t.Errorf("%s: %+v %v", name, told, err)
 		}
 		_ = link.Close()
 	}
--- a/data/answer/bench_test.go
+++ b/data/answer/bench_test.go
@@ -22,15 +22,15 @@
 // quick is a runner that does next to nothing: it answers on kept connections
 // what it finds the id of.
 func quick(b *testing.B) ids.Address {
-	listener, fault := net.Listen("tcp", "127.0.0.1:0")
-	if fault != nil {
-		b.Fatal(fault)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
-			link, fault := listener.Accept()
-			if fault != nil {
+			link, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go echo(link)
@@ -44,8 +44,8 @@
 	buffer, filled, name := make([]byte, 16<<10), 0, []byte("Onyxwell-Attempt-Id: ")
 	body := strings.Repeat("x", 500)
 	for {
-		size, fault := link.Read(buffer[filled:])
-		if fault != nil {
+		size, err := link.Read(buffer[filled:])
+		if err != nil {
 			return
 		}
 		if filled += size; !bytes.HasSuffix(buffer[:filled], []byte(marker)) {
@@ -74,8 +74,8 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	b.RunParallel(func(each *testing.PB) {
-		if fault := visitor(house, each); fault != nil {
-			b.Error(fault)
+		if err := visitor(house, each); err != nil {
+			b.Error(err)
 		}
 	})
 	b.StopTimer()
@@ -106,18 +106,18 @@
 // BenchmarkDoor takes them from visitors' kept connections.
 func BenchmarkDoor(b *testing.B) {
 	bench(b, func(house *house, each *testing.PB) error {
-		link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
-		if fault != nil {
-			return fault
+		link, err := net.Dial("tcp", house.server.Listener.Addr().String())
+		if err != nil {
+			return err
 		}
 		defer link.Close()
 		reader := bufio.NewReader(link)
 		for number := 0; each.Next(); number++ {
 			_, _ = fmt.Fprintf(link, "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: %x-%p\r\nOnyxwell-Time-Left-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s",
 				number, each, len(benchBody), benchBody)
-			answer, fault := http.ReadResponse(reader, nil)
-			if fault != nil {
-				return fault
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return err
 			}
 			if size, _ := io.Copy(io.Discard, answer.Body); answer.StatusCode != http.StatusOK || size != 500 {
 				return fmt.Errorf("%d, %d bytes", answer.StatusCode, size)
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -173,7 +173,7 @@
 	if load := response.Header.Get(forward.LoadHeader); load != "" {
 		visit.front.options.Board.Told(runner.ID, load, now)
 	}
-	if left, fault := strconv.ParseFloat(response.Header.Get(forward.ColdHeader), 64); fault == nil && left > 0 {
+	if left, err := strconv.ParseFloat(response.Header.Get(forward.ColdHeader), 64); err == nil && left > 0 {
 		visit.front.options.Warmth.Chill(runner.ID, now.Add(boot.Milliseconds(left)), now)
 	}
 }
--- a/data/answer/door.go
+++ b/data/answer/door.go
@@ -65,13 +65,13 @@
 
 // Accept gives the next connection.
 func (door door) Accept() (net.Conn, error) {
-	if fault := door.places.take(); fault != nil {
-		return nil, fault
+	if err := door.places.take(); err != nil {
+		return nil, err
 	}
-	link, fault := door.Listener.Accept()
-	if fault != nil {
+	link, err := door.Listener.Accept()
+	if err != nil {
 		door.places.leave()
-		return nil, fault
+		return nil, err
 	}
 	made := &watched{Conn: link, places: door.places}
 	made.timing.limits = door.front.limits
@@ -104,14 +104,14 @@
 
 // Read reads along.
 func (link *watched) Read(buffer []byte) (int, error) {
-	size, fault := link.Conn.Read(buffer)
+	size, err := link.Conn.Read(buffer)
 	for size == 0 {
-		until, more := link.timing.longer(fault)
+		until, more := link.timing.longer(err)
 		if !more {
 			break
 		}
-		if fault = link.Conn.SetReadDeadline(until); fault == nil {
-			size, fault = link.Conn.Read(buffer)
+		if err = link.Conn.SetReadDeadline(until); err == nil {
+			size, err = link.Conn.Read(buffer)
 		}
 	}
 	if size > 0 {
@@ -125,7 +125,7 @@
 			link.scan(buffer[:size])
 		}
 	}
-	return size, fault
+	return size, err
 }
 
 // SetReadDeadline sets the deadline of the limits in force in place of
--- a/data/answer/fate_test.go
+++ b/data/answer/fate_test.go
@@ -38,7 +38,7 @@
 				runtime.Gosched()
 			}
 		}
-		if got.status != status || (status == 200) != (got.fault != nil) {
+		if got.status != status || (status == 200) != (got.err != nil) {
 			t.Errorf("%s: %+v", path, got)
 		}
 	}
@@ -55,7 +55,7 @@
 			one, two := script.Start(t, script.After(func() { asleep() }, step)), script.Start(t, script.After(func() { asleep() }, step))
 			house = newHouse(t, 10, one, two)
 			got := house.ask(path, "x")
-			whole := got.status == 200 && got.header.Get("Onyxwell-Server-Seal") == "s" && (got.body == "id: 1\n\n" || got.fault != nil)
+			whole := got.status == 200 && got.header.Get("Onyxwell-Server-Seal") == "s" && (got.body == "id: 1\n\n" || got.err != nil)
 			if arrivals(one, two) != 1 || !whole && got.status != 502 && got.status != 504 {
 				t.Errorf("%s: %+v after %d arrivals", path, got, arrivals(one, two))
 			}
@@ -89,7 +89,7 @@
 	}, script.Events("seal-2", 2, 4, true))
 	house, _, two := pair(t, 10, started, talks)
 	got := house.ask("/again/x", "x")
-	if got.fault != nil || got.body != events(1, 4) || two.Seen()[0].Header.Get("Last-Event-Id") != "1" {
+	if got.err != nil || got.body != events(1, 4) || two.Seen()[0].Header.Get("Last-Event-Id") != "1" {
 		t.Fatalf("%+v", got)
 	}
 }
@@ -131,7 +131,7 @@
 			return script.Events("s", 1, 5, true)(seen, writer)
 		}
 		house = newHouse(t, 10, script.Start(t, trouble))
-		if got := house.ask(path, "x"); got.status != http.StatusOK || got.fault != nil || got.body != events(1, 5) || !got.closing {
+		if got := house.ask(path, "x"); got.status != http.StatusOK || got.err != nil || got.body != events(1, 5) || !got.closing {
 			t.Errorf("%s: %+v", path, got)
 		}
 	}
--- a/data/answer/framing_test.go
+++ b/data/answer/framing_test.go
@@ -24,7 +24,7 @@
 	longer := "id: 2\ndata: token 2 token 2 token 2 token\n\n"
 	second := script.Raw(sealedHead+"Content-Length: 64\r\n\r\n"+longer+events(3, 3), true)
 	house, _, _ := pair(t, 10, first, second)
-	if got := house.ask("/again/x", "x"); got.fault != nil || got.body != events(1, 1)+longer+events(3, 3) {
+	if got := house.ask("/again/x", "x"); got.err != nil || got.body != events(1, 1)+longer+events(3, 3) {
 		t.Fatalf("%+v", got)
 	}
 }
@@ -34,7 +34,7 @@
 func TestStreamWithoutIdsDoesNotGoOn(t *testing.T) {
 	house, _, two := pair(t, 10, script.Raw(sealedHead+"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n", false),
 		script.Raw(sealedHead+"Content-Length: 18\r\n\r\ndata: a\n\ndata: b\n\n", true))
-	if got := house.ask("/again/x", "x"); got.fault == nil || strings.Count(got.body, "data: a") > 1 {
+	if got := house.ask("/again/x", "x"); got.err == nil || strings.Count(got.body, "data: a") > 1 {
 		t.Fatalf("%+v after %d further runs", got, len(two.Seen()))
 	}
 }
@@ -43,8 +43,8 @@
 func (house *house) raw(text string) (string, error) {
 	link := house.dial()
 	_, _ = io.WriteString(link, text)
-	got, fault := io.ReadAll(link)
-	return string(got), fault
+	got, err := io.ReadAll(link)
+	return string(got), err
 }
 
 // TestBrokenStreamToAnOldClient has a stream break off towards a client of
@@ -52,11 +52,11 @@
 func TestBrokenStreamToAnOldClient(t *testing.T) {
 	text := "POST /stream/x HTTP/1.0\r\n" + hostLine + badLine + "Content-Length: 1\r\n\r\nx"
 	whole := newHouse(t, 10, script.Start(t, script.Events("s", 1, 2, true)))
-	if got, fault := whole.raw(text); fault != nil || !strings.HasSuffix(got, events(1, 2)) {
-		t.Fatalf("%q, %v", got, fault)
+	if got, err := whole.raw(text); err != nil || !strings.HasSuffix(got, events(1, 2)) {
+		t.Fatalf("%q, %v", got, err)
 	}
 	broken := newHouse(t, 10, script.Start(t, script.Events("s", 1, 2, false)))
-	if got, fault := broken.raw(text); fault == nil {
+	if got, err := broken.raw(text); err == nil {
 		t.Fatalf("looks whole: %q", got)
 	}
 }
@@ -67,9 +67,9 @@
 		runner := script.Start(t, script.Raw(sealedHead+frame+"\r\n", true))
 		link := newHouse(t, 10, runner).dial()
 		_, _ = io.WriteString(link, "HEAD "+path+" HTTP/1.1\r\n"+hostLine+badLine+"\r\n")
-		answer, fault := http.ReadResponse(bufio.NewReader(link), &http.Request{Method: "HEAD"})
-		if fault != nil || answer.StatusCode != 200 || "Content-Length: "+answer.Header.Get("Content-Length")+"\r\n" != frame && frame != "" || frame == "" && answer.ContentLength >= 0 {
-			t.Errorf("%s: %+v, %v", path, answer, fault)
+		answer, err := http.ReadResponse(bufio.NewReader(link), &http.Request{Method: "HEAD"})
+		if err != nil || answer.StatusCode != 200 || "Content-Length: "+answer.Header.Get("Content-Length")+"\r\n" != frame && frame != "" || frame == "" && answer.ContentLength >= 0 {
+			t.Errorf("%s: %+v, %v", path, answer, err)
 		}
 	}
 }
@@ -82,13 +82,13 @@
 	reader := bufio.NewReader(link)
 	for _, body := range []string{"content-length: 1\ncontent-length: 2\n\n", "ok"} {
 		_, _ = io.WriteString(link, "POST /once/x HTTP/1.1\r\n"+hostLine+badLine+"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n")
-		if answer, fault := http.ReadResponse(reader, nil); fault != nil || answer.StatusCode != http.StatusContinue {
-			t.Fatalf("%+v, %v", answer, fault)
+		if answer, err := http.ReadResponse(reader, nil); err != nil || answer.StatusCode != http.StatusContinue {
+			t.Fatalf("%+v, %v", answer, err)
 		}
 		_, _ = io.WriteString(link, "28\r\n"+body+strings.Repeat(" ", 0x28-len(body))+"\r\n0\r\n\r\n")
-		answer, fault := http.ReadResponse(reader, nil)
-		if fault != nil || answer.StatusCode != 200 {
-			t.Fatalf("%+v, %v", answer, fault)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil || answer.StatusCode != 200 {
+			t.Fatalf("%+v, %v", answer, err)
 		}
 		_, _ = io.Copy(io.Discard, answer.Body)
 	}
@@ -110,17 +110,17 @@
 		if expects == "" {
 			_, _ = io.WriteString(link, inner+good)
 		}
-		answer, fault := http.ReadResponse(reader, nil)
-		if fault != nil || answer.StatusCode != 404 || answer.Close != (expects != "") {
-			t.Fatalf("%q: %+v, %v", expects, answer, fault)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil || answer.StatusCode != 404 || answer.Close != (expects != "") {
+			t.Fatalf("%q: %+v, %v", expects, answer, err)
 		}
 		_, _ = io.Copy(io.Discard, answer.Body)
 		if expects != "" {
 			continue
 		}
-		answer, fault = http.ReadResponse(reader, nil)
-		if fault != nil || answer.StatusCode != 200 || arrivals(runner) != 1 || runner.Seen()[0].Attempt != "good" {
-			t.Fatalf("%+v, %v, %+v", answer, fault, runner.Seen())
+		answer, err = http.ReadResponse(reader, nil)
+		if err != nil || answer.StatusCode != 200 || arrivals(runner) != 1 || runner.Seen()[0].Attempt != "good" {
+			t.Fatalf("%+v, %v, %+v", answer, err, runner.Seen())
 		}
 	}
 }
@@ -139,9 +139,9 @@
 		_, _ = io.WriteString(link, good+example.second+good)
 		reader := bufio.NewReader(link)
 		for index, status := range []int{200, example.status} {
-			answer, fault := http.ReadResponse(reader, nil)
-			if fault != nil || answer.StatusCode != status || answer.Close != (status != 200) {
-				t.Fatalf("%d, %q: %+v, %v", index, example.second, answer, fault)
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil || answer.StatusCode != status || answer.Close != (status != 200) {
+				t.Fatalf("%d, %q: %+v, %v", index, example.second, answer, err)
 			}
 			_, _ = io.Copy(io.Discard, answer.Body)
 		}
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -101,8 +101,8 @@
 	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now(), held: front.bodies.Hold()}
 	defer visit.record()
 	defer visit.held.Release()
-	if fault := visit.read(); fault != nil {
-		visit.refuse(failure.KindOf(fault), failure.DetailOf(fault))
+	if err := visit.read(); err != nil {
+		visit.refuse(failure.KindOf(err), failure.DetailOf(err))
 		return
 	}
 	visit.carry()
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -95,17 +95,17 @@
 
 func (house *house) list() {
 	house.serial++
-	body, fault := courier.Pack(census.List{Runners: house.listed})
-	if fault != nil {
-		house.t.Fatal(fault)
+	body, err := courier.Pack(census.List{Runners: house.listed})
+	if err != nil {
+		house.t.Fatal(err)
 	}
 	house.news.Put(spread.Item{Key: census.Key, Serial: house.serial, Body: body})
 }
 
 func (house *house) empty(zone ids.Zone, serial ids.Serial, empty bool) {
-	body, fault := courier.Pack(evacuation.Kept{Serial: serial, Empty: empty})
-	if fault != nil {
-		house.t.Fatal(fault)
+	body, err := courier.Pack(evacuation.Kept{Serial: serial, Empty: empty})
+	if err != nil {
+		house.t.Fatal(err)
 	}
 	house.news.Put(spread.Item{Key: evacuation.Key(zone), Serial: serial, Body: body})
 }
@@ -115,15 +115,15 @@
 	closing bool
 	header  http.Header
 	body    string
-	fault   error
+	err     error
 }
 
 // ask sends a visitor's request and reads the answer to its end.
 func (house *house) ask(path string, body string, heads ...string) told {
 	house.t.Helper()
-	request, fault := http.NewRequest("POST", house.server.URL+path, strings.NewReader(body))
-	if fault != nil {
-		house.t.Fatal(fault)
+	request, err := http.NewRequest("POST", house.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		house.t.Fatal(err)
 	}
 	request.Host = "shop.example"
 	request.Header.Set("Onyxwell-Attempt-Id", "v1")
@@ -131,13 +131,13 @@
 	for index := 0; index+1 < len(heads); index += 2 {
 		request.Header.Set(heads[index], heads[index+1])
 	}
-	response, fault := http.DefaultTransport.RoundTrip(request)
-	if fault != nil {
-		return told{fault: fault}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return told{err: err}
 	}
 	defer response.Body.Close()
-	text, fault := io.ReadAll(response.Body)
-	return told{status: response.StatusCode, closing: response.Close, header: response.Header, body: string(text), fault: fault}
+	text, err := io.ReadAll(response.Body)
+	return told{status: response.StatusCode, closing: response.Close, header: response.Header, body: string(text), err: err}
 }
 
 func arrivals(runners ...*script.Runner) int {
--- a/data/answer/hostile_test.go
+++ b/data/answer/hostile_test.go
@@ -56,9 +56,9 @@
 }
 
 func (house *house) dial() net.Conn {
-	link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
-	if fault != nil {
-		house.t.Fatal(fault)
+	link, err := net.Dial("tcp", house.server.Listener.Addr().String())
+	if err != nil {
+		house.t.Fatal(err)
 	}
 	house.t.Cleanup(func() { _ = link.Close() })
 	return link
@@ -75,9 +75,9 @@
 			link := house.dial()
 			_, _ = io.WriteString(link, example.text+behind)
 			reader := bufio.NewReader(link)
-			answer, fault := http.ReadResponse(reader, nil)
-			if fault != nil {
-				t.Errorf("%s: %v", example.name, fault)
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Errorf("%s: %v", example.name, err)
 				continue
 			}
 			_, _ = io.Copy(io.Discard, answer.Body)
@@ -110,9 +110,9 @@
 		reader := bufio.NewReader(link)
 		for index, text := range []string{example.text, good} {
 			_, _ = io.WriteString(link, text)
-			answer, fault := http.ReadResponse(reader, nil)
-			if fault != nil || answer.StatusCode != 200 {
-				t.Fatalf("%s, %d: %+v, %v", example.name, index, answer, fault)
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil || answer.StatusCode != 200 {
+				t.Fatalf("%s, %d: %+v, %v", example.name, index, answer, err)
 			}
 			_, _ = io.Copy(io.Discard, answer.Body)
 		}
@@ -128,13 +128,13 @@
 	runner := script.Start(t, script.Plain(200, "s", "x"))
 	link := newHouse(t, 10, runner).dial()
 	go func() {
-		_, fault := io.WriteString(link, "GET /once/x HTTP/1.1\r\n"+hostLine+badLine)
-		for fault == nil {
-			_, fault = io.WriteString(link, "X-More: "+strings.Repeat("x", 1000)+"\r\n")
+		_, err := io.WriteString(link, "GET /once/x HTTP/1.1\r\n"+hostLine+badLine)
+		for err == nil {
+			_, err = io.WriteString(link, "X-More: "+strings.Repeat("x", 1000)+"\r\n")
 		}
 	}()
-	answer, fault := http.ReadResponse(bufio.NewReader(link), nil)
-	if fault == nil && (answer.StatusCode != 431 || !answer.Close) || arrivals(runner) != 0 {
-		t.Fatalf("%+v, %v", answer, fault)
+	answer, err := http.ReadResponse(bufio.NewReader(link), nil)
+	if err == nil && (answer.StatusCode != 431 || !answer.Close) || arrivals(runner) != 0 {
+		t.Fatalf("%+v, %v", answer, err)
 	}
 }
--- a/data/answer/limits_test.go
+++ b/data/answer/limits_test.go
@@ -112,7 +112,7 @@
 		t.Errorf("the first that is too much gets %q", got)
 	}
 	if got := house.ask("/safe/2", "small"); got.status != 200 {
-		t.Errorf("a small request beside them gets %d %v", got.status, got.fault)
+		t.Errorf("a small request beside them gets %d %v", got.status, got.err)
 	}
 }
 
@@ -126,7 +126,7 @@
 	if err := full.Read(strings.NewReader(strings.Repeat("z", 1500<<10)), 1500<<10, 1500<<10); err != nil {
 		t.Fatal(err)
 	}
-	if got := house.ask("/safe/1", ""); got.status != 200 || got.body != text || got.fault != nil {
-		t.Errorf("%d, %d bytes, %v", got.status, len(got.body), got.fault)
+	if got := house.ask("/safe/1", ""); got.status != 200 || got.body != text || got.err != nil {
+		t.Errorf("%d, %d bytes, %v", got.status, len(got.body), got.err)
 	}
 }
--- a/data/answer/pass.go
+++ b/data/answer/pass.go
@@ -33,53 +33,53 @@
 	source := &io.LimitedReader{R: response.Body, N: most}
 	body := visit.front.bodies.Hold()
 	defer body.Release()
-	fault := body.Read(source, response.ContentLength, most)
-	if errors.Is(fault, quota.ErrFull) {
+	err := body.Read(source, response.ContentLength, most)
+	if errors.Is(err, quota.ErrFull) {
 		return visit.passUnheld(response, body, source)
 	}
-	if fault != nil {
+	if err != nil {
 		return forward.Doubtful, false
 	}
 	if int64(len(body.Bytes)) == most {
 		return forward.Garbled, false
 	}
 	visit.begin(response, int64(len(body.Bytes)))
-	_, fault = visit.writer.Write(body.Bytes)
-	return visit.took(fault)
+	_, err = visit.writer.Write(body.Bytes)
+	return visit.took(err)
 }
 
 // passUnheld passes on as it comes what the memory has no room for: after a
 // break it cannot be asked for again, and looks broken.
 func (visit *visit) passUnheld(response *http.Response, body *quota.Body, rest *io.LimitedReader) (forward.Fate, bool) {
 	visit.begin(response, max(unknown, response.ContentLength))
-	_, fault := visit.writer.Write(body.Bytes)
+	_, err := visit.writer.Write(body.Bytes)
 	body.Release()
-	if fault != nil {
-		return visit.took(fault)
+	if err != nil {
+		return visit.took(err)
 	}
 	source := &read{from: rest}
-	if _, fault = io.Copy(visit.writer, source); source.fault != nil {
+	if _, err = io.Copy(visit.writer, source); source.err != nil {
 		return forward.Doubtful, false
 	}
 	if rest.N <= 0 {
 		return forward.Garbled, false
 	}
-	return visit.took(fault)
+	return visit.took(err)
 }
 
 // read tells a source's failure from that of where its bytes go.
 type read struct {
-	from  io.Reader
-	fault error
+	from io.Reader
+	err  error
 }
 
 // Read reads on.
 func (read *read) Read(buffer []byte) (int, error) {
-	size, fault := read.from.Read(buffer)
-	if fault != nil && !errors.Is(fault, io.EOF) {
-		read.fault = fault
+	size, err := read.from.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		read.err = err
 	}
-	return size, fault
+	return size, err
 }
 
 // answerMost is the size that no answer has: one that does not end must not take
@@ -92,8 +92,8 @@
 }
 
 // took notes whether the visitor took the last bytes.
-func (visit *visit) took(fault error) (forward.Fate, bool) {
-	if fault != nil {
+func (visit *visit) took(err error) (forward.Fate, bool) {
+	if err != nil {
 		visit.gone = true
 		return forward.Doubtful, true
 	}
@@ -160,12 +160,12 @@
 	events := forward.NewEvents(response.Body, after)
 	flusher := http.NewResponseController(visit.writer)
 	for {
-		event, fault := events.Next()
-		if errors.Is(fault, io.EOF) {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
 			return visit.endEvents(response, event)
 		}
-		if fault != nil {
-			return fateOf(fault), false
+		if err != nil {
+			return fateOf(err), false
 		}
 		if !visit.begun {
 			visit.begin(response, visit.lengthOf(response))
@@ -189,12 +189,12 @@
 	if !visit.begun {
 		visit.begin(response, visit.lengthOf(response))
 	}
-	_, fault := visit.writer.Write(rest)
-	return visit.took(fault)
+	_, err := visit.writer.Write(rest)
+	return visit.took(err)
 }
 
-func fateOf(fault error) forward.Fate {
-	if errors.Is(fault, forward.ErrOrder) {
+func fateOf(err error) forward.Fate {
+	if errors.Is(err, forward.ErrOrder) {
 		return forward.Garbled
 	}
 	return forward.Doubtful
--- a/data/answer/read.go
+++ b/data/answer/read.go
@@ -26,8 +26,8 @@
 	if limits.MaxHeaderBytes > 0 && headBytes(visit.request) > limits.MaxHeaderBytes {
 		return failure.Of(failure.HeadTooLarge, "over %d bytes", limits.MaxHeaderBytes)
 	}
-	if fault := odd(visit.request); fault != nil {
-		return fault
+	if err := odd(visit.request); err != nil {
+		return err
 	}
 	path, _, _ := strings.Cut(visit.request.RequestURI, "?")
 	visit.route = visit.seen.Spec.Match(visit.request.Host, path)
@@ -40,9 +40,9 @@
 	if told := visit.request.Header[forward.AttemptHeader]; len(told) != 1 || told[0] == "" {
 		return failure.Of(failure.BadRequest, "there must be one "+forward.AttemptHeader)
 	}
-	body, fault := visit.body(limits)
-	if fault != nil {
-		return fault
+	body, err := visit.body(limits)
+	if err != nil {
+		return err
 	}
 	visit.sent = &forward.Request{
 		Method: visit.request.Method, Target: visit.request.RequestURI, Host: visit.request.Host,
@@ -55,8 +55,8 @@
 	visit.asking.Prompt(visit.request.Header.Get(forward.PrefixHeader))
 	visit.asking.Counted(visit.request.Header.Get(forward.CountHeader))
 	if after := visit.request.Header.Get(forward.LastEventField); after != "" {
-		visit.last, fault = strconv.ParseInt(after, 10, 64)
-		visit.known = fault == nil
+		visit.last, err = strconv.ParseInt(after, 10, 64)
+		visit.known = err == nil
 	}
 	return nil
 }
@@ -73,20 +73,20 @@
 		return nil, nil
 	}
 	reply.ReadWithin(visit.writer, boot.Milliseconds(limits.IdleMS))
-	fault := visit.held.Read(http.MaxBytesReader(visit.writer, visit.request.Body, most), visit.request.ContentLength, most)
+	err := visit.held.Read(http.MaxBytesReader(visit.writer, visit.request.Body, most), visit.request.ContentLength, most)
 	reply.ReadWithin(visit.writer, 0)
-	if fault == nil {
+	if err == nil {
 		return visit.held.Bytes, nil
 	}
-	if errors.Is(fault, quota.ErrFull) {
+	if errors.Is(err, quota.ErrFull) {
 		return nil, failure.Of(failure.NoMemory, "")
 	}
 	var large *http.MaxBytesError
-	if errors.As(fault, &large) {
+	if errors.As(err, &large) {
 		return nil, failure.Of(failure.BodyTooLarge, "over %d bytes", most)
 	}
 	var slow interface{ Timeout() bool }
-	if errors.As(fault, &slow) && slow.Timeout() {
+	if errors.As(err, &slow) && slow.Timeout() {
 		return nil, failure.Of(failure.TooSlow, "")
 	}
 	return nil, failure.Of(failure.BadRequest, "the body is not whole")
@@ -95,7 +95,7 @@
 // time works out until when the request may take.
 func (visit *visit) time() {
 	span := boot.Milliseconds(visit.route.GiveUpMS)
-	if left, fault := strconv.ParseFloat(visit.request.Header.Get(forward.LeftHeader), 64); fault == nil && left > 0 {
+	if left, err := strconv.ParseFloat(visit.request.Header.Get(forward.LeftHeader), 64); err == nil && left > 0 {
 		visit.clientLeft = boot.Milliseconds(left)
 		span = min(span, visit.clientLeft)
 	}
--- a/data/answer/slow_test.go
+++ b/data/answer/slow_test.go
@@ -17,15 +17,15 @@
 	runner := script.Start(t, script.Plain(200, "s", "x"))
 	house := newHouse(t, 10, runner)
 	house.spec(2, strings.Replace(document, `"idle_ms":15000`, `"idle_ms":1`, 1))
-	link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
-	if fault != nil {
-		t.Fatal(fault)
+	link, err := net.Dial("tcp", house.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer link.Close()
 	_, _ = io.WriteString(link, "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\nContent-Length: 5\r\n\r\nha")
-	response, fault := http.ReadResponse(bufio.NewReader(link), nil)
-	if fault != nil {
-		t.Fatal(fault)
+	response, err := http.ReadResponse(bufio.NewReader(link), nil)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusRequestTimeout || !response.Close || arrivals(runner) != 0 {
@@ -37,15 +37,15 @@
 func TestCutBodyReachesNobody(t *testing.T) {
 	runner := script.Start(t, script.Plain(200, "s", "x"))
 	house := newHouse(t, 10, runner)
-	link, fault := net.Dial("tcp", house.server.Listener.Addr().String())
-	if fault != nil {
-		t.Fatal(fault)
+	link, err := net.Dial("tcp", house.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
 	_, _ = io.WriteString(link, "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nOnyxwell-Attempt-Id: v1\r\nContent-Length: 5\r\n\r\nha")
 	_ = link.(*net.TCPConn).CloseWrite()
-	response, fault := http.ReadResponse(bufio.NewReader(link), nil)
-	if fault != nil {
-		t.Fatal(fault)
+	response, err := http.ReadResponse(bufio.NewReader(link), nil)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer link.Close()
 	defer response.Body.Close()
--- a/data/answer/stream_test.go
+++ b/data/answer/stream_test.go
@@ -36,7 +36,7 @@
 func TestStreamIsPassedOn(t *testing.T) {
 	runner := script.Start(t, script.Events("seal", 1, 5, true))
 	got := newHouse(t, 10, runner).ask("/stream/x", "x")
-	if got.status != 200 || got.fault != nil || got.body != events(1, 5) || got.header.Get("Onyxwell-Server-Seal") != "seal" {
+	if got.status != 200 || got.err != nil || got.body != events(1, 5) || got.header.Get("Onyxwell-Server-Seal") != "seal" {
 		t.Fatalf("%+v", got)
 	}
 }
@@ -46,7 +46,7 @@
 func TestBrokenStreamGoesOn(t *testing.T) {
 	house, _, second := pair(t, 10, script.Events("seal-1", 1, 3, false), script.Events("seal-2", 4, 6, true))
 	got := house.ask("/again/x", "x")
-	if got.fault != nil || got.body != events(1, 6) || got.header.Get("Onyxwell-Server-Seal") != "seal-1" {
+	if got.err != nil || got.body != events(1, 6) || got.header.Get("Onyxwell-Server-Seal") != "seal-1" {
 		t.Fatalf("%+v", got)
 	}
 	if after := second.Seen()[0].Header.Get("Last-Event-Id"); after != "3" {
@@ -71,7 +71,7 @@
 	for _, example := range cases {
 		house, _, _ := pair(t, 10, example.first, example.second)
 		got := house.ask(example.path, "x")
-		if got.fault == nil {
+		if got.err == nil {
 			t.Errorf("%s: the answer looks whole: %q", example.name, got.body)
 		}
 		if !strings.HasPrefix(events(1, 3), got.body) {
@@ -86,7 +86,7 @@
 func TestVisitorsResumedStream(t *testing.T) {
 	runner := script.Start(t, script.Events("s", 8, 9, true))
 	got := newHouse(t, 10, runner).ask("/again/x", "x", "Last-Event-Id", "7")
-	if got.fault != nil || got.body != events(8, 9) || runner.Seen()[0].Header.Get("Last-Event-Id") != "7" {
+	if got.err != nil || got.body != events(8, 9) || runner.Seen()[0].Header.Get("Last-Event-Id") != "7" {
 		t.Fatalf("%+v", got)
 	}
 }
--- a/data/forward/connection.go
+++ b/data/forward/connection.go
@@ -57,14 +57,14 @@
 	if link.left > 0 && len(buffer) > link.left {
 		buffer = buffer[:link.left]
 	}
-	size, fault := link.Conn.Read(buffer)
+	size, err := link.Conn.Read(buffer)
 	if size > 0 {
 		link.heard = link.clock.Now()
 		if link.left > 0 {
 			link.left -= size
 		}
 	}
-	return size, fault
+	return size, err
 }
 
 // cut ends the exchange that is under way, whose time is over.
@@ -97,25 +97,25 @@
 	if !able {
 		return false
 	}
-	raw, fault := inner.SyscallConn()
-	if fault != nil {
+	raw, err := inner.SyscallConn()
+	if err != nil {
 		return true
 	}
 	var peek [1]byte
 	var peeked error
-	fault = raw.Read(func(descriptor uintptr) bool {
+	err = raw.Read(func(descriptor uintptr) bool {
 		_, _, peeked = syscall.Recvfrom(int(descriptor), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return fault != nil || !errors.Is(peeked, syscall.EAGAIN)
+	return err != nil || !errors.Is(peeked, syscall.EAGAIN)
 }
 
 // writing is a request on its way out.
 type writing struct {
-	// done is closed when nothing more is written; size and fault are good then.
-	done  chan struct{}
-	size  int64
-	fault error
+	// done is closed when nothing more is written; size and err are good then.
+	done chan struct{}
+	size int64
+	err  error
 }
 
 var ended = func() chan struct{} {
@@ -128,15 +128,15 @@
 func (link *connection) send(head []byte, body []byte) *writing {
 	out := &writing{done: ended}
 	if len(head)+len(body) <= atOnce {
-		size, fault := link.Conn.Write(append(head, body...))
-		out.size, out.fault = int64(size), fault
+		size, err := link.Conn.Write(append(head, body...))
+		out.size, out.err = int64(size), err
 		return out
 	}
 	out.done = make(chan struct{})
 	go func() {
 		defer close(out.done)
 		parts := net.Buffers{head, body}
-		out.size, out.fault = parts.WriteTo(link.Conn)
+		out.size, out.err = parts.WriteTo(link.Conn)
 	}()
 	return out
 }
@@ -145,7 +145,7 @@
 func (out *writing) whole() bool {
 	select {
 	case <-out.done:
-		return out.fault == nil
+		return out.err == nil
 	default:
 		return false
 	}
@@ -156,7 +156,7 @@
 func (out *writing) refused() bool {
 	select {
 	case <-out.done:
-		return out.fault != nil && out.size == 0
+		return out.err != nil && out.size == 0
 	default:
 		return false
 	}
@@ -174,12 +174,12 @@
 	if body.over != nil {
 		return 0, body.over
 	}
-	size, fault := body.source.Read(buffer)
-	if fault != nil {
-		body.over = fault
-		body.settle(errors.Is(fault, io.EOF))
+	size, err := body.source.Read(buffer)
+	if err != nil {
+		body.over = err
+		body.settle(errors.Is(err, io.EOF))
 	}
-	return size, fault
+	return size, err
 }
 
 // Close gives up what was not read.
--- a/data/forward/events.go
+++ b/data/forward/events.go
@@ -33,7 +33,7 @@
 //	events := forward.NewEvents(response.Body, "12")
 func NewEvents(body io.Reader, after string) *Events {
 	events := &Events{reader: bufio.NewReaderSize(body, 4096)}
-	if number, fault := strconv.ParseInt(after, 10, 64); fault == nil {
+	if number, err := strconv.ParseInt(after, 10, 64); err == nil {
 		events.Last, events.Known = number, true
 	}
 	return events
@@ -44,24 +44,24 @@
 //
 // Example:
 //
-//	for { event, fault := events.Next(); ... }
+//	for { event, err := events.Next(); ... }
 func (events *Events) Next() ([]byte, error) {
 	events.event = events.event[:0]
 	number, numbered := int64(0), false
 	for {
-		line, fault := events.reader.ReadSlice('\n')
+		line, err := events.reader.ReadSlice('\n')
 		events.event = append(events.event, line...)
 		if len(events.event) > eventMost {
 			return events.event, errEndless
 		}
-		if errors.Is(fault, bufio.ErrBufferFull) {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if fault != nil {
-			if errors.Is(fault, io.EOF) && len(bytes.TrimSpace(events.event)) > 0 {
-				fault = io.ErrUnexpectedEOF
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(events.event)) > 0 {
+				err = io.ErrUnexpectedEOF
 			}
-			return events.event, fault
+			return events.event, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
@@ -72,11 +72,11 @@
 			return events.event, events.follow(number, numbered)
 		}
 		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
-			read, fault := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if fault != nil && events.Known || numbered {
+			read, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil && events.Known || numbered {
 				return events.event, ErrOrder
 			}
-			number, numbered = read, fault == nil
+			number, numbered = read, err == nil
 		}
 	}
 }
--- a/data/forward/events_test.go
+++ b/data/forward/events_test.go
@@ -10,9 +10,9 @@
 func readAll(events *Events) ([]string, error) {
 	var found []string
 	for {
-		event, fault := events.Next()
-		if fault != nil {
-			return found, fault
+		event, err := events.Next()
+		if err != nil {
+			return found, err
 		}
 		found = append(found, string(event))
 	}
@@ -20,9 +20,9 @@
 
 func TestEventsComeWhole(t *testing.T) {
 	text := "id: 1\ndata: a\n\nonyxwell-weight-versions: 2\nid: 2\r\ndata: b\r\n\r\n"
-	found, fault := readAll(NewEvents(strings.NewReader(text), ""))
-	if !errors.Is(fault, io.EOF) || len(found) != 2 || strings.Join(found, "") != text {
-		t.Fatalf("%q, %v", found, fault)
+	found, err := readAll(NewEvents(strings.NewReader(text), ""))
+	if !errors.Is(err, io.EOF) || len(found) != 2 || strings.Join(found, "") != text {
+		t.Fatalf("%q, %v", found, err)
 	}
 }
 
@@ -52,25 +52,25 @@
 		{"no id", "4", ": still there\n\nid: 5\n\n", 2, false},
 	}
 	for _, example := range cases {
-		found, fault := readAll(NewEvents(strings.NewReader(example.text), example.after))
-		if len(found) != example.good || errors.Is(fault, ErrOrder) != example.order {
-			t.Errorf("%s: %d events, %v", example.name, len(found), fault)
+		found, err := readAll(NewEvents(strings.NewReader(example.text), example.after))
+		if len(found) != example.good || errors.Is(err, ErrOrder) != example.order {
+			t.Errorf("%s: %d events, %v", example.name, len(found), err)
 		}
 	}
 }
 
 func TestTornEventIsNoEvent(t *testing.T) {
-	found, fault := readAll(NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), ""))
-	if len(found) != 1 || !errors.Is(fault, io.ErrUnexpectedEOF) {
-		t.Fatalf("%q, %v", found, fault)
+	found, err := readAll(NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), ""))
+	if len(found) != 1 || !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Fatalf("%q, %v", found, err)
 	}
 }
 
 // TestEventWithoutAnEnd has a runner send one event for ever.
 func TestEventWithoutAnEnd(t *testing.T) {
 	endless := io.MultiReader(strings.NewReader("id: 1\ndata: "), io.LimitReader(zeros{}, 64<<20))
-	if found, fault := readAll(NewEvents(endless, "")); !errors.Is(fault, errEndless) || len(found) > 0 {
-		t.Fatalf("%d events, %v", len(found), fault)
+	if found, err := readAll(NewEvents(endless, "")); !errors.Is(err, errEndless) || len(found) > 0 {
+		t.Fatalf("%d events, %v", len(found), err)
 	}
 }
 
--- a/data/forward/fate.go
+++ b/data/forward/fate.go
@@ -73,8 +73,8 @@
 type verdict struct {
 	fate Fate
 	// fit says that the connection stays in step, as far as the sign shows.
-	fit   bool
-	fault error
+	fit bool
+	err error
 }
 
 // verdicts is the one place that says what is known of a request's fate.
@@ -83,14 +83,14 @@
 var verdicts = [...]verdict{
 	undialed:  {fate: Unsent},
 	starved:   {fate: Unsent},
-	stale:     {fate: Unsent, fault: errors.New("forward: the kept connection is too old to be trusted")},
-	expired:   {fate: Unsent, fault: errors.New("forward: the time was over before anything was sent")},
+	stale:     {fate: Unsent, err: errors.New("forward: the kept connection is too old to be trusted")},
+	expired:   {fate: Unsent, err: errors.New("forward: the time was over before anything was sent")},
 	unwritten: {fate: Unsent},
 	silent:    {fate: Doubtful},
-	foreign:   {fate: Garbled, fault: errors.New("forward: the answer is another request's")},
+	foreign:   {fate: Garbled, err: errors.New("forward: the answer is another request's")},
 	declined:  {fate: Refused, fit: true},
-	unsealed:  {fate: Garbled, fault: errors.New("forward: a success without a seal")},
-	unfounded: {fate: Doubtful, fault: errors.New("forward: a refusal that does not say not-run")},
+	unsealed:  {fate: Garbled, err: errors.New("forward: a success without a seal")},
+	unfounded: {fate: Doubtful, err: errors.New("forward: a refusal that does not say not-run")},
 	proper:    {fate: Answered, fit: true},
 }
 
@@ -128,12 +128,12 @@
 }
 
 // result is what the caller hears of a sign.
-func (sign sign) result(fault error, response *http.Response) Result {
+func (sign sign) result(err error, response *http.Response) Result {
 	told := verdicts[sign]
-	if fault == nil {
-		fault = told.fault
+	if err == nil {
+		err = told.err
 	}
-	return Result{Fate: told.fate, Cause: sign.String(), Fault: fault, Response: response, Stale: sign == stale, Local: sign == starved}
+	return Result{Fate: told.fate, Cause: sign.String(), Fault: err, Response: response, Stale: sign == stale, Local: sign == starved}
 }
 
 // ending is how an exchange over a connection ended.
--- a/data/forward/frame_test.go
+++ b/data/forward/frame_test.go
@@ -16,15 +16,15 @@
 func TestBodyThatEndsWithTheConnection(t *testing.T) {
 	head := " 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: s\r\n\r\n"
 	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
-		for _, fault := range []error{io.EOF, errReset, net.ErrClosed} {
-			one := &wire{acts: []act{{takes: all, answer: version + head + "ok", fault: fault}}, most: 7}
+		for _, err := range []error{io.EOF, errReset, net.ErrClosed} {
+			one := &wire{acts: []act{{takes: all, answer: version + head + "ok", err: err}}, most: 7}
 			result := send(wired(one), tripTo("r:1", "POST", "x"))
 			if result.Fate != Answered || result.Response.ContentLength != chunks {
-				t.Fatalf("%s, %v: %+v", version, fault, result)
+				t.Fatalf("%s, %v: %+v", version, err, result)
 			}
 			text, told := io.ReadAll(result.Response.Body)
-			if string(text) != "ok" || (told == nil) != (fault == io.EOF) || !one.closed {
-				t.Errorf("%s, %v: %q, %v, closed %v", version, fault, text, told, one.closed)
+			if string(text) != "ok" || (told == nil) != (err == io.EOF) || !one.closed {
+				t.Errorf("%s, %v: %q, %v, closed %v", version, err, text, told, one.closed)
 			}
 		}
 	}
@@ -45,7 +45,7 @@
 // takes not one byte of the request: that is no answer, and nothing has run.
 func TestAnswerToNothing(t *testing.T) {
 	for _, answer := range []string{foreignEmpty, sealed, "HTTP/1.1 408 X\r\nConnection: close\r\n\r\n"} {
-		one := &wire{acts: []act{{takes: 0, answer: answer, fault: errReset}}}
+		one := &wire{acts: []act{{takes: 0, answer: answer, err: errReset}}}
 		if result := send(wired(one), tripTo("r:1", "POST", "x")); result.Fate != Unsent || !one.closed {
 			t.Errorf("%q: %+v", answer, result)
 		}
--- a/data/forward/fuzz_test.go
+++ b/data/forward/fuzz_test.go
@@ -17,22 +17,22 @@
 	source := strings.NewReader(answer)
 	reader := bufio.NewReader(source)
 	for {
-		head, fault := http.ReadResponse(reader, &http.Request{Method: method})
-		if fault != nil {
+		head, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
 			return nil, "", false, 0
 		}
 		if head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		text, fault := io.ReadAll(head.Body)
-		return head, string(text), fault == nil, reader.Buffered() + source.Len()
+		text, err := io.ReadAll(head.Body)
+		return head, string(text), err == nil, reader.Buffered() + source.Len()
 	}
 }
 
 // check sends a request over a wire that gives these bytes, and has what comes
 // of it stand up to the reference.
 func check(t *testing.T, method string, answer string, most int) {
-	one := &wire{acts: []act{{takes: all, answer: answer, fault: io.EOF}}, most: most}
+	one := &wire{acts: []act{{takes: all, answer: answer, err: io.EOF}}, most: most}
 	sender := wired(one)
 	result := send(sender, tripTo("r:1", method, "x"))
 	head, text, whole, rest := reference(method, answer)
@@ -42,7 +42,7 @@
 		}
 		return
 	}
-	got, fault := io.ReadAll(result.Response.Body)
+	got, err := io.ReadAll(result.Response.Body)
 	_ = result.Response.Body.Close()
 	if head == nil || head.StatusCode != result.Response.StatusCode || len(head.Header[AttemptHeader]) != 1 || head.Header.Get(AttemptHeader) != "a1" {
 		t.Fatalf("fate %v of no answer to the request: %q", result.Fate, answer)
@@ -54,13 +54,13 @@
 	if result.Fate == Answered && (promises[head.StatusCode] || head.StatusCode/100 == 2 && head.Header.Get(SealHeader) == "") {
 		t.Fatalf("%d is an answer", head.StatusCode)
 	}
-	if fault == nil && (!whole || string(got) != text) {
+	if err == nil && (!whole || string(got) != text) {
 		t.Fatalf("%q (whole is %v) looks whole: %q", text, whole, got)
 	}
 	// What is still on its way is seen before the next use.
 	rest -= len(one.unread)
-	if !one.closed && (fault != nil || rest > 0 || head.Close) {
-		t.Fatalf("the connection is kept, %d bytes behind the answer, %v", rest, fault)
+	if !one.closed && (err != nil || rest > 0 || head.Close) {
+		t.Fatalf("the connection is kept, %d bytes behind the answer, %v", rest, err)
 	}
 }
 
@@ -103,22 +103,22 @@
 		last, known := events.Last, events.Known
 		passed := ""
 		for {
-			event, fault := events.Next()
-			if fault != nil {
+			event, err := events.Next()
+			if err != nil {
 				rest := passed + string(event)
-				if !strings.HasPrefix(text, rest) || errors.Is(fault, io.EOF) && (rest != text || strings.TrimSpace(string(event)) != "") {
-					t.Fatalf("%q, then %q at %v", passed, event, fault)
+				if !strings.HasPrefix(text, rest) || errors.Is(err, io.EOF) && (rest != text || strings.TrimSpace(string(event)) != "") {
+					t.Fatalf("%q, then %q at %v", passed, event, err)
 				}
 				return
 			}
 			passed += string(event)
 			for _, line := range bytes.Split(event, []byte("\n")) {
 				value, numbered := strings.CutPrefix(strings.TrimRight(string(line), "\r"), "id:")
-				number, fault := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-				if numbered && (known && (fault != nil || number != last+1)) {
+				number, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+				if numbered && (known && (err != nil || number != last+1)) {
 					t.Fatalf("after %d came %q", last, line)
 				}
-				if numbered && fault == nil {
+				if numbered && err == nil {
 					last, known = number, true
 				}
 			}
--- a/data/forward/head.go
+++ b/data/forward/head.go
@@ -20,17 +20,17 @@
 func (link *connection) readAnswer(method string) (*http.Response, error) {
 	link.left = headLimit
 	for {
-		response, fault := readHead(link.reader)
-		if fault != nil {
-			return nil, fault
+		response, err := readHead(link.reader)
+		if err != nil {
+			return nil, err
 		}
 		if response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		link.left = unbounded
-		source, length, fault := link.frame(method, response)
-		if fault != nil {
-			return nil, fault
+		source, length, err := link.frame(method, response)
+		if err != nil {
+			return nil, err
 		}
 		response.Body, response.ContentLength = io.NopCloser(source), length
 		return response, nil
@@ -40,20 +40,20 @@
 // readHead reads one head, to the empty line.
 func readHead(reader *bufio.Reader) (*http.Response, error) {
 	text := textproto.NewReader(reader)
-	line, fault := text.ReadLine()
-	if fault != nil {
-		return nil, whole(fault)
+	line, err := text.ReadLine()
+	if err != nil {
+		return nil, whole(err)
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	number, _, _ := strings.Cut(rest, " ")
 	major, minor, known := http.ParseHTTPVersion(version)
-	code, fault := strconv.ParseUint(number, 10, 16)
-	if !known || major != 1 || fault != nil || len(number) != 3 || code < 100 {
+	code, err := strconv.ParseUint(number, 10, 16)
+	if !known || major != 1 || err != nil || len(number) != 3 || code < 100 {
 		return nil, errHead
 	}
-	header, fault := text.ReadMIMEHeader()
-	if fault != nil {
-		return nil, whole(fault)
+	header, err := text.ReadMIMEHeader()
+	if err != nil {
+		return nil, whole(err)
 	}
 	for name, values := range header {
 		if strings.IndexFunc(name, outside) >= 0 {
@@ -79,11 +79,11 @@
 }
 
 // whole has an end inside of something that is not whole look like one.
-func whole(fault error) error {
-	if errors.Is(fault, io.EOF) {
+func whole(err error) error {
+	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
-	return fault
+	return err
 }
 
 func wantsClose(values []string) bool {
@@ -107,8 +107,8 @@
 	lengths, coded := response.Header["Content-Length"], response.Header["Transfer-Encoding"]
 	length := int64(ends)
 	for _, text := range lengths {
-		told, fault := strconv.ParseUint(strings.TrimSpace(text), 10, 62)
-		if fault != nil || length >= 0 && length != int64(told) {
+		told, err := strconv.ParseUint(strings.TrimSpace(text), 10, 62)
+		if err != nil || length >= 0 && length != int64(told) {
 			return nil, 0, errFraming
 		}
 		length = int64(told)
@@ -148,11 +148,11 @@
 	if int64(len(buffer)) > counted.left {
 		buffer = buffer[:counted.left]
 	}
-	size, fault := counted.reader.Read(buffer)
+	size, err := counted.reader.Read(buffer)
 	if counted.left -= int64(size); counted.left == 0 {
 		return size, io.EOF
 	}
-	return size, whole(fault)
+	return size, whole(err)
 }
 
 // chunked reads a body in chunks, with the trailer that ends it.
@@ -162,9 +162,9 @@
 }
 
 func (chunked *chunked) Read(buffer []byte) (int, error) {
-	size, fault := chunked.data.Read(buffer)
-	if !errors.Is(fault, io.EOF) {
-		return size, fault
+	size, err := chunked.data.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return size, err
 	}
 	if torn := trailer(chunked.link.reader); torn != nil {
 		return size, whole(torn)
@@ -178,9 +178,9 @@
 // trailer reads what follows the last chunk, to the empty line.
 func trailer(reader *bufio.Reader) error {
 	for total := 0; total < trailerLimit; {
-		line, fault := reader.ReadSlice('\n')
-		if fault != nil {
-			return fault
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return err
 		}
 		total += len(line)
 		text, ended := strings.CutSuffix(string(line), "\r\n")
--- a/data/forward/outgoing.go
+++ b/data/forward/outgoing.go
@@ -45,8 +45,8 @@
 	if trip.LastEvent != "" {
 		skipped = replacedEvent
 	}
-	if fault := request.Header.WriteSubset(made, skipped); fault != nil {
-		return nil, fault
+	if err := request.Header.WriteSubset(made, skipped); err != nil {
+		return nil, err
 	}
 	made.WriteString("\r\n")
 	return made.Bytes(), nil
--- a/data/forward/peer_test.go
+++ b/data/forward/peer_test.go
@@ -22,9 +22,9 @@
 	if result.Response == nil {
 		return result, ""
 	}
-	text, fault := io.ReadAll(result.Response.Body)
-	if fault != nil {
-		t.Fatal(fault)
+	text, err := io.ReadAll(result.Response.Body)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return result, string(text)
 }
@@ -175,16 +175,16 @@
 // TestAnswerBeforeTheBodyWasRead has a runner answer at the head of a large
 // request and read no further.
 func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
-	listener, fault := net.Listen("tcp", "127.0.0.1:0")
-	if fault != nil {
-		t.Fatal(fault)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer listener.Close()
 	answers := []string{"HTTP/1.1 503 X\r\nOnyxwell-Attempt-Id: a1\r\nOnyxwell-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", strings.Replace(sealed, "{id}", "a2", 1)}
 	go func() {
 		for _, answer := range answers {
-			link, fault := listener.Accept()
-			if fault != nil {
+			link, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			defer link.Close()
--- a/data/forward/pool.go
+++ b/data/forward/pool.go
@@ -79,9 +79,9 @@
 	if old {
 		return nil, stale, nil
 	}
-	opened, fault := sender.dial(inner, "tcp", string(trip.Address))
-	if fault != nil {
-		return nil, dialSign(fault), fault
+	opened, err := sender.dial(inner, "tcp", string(trip.Address))
+	if err != nil {
+		return nil, dialSign(err), err
 	}
 	return newConnection(opened, sender.options.Clock, host), proper, nil
 }
@@ -170,7 +170,7 @@
 		if !found {
 			continue
 		}
-		if seconds, fault := strconv.Atoi(text); fault == nil && seconds > 0 {
+		if seconds, err := strconv.Atoi(text); err == nil && seconds > 0 {
 			host.keep.Store(int64(clock.Span(min(seconds, longestKept)) * clock.Second * 4 / 5))
 		}
 	}
--- a/data/forward/relay_test.go
+++ b/data/forward/relay_test.go
@@ -47,9 +47,9 @@
 	if result.Fate != Answered {
 		t.Fatalf("fate %v: %v", result.Fate, result.Fault)
 	}
-	body, fault := io.ReadAll(result.Response.Body)
-	if fault != nil || string(body) != "whole" {
-		t.Fatalf("answer %q, %v", body, fault)
+	body, err := io.ReadAll(result.Response.Body)
+	if err != nil || string(body) != "whole" {
+		t.Fatalf("answer %q, %v", body, err)
 	}
 	seen := runner.Seen()[0]
 	if seen.Method != "POST" || seen.Target != "/a%2Fb/?q=1&q=2" || seen.Host != "shop.example" || seen.Body != "the body" {
--- a/data/forward/sender.go
+++ b/data/forward/sender.go
@@ -106,9 +106,9 @@
 //	result := sender.Send(limited, trip)
 func (sender *Sender) Send(inner scope.Scope, trip Trip) Result {
 	begin := sender.options.Clock.Now()
-	link, sign, fault := sender.take(inner, trip)
+	link, sign, err := sender.take(inner, trip)
 	if link == nil {
-		return sign.result(fault, nil)
+		return sign.result(err, nil)
 	}
 	// A new connection may have taken a while: the runner hears what is left now.
 	spent := sender.options.Clock.Now().Since(begin)
@@ -116,30 +116,30 @@
 		_ = link.Conn.Close()
 		return expired.result(nil, nil)
 	}
-	head, fault := trip.head(trip.Left - spent)
-	if fault != nil {
+	head, err := trip.head(trip.Left - spent)
+	if err != nil {
 		_ = link.Conn.Close()
-		return undialed.result(fault, nil)
+		return undialed.result(err, nil)
 	}
 	release := context.AfterFunc(inner, link.cut)
 	link.bear(trip.Request.Attempt)
 	out, trust := link.send(head, trip.Request.Body), sender.trustOf(trip.Service)
 	var response *http.Response
 	if !out.refused() {
-		response, fault = link.readAnswer(trip.Request.Method)
+		response, err = link.readAnswer(trip.Request.Method)
 	}
-	if fault != nil || out.refused() {
+	if err != nil || out.refused() {
 		release()
 		_ = link.Conn.Close()
 		<-out.done
 		if out.size == 0 {
-			return unwritten.result(errors.Join(out.fault, fault), nil)
+			return unwritten.result(errors.Join(out.err, err), nil)
 		}
 		trip.Request.sent = append(trip.Request.sent, trip.Address)
 		if inner.Err() == nil {
 			trust.lapse(link.idle)
 		}
-		return silent.result(fault, nil)
+		return silent.result(err, nil)
 	}
 	trip.Request.sent = append(trip.Request.sent, trip.Address)
 	trust.work(link.idle)
--- a/data/forward/wire_test.go
+++ b/data/forward/wire_test.go
@@ -14,11 +14,11 @@
 )
 
 // act is what a wire does with one request: how many bytes of it are taken
-// before a fault, and what is to be read after it.
+// before a failure, and what is to be read after it.
 type act struct {
 	takes  int
 	answer string
-	fault  error
+	err    error
 }
 
 // all is more than any request has.
@@ -50,7 +50,7 @@
 
 func (wire *wire) Read(buffer []byte) (int, error) {
 	if wire.unread == "" || wire.closed {
-		return 0, wire.now.fault
+		return 0, wire.now.err
 	}
 	if wire.most > 0 && len(buffer) > wire.most {
 		buffer = buffer[:wire.most]
@@ -98,14 +98,14 @@
 		act  act
 		fate Fate
 	}{
-		{"no byte is taken", act{takes: 0, fault: errReset}, Unsent},
-		{"one byte is taken", act{takes: 1, fault: errReset}, Doubtful},
-		{"half is taken", act{takes: 40, fault: io.EOF}, Doubtful},
-		{"reset at no byte of the answer", act{takes: all, fault: errReset}, Doubtful},
-		{"closed at no byte of the answer", act{takes: all, fault: io.EOF}, Doubtful},
-		{"reset at one byte", act{takes: all, answer: "H", fault: errReset}, Doubtful},
-		{"closed at one byte", act{takes: all, answer: "H", fault: io.EOF}, Doubtful},
-		{"closed before the head's end", act{takes: all, answer: sealed[:len(sealed)-6], fault: io.EOF}, Doubtful},
+		{"no byte is taken", act{takes: 0, err: errReset}, Unsent},
+		{"one byte is taken", act{takes: 1, err: errReset}, Doubtful},
+		{"half is taken", act{takes: 40, err: io.EOF}, Doubtful},
+		{"reset at no byte of the answer", act{takes: all, err: errReset}, Doubtful},
+		{"closed at no byte of the answer", act{takes: all, err: io.EOF}, Doubtful},
+		{"reset at one byte", act{takes: all, answer: "H", err: errReset}, Doubtful},
+		{"closed at one byte", act{takes: all, answer: "H", err: io.EOF}, Doubtful},
+		{"closed before the head's end", act{takes: all, answer: sealed[:len(sealed)-6], err: io.EOF}, Doubtful},
 	}
 	for _, example := range cases {
 		for _, method := range []string{"GET", "HEAD", "POST", "PUT", "DELETE"} {
@@ -160,16 +160,16 @@
 		{"a control byte", "X-Odd: a\x00b\r\nContent-Length: 2\r\n\r\nok", Doubtful, false},
 	}
 	for _, example := range cases {
-		one := &wire{acts: []act{{takes: all, answer: head + example.rest, fault: io.EOF}}}
+		one := &wire{acts: []act{{takes: all, answer: head + example.rest, err: io.EOF}}}
 		sender := wired(one)
 		result := send(sender, tripTo("r:1", "POST", "x"))
 		if result.Fate != example.fate {
 			t.Errorf("%s: %+v", example.name, result)
 		}
 		if result.Response != nil {
-			text, fault := io.ReadAll(result.Response.Body)
-			if (fault == nil) != example.whole || fault == nil && string(text) != "ok" {
-				t.Errorf("%s: %q, %v", example.name, text, fault)
+			text, err := io.ReadAll(result.Response.Body)
+			if (err == nil) != example.whole || err == nil && string(text) != "ok" {
+				t.Errorf("%s: %q, %v", example.name, text, err)
 			}
 		}
 		if one.closed == example.whole {
--- a/data/snapshot/rests.go
+++ b/data/snapshot/rests.go
@@ -8,8 +8,8 @@
 
 // absorbRests takes over who rests; the news comes to the own zone only.
 func (frame *Frame) absorbRests(next *Snapshot, body []byte) bool {
-	rests, fault := eject.Read(body)
-	if fault != nil {
+	rests, err := eject.Read(body)
+	if err != nil {
 		return false
 	}
 	now := frame.options.Clock.Now()
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -126,32 +126,32 @@
 
 var absorbers = map[string]func(*Frame, *Snapshot, spread.Item) bool{
 	spec.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		read, fault := spec.Read(item.Body)
-		if fault != nil || (next.Spec != nil && read.Serial <= next.Spec.Serial) {
+		read, err := spec.Read(item.Body)
+		if err != nil || (next.Spec != nil && read.Serial <= next.Spec.Serial) {
 			return false
 		}
 		next.Spec = read
 		return true
 	},
 	census.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		list, fault := courier.Unpack[census.List](item.Body)
-		if fault == nil {
+		list, err := courier.Unpack[census.List](item.Body)
+		if err == nil {
 			frame.list(next, list)
 			next.Listed = item.Serial
 		}
-		return fault == nil
+		return err == nil
 	},
 	census.BeatKey: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		beat, fault := courier.Unpack[census.Beat](item.Body)
-		if fault != nil || next.Listed != beat.List {
+		beat, err := courier.Unpack[census.Beat](item.Body)
+		if err != nil || next.Listed != beat.List {
 			return false
 		}
 		next.Census = frame.options.Clock.Now()
 		return true
 	},
 	scaler.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		plan, fault := scaler.ReadPlan(item.Body)
-		if fault != nil {
+		plan, err := scaler.ReadPlan(item.Body)
+		if err != nil {
 			return false
 		}
 		next.Plan, next.Planned = plan, map[ids.RunnerID]scaler.RunnerPlan{}
@@ -179,8 +179,8 @@
 }
 
 func (frame *Frame) absorbZone(next *Snapshot, zone ids.Zone, body []byte) bool {
-	kept, fault := evacuation.Read(body)
-	if fault != nil {
+	kept, err := evacuation.Read(body)
+	if err != nil {
 		return false
 	}
 	empty, refilled := map[ids.Zone]bool{}, map[ids.Zone]clock.Instant{}
--- a/emulator/experiment/experiment.go
+++ b/emulator/experiment/experiment.go
@@ -48,19 +48,19 @@
 //
 // Example:
 //
-//	report, fault := experiment.Run(top, options)
+//	report, err := experiment.Run(top, options)
 func Run(top scope.Scope, options Options) (*Report, error) {
-	if fault := options.Check(); fault != nil {
-		return nil, fault
+	if err := options.Check(); err != nil {
+		return nil, err
 	}
 	made := &experiment{options: options, clock: top.Clock, report: newReport(options)}
 	// What was begun is finished also when the scope ends.
 	inner, end := top.Detached().WithEnd()
 	defer end()
 	known := &lister{made: made}
-	if fault := made.start(inner, known); fault != nil {
+	if err := made.start(inner, known); err != nil {
 		made.stop(inner)
-		return nil, fault
+		return nil, err
 	}
 	go made.census(inner, known)
 	begin := top.Now()
@@ -95,18 +95,18 @@
 		settings.Seed, settings.Mix = made.options.Seed, made.options.Mix
 		settings.Capacity, settings.Queue = 64, 64
 		settings.Work, settings.Gap = clock.Millisecond/2, clock.Millisecond/4
-		played, fault := runner.Start(runner.Options{Scope: inner, Settings: settings, Address: "127.0.0.1:0", Tell: made.ran, Rest: made.history.Rest})
-		if fault != nil {
-			return fault
+		played, err := runner.Start(runner.Options{Scope: inner, Settings: settings, Address: "127.0.0.1:0", Tell: made.ran, Rest: made.history.Rest})
+		if err != nil {
+			return err
 		}
 		made.runners = append(made.runners, played)
 	}
 	list, _ := known.look(inner.Now())
 	made.newest = list
 	for range made.options.Routers {
-		opened, fault := made.open(inner, "", list)
-		if fault != nil {
-			return fault
+		opened, err := made.open(inner, "", list)
+		if err != nil {
+			return err
 		}
 		made.doors, made.fronts = append(made.doors, opened), append(made.fronts, opened.address)
 	}
--- a/emulator/experiment/experiment_test.go
+++ b/emulator/experiment/experiment_test.go
@@ -36,9 +36,9 @@
 
 func play(t *testing.T, options Options) *Report {
 	t.Helper()
-	report, fault := Run(scope.New(scope.Options{}), options)
-	if fault != nil {
-		t.Fatal(fault)
+	report, err := Run(scope.New(scope.Options{}), options)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return report
 }
@@ -106,34 +106,34 @@
 func TestPlantedFaultsAreFound(t *testing.T) {
 	cases := []struct {
 		name    string
-		faults  faults
+		errs    errs
 		trouble string
 		rule    string
 		// also is a second trouble that it takes.
 		also string
 	}{
-		{"answers matched by order", faults{byOrder: true}, runner.ExtraAnswer, oracle.Mixed, ""},
-		{"late answers matched by order", faults{byOrder: true}, runner.ExtraLate, oracle.Mixed, ""},
-		{"same attempt's answer again matched by order", faults{byOrder: true}, runner.ExtraSame, oracle.Mixed, ""},
-		{"sent again after bytes", faults{resend: true}, runner.ResetUnanswered, oracle.Twice, ""},
-		{"sent again after one byte of the answer", faults{resend: true}, runner.ResetHead, oracle.Twice, ""},
-		{"promise after a run", faults{promise: true}, runner.ResetUnanswered, oracle.Refused, ""},
-		{"runner's own failure passed on as a promise", faults{believe: true}, runner.FalseRefusal, oracle.Refused, ""},
-		{"promise after a cut answer", faults{promise: true}, runner.CloseBody, oracle.Refused, ""},
-		{"dirty connection used again", faults{dirty: true}, runner.Dribble, oracle.Mixed, ""},
-		{"cut answer as whole", faults{cutAsWhole: true}, runner.CloseBody, oracle.Mixed, ""},
-		{"seal lost", faults{noSeal: true}, runner.Dribble, oracle.Mixed, ""},
-		{"sent to whom the address belongs now", faults{noTarget: true}, runner.Takeover, oracle.Route, ""},
-		{"an address asked again over a kept connection", faults{again: true}, runner.ExtraLate, oracle.Mixed, runner.OtherAttempt},
-		{"reset answer without a length as whole", faults{cutAsWhole: true}, runner.NoLengthCut, oracle.Mixed, ""},
-		{"rest of a body abandoned", faults{abandon: true}, runner.EarlyAnswer, oracle.Unasked, ""},
-		{"changed on the way", faults{otherPath: true}, runner.Dribble, oracle.Unasked, ""},
+		{"answers matched by order", errs{byOrder: true}, runner.ExtraAnswer, oracle.Mixed, ""},
+		{"late answers matched by order", errs{byOrder: true}, runner.ExtraLate, oracle.Mixed, ""},
+		{"same attempt's answer again matched by order", errs{byOrder: true}, runner.ExtraSame, oracle.Mixed, ""},
+		{"sent again after bytes", errs{resend: true}, runner.ResetUnanswered, oracle.Twice, ""},
+		{"sent again after one byte of the answer", errs{resend: true}, runner.ResetHead, oracle.Twice, ""},
+		{"promise after a run", errs{promise: true}, runner.ResetUnanswered, oracle.Refused, ""},
+		{"runner's own failure passed on as a promise", errs{believe: true}, runner.FalseRefusal, oracle.Refused, ""},
+		{"promise after a cut answer", errs{promise: true}, runner.CloseBody, oracle.Refused, ""},
+		{"dirty connection used again", errs{dirty: true}, runner.Dribble, oracle.Mixed, ""},
+		{"cut answer as whole", errs{cutAsWhole: true}, runner.CloseBody, oracle.Mixed, ""},
+		{"seal lost", errs{noSeal: true}, runner.Dribble, oracle.Mixed, ""},
+		{"sent to whom the address belongs now", errs{noTarget: true}, runner.Takeover, oracle.Route, ""},
+		{"an address asked again over a kept connection", errs{again: true}, runner.ExtraLate, oracle.Mixed, runner.OtherAttempt},
+		{"reset answer without a length as whole", errs{cutAsWhole: true}, runner.NoLengthCut, oracle.Mixed, ""},
+		{"rest of a body abandoned", errs{abandon: true}, runner.EarlyAnswer, oracle.Unasked, ""},
+		{"changed on the way", errs{otherPath: true}, runner.Dribble, oracle.Unasked, ""},
 	}
 	for _, example := range cases {
 		t.Run(example.name, func(t *testing.T) {
 			t.Parallel()
 			options := small(4, runner.Mix{example.trouble: 0.1})
-			options.Requests, options.Build = 200, planted(example.faults)
+			options.Requests, options.Build = 200, planted(example.errs)
 			if example.also != "" {
 				// One runner for each service: a second try goes where the first went.
 				options.Requests, options.Round, options.Clients, options.Runners = 3000, 250, 12, 2
@@ -160,7 +160,7 @@
 			if name != "all" {
 				options.Runners = 2
 			}
-			options.Build = planted(faults{})
+			options.Build = planted(errs{})
 			if report := play(t, options); len(report.Verdicts) > 0 {
 				t.Fatal(shown(report))
 			}
@@ -171,10 +171,10 @@
 func TestWrongOptionsAreNamedInOneLine(t *testing.T) {
 	options := Defaults()
 	options.Clients, options.Patience, options.Mix = 0, 0, runner.Mix{"reset": 0.1, runner.Garbage: 2}
-	_, fault := Run(scope.New(scope.Options{}), options)
+	_, err := Run(scope.New(scope.Options{}), options)
 	for _, part := range []string{"clients 0", "patience 0s", `no trouble "reset"`, "garbage: the rate 2"} {
-		if fault == nil || !strings.Contains(fault.Error(), part) || strings.Contains(fault.Error(), "\n") {
-			t.Fatalf("%s is missing in: %v", part, fault)
+		if err == nil || !strings.Contains(err.Error(), part) || strings.Contains(err.Error(), "\n") {
+			t.Fatalf("%s is missing in: %v", part, err)
 		}
 	}
 }
@@ -192,9 +192,9 @@
 		defer end()
 		return inside(top, document, options)
 	}
-	report, fault := Run(scope.New(scope.Options{}).Under(ended), options)
-	if fault != nil || report.Requests >= options.Requests || len(report.Verdicts) > 0 {
-		t.Fatalf("%v %+v", fault, report)
+	report, err := Run(scope.New(scope.Options{}).Under(ended), options)
+	if err != nil || report.Requests >= options.Requests || len(report.Verdicts) > 0 {
+		t.Fatalf("%v %+v", err, report)
 	}
 }
 
--- a/emulator/experiment/naive_test.go
+++ b/emulator/experiment/naive_test.go
@@ -17,20 +17,20 @@
 	"onyxwell/data/forward"
 )
 
-// faults are what can be wrong with a naive router.
-type faults struct {
+// errs are what can be wrong with a naive router.
+type errs struct {
 	byOrder, resend, promise, dirty, cutAsWhole, noTarget, otherPath, noSeal, again, abandon, believe bool
 }
 
-// naive is a small router of its own, right but for its faults: it shows that
+// naive is a small router of its own, right but for its errs: it shows that
 // the experiment finds them, and that it finds nothing where nothing is wrong.
 type naive struct {
-	faults faults
-	top    scope.Scope
-	list   atomic.Pointer[census.List]
-	turn   atomic.Int64
-	lock   sync.Mutex
-	kept   map[string][]*keptConn
+	errs errs
+	top  scope.Scope
+	list atomic.Pointer[census.List]
+	turn atomic.Int64
+	lock sync.Mutex
+	kept map[string][]*keptConn
 }
 
 type keptConn struct {
@@ -38,9 +38,9 @@
 	reader *bufio.Reader
 }
 
-func planted(faults faults) Build {
+func planted(errs errs) Build {
 	return func(top scope.Scope, _ []byte, _ Options) Router {
-		made := &naive{faults: faults, top: top, kept: map[string][]*keptConn{}}
+		made := &naive{errs: errs, top: top, kept: map[string][]*keptConn{}}
 		return Router{Handler: made, List: func(list census.List) { made.list.Store(&list) }}
 	}
 }
@@ -50,15 +50,15 @@
 func (naive *naive) take(address string, went map[string]bool) (*keptConn, error) {
 	naive.lock.Lock()
 	defer naive.lock.Unlock()
-	fresh := went[address] && !naive.faults.again
+	fresh := went[address] && !naive.errs.again
 	went[address] = true
 	if kept := naive.kept[address]; len(kept) > 0 && !fresh {
 		naive.kept[address] = kept[1:]
 		return kept[0], nil
 	}
-	opened, fault := net.Dial("tcp", address)
-	if fault != nil {
-		return nil, fault
+	opened, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
 	}
 	return &keptConn{Conn: opened, reader: bufio.NewReader(opened)}, nil
 }
@@ -71,12 +71,12 @@
 
 // ServeHTTP carries one request.
 func (naive *naive) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	body, fault := io.ReadAll(request.Body)
-	if fault != nil {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	parts := strings.Split(request.URL.Path, "/")
-	repeats, ran := parts[2] == "safe" || parts[2] == "resumable" || naive.faults.resend, false
+	repeats, ran := parts[2] == "safe" || parts[2] == "resumable" || naive.errs.resend, false
 	went := map[string]bool{}
 	for range 3 {
 		response, text, sent := naive.try(request, parts[1], body, went)
@@ -89,7 +89,7 @@
 		}
 	}
 	status := http.StatusServiceUnavailable
-	if ran && !naive.faults.promise {
+	if ran && !naive.errs.promise {
 		status = http.StatusBadGateway
 	}
 	writer.WriteHeader(status)
@@ -97,7 +97,7 @@
 
 func (naive *naive) pass(writer http.ResponseWriter, response *http.Response, text []byte) {
 	for _, name := range []string{forward.AttemptHeader, forward.SealHeader} {
-		if value := response.Header.Get(name); value != "" && !(naive.faults.noSeal && name == forward.SealHeader) {
+		if value := response.Header.Get(name); value != "" && !(naive.errs.noSeal && name == forward.SealHeader) {
 			writer.Header().Set(name, value)
 		}
 	}
@@ -118,27 +118,27 @@
 	}
 	runner := open[int(naive.turn.Add(1))%len(open)]
 	address := string(runner.Address)
-	conn, fault := naive.take(address, went)
-	if fault != nil {
+	conn, err := naive.take(address, went)
+	if err != nil {
 		return nil, nil, false
 	}
 	span := 200 * clock.Millisecond
-	if naive.faults.dirty {
+	if naive.errs.dirty {
 		span = 3 * clock.Millisecond
 	}
 	type told struct {
 		response *http.Response
 		text     []byte
-		fault    error
+		err      error
 	}
 	heard := make(chan told, 1)
 	go func() {
-		response, text, fault := naive.exchange(conn, request, string(runner.ID), body)
-		heard <- told{response, text, fault}
+		response, text, err := naive.exchange(conn, request, string(runner.ID), body)
+		heard <- told{response, text, err}
 	}()
 	select {
 	case <-naive.top.Clock.After(span):
-		if naive.faults.dirty {
+		if naive.errs.dirty {
 			// The answer that is still to come is left in the connection.
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
 			<-heard
@@ -150,70 +150,70 @@
 		return nil, nil, true
 	case answer := <-heard:
 		refused := answer.response != nil && answer.response.Header.Get("Onyxwell-Not-Run") != ""
-		if answer.fault == nil && !answer.response.Close && (naive.faults.byOrder || conn.reader.Buffered() == 0) {
+		if answer.err == nil && !answer.response.Close && (naive.errs.byOrder || conn.reader.Buffered() == 0) {
 			naive.keep(address, conn)
 		} else {
 			_ = conn.Close()
 		}
-		if answer.fault != nil || refused {
+		if answer.err != nil || refused {
 			return nil, nil, !refused
 		}
 		return answer.response, answer.text, true
 	}
 }
 
-// write sends a request; at fault, it leaves the rest of a body once an answer
+// write sends a request; where that fails, it leaves the rest of a body once an answer
 // has begun, and goes on with the connection.
 func (naive *naive) write(conn *keptConn, heads string, body []byte) error {
 	half := len(body)
-	if naive.faults.abandon {
+	if naive.errs.abandon {
 		half /= 2
 	}
-	_, fault := conn.Write(append([]byte(heads), body[:half]...))
-	if fault != nil || half == len(body) {
-		return fault
+	_, err := conn.Write(append([]byte(heads), body[:half]...))
+	if err != nil || half == len(body) {
+		return err
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(time.Second / 100))
 	_, early := conn.reader.Peek(1)
 	_ = conn.SetReadDeadline(time.Time{})
 	if early != nil {
-		_, fault = conn.Write(body[half:])
+		_, err = conn.Write(body[half:])
 	}
-	return fault
+	return err
 }
 
 func (naive *naive) exchange(conn *keptConn, request *http.Request, id string, body []byte) (*http.Response, []byte, error) {
 	target, attempt := request.RequestURI, request.Header.Get(forward.AttemptHeader)
-	if naive.faults.otherPath {
+	if naive.errs.otherPath {
 		target = strings.Replace(target, "?of=", "?for=", 1)
 	}
 	heads := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", request.Method, target, request.Host, forward.AttemptHeader, attempt)
-	if !naive.faults.noTarget {
+	if !naive.errs.noTarget {
 		heads += fmt.Sprintf("%s: %s\r\n", forward.TargetHeader, id)
 	}
 	if after := request.Header.Get(forward.LastEventField); after != "" {
 		heads += fmt.Sprintf("%s: %s\r\n", forward.LastEventField, after)
 	}
-	if fault := naive.write(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", heads, len(body)), body); fault != nil {
-		return nil, nil, fault
+	if err := naive.write(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", heads, len(body)), body); err != nil {
+		return nil, nil, err
 	}
-	response, fault := http.ReadResponse(conn.reader, request)
-	for fault == nil && response.StatusCode < 200 {
-		response, fault = http.ReadResponse(conn.reader, request)
+	response, err := http.ReadResponse(conn.reader, request)
+	for err == nil && response.StatusCode < 200 {
+		response, err = http.ReadResponse(conn.reader, request)
 	}
-	if fault != nil {
-		return nil, nil, fault
+	if err != nil {
+		return nil, nil, err
 	}
-	text, fault := io.ReadAll(response.Body)
-	wrong := !naive.faults.byOrder && !naive.faults.dirty && response.Header.Get(forward.AttemptHeader) != attempt
+	text, err := io.ReadAll(response.Body)
+	wrong := !naive.errs.byOrder && !naive.errs.dirty && response.Header.Get(forward.AttemptHeader) != attempt
 	refused := response.Header.Get("Onyxwell-Not-Run") != ""
 	lies := response.StatusCode == 429 || response.StatusCode == 503 || response.StatusCode == 408
 	bare := response.StatusCode == 200 && (response.Header.Get(forward.SealHeader) == "" || response.Header.Get("Content-Encoding") != "")
-	if wrong || bare || (lies && !refused && !naive.faults.believe) {
+	if wrong || bare || (lies && !refused && !naive.errs.believe) {
 		return nil, nil, fmt.Errorf("no answer to this request")
 	}
-	if fault != nil && !naive.faults.cutAsWhole {
-		return nil, nil, fault
+	if err != nil && !naive.errs.cutAsWhole {
+		return nil, nil, err
 	}
 	return response, text, nil
 }
--- a/emulator/experiment/options.go
+++ b/emulator/experiment/options.go
@@ -67,7 +67,7 @@
 //
 // Example:
 //
-//	if fault := options.Check(); fault != nil { ... }
+//	if err := options.Check(); err != nil { ... }
 func (options Options) Check() error {
 	var wrong []string
 	for _, number := range []struct {
@@ -110,8 +110,8 @@
 			wrong = append(wrong, fmt.Sprintf("rude-kind %q: one of %s is wanted", name, strings.Join(client.RudeKinds(), ", ")))
 		}
 	}
-	if fault := options.Mix.Check(); fault != nil {
-		wrong = append(wrong, fault.Error())
+	if err := options.Mix.Check(); err != nil {
+		wrong = append(wrong, err.Error())
 	}
 	if len(wrong) > 0 {
 		return fmt.Errorf("experiment: %s", strings.Join(wrong, "; "))
--- a/emulator/experiment/process.go
+++ b/emulator/experiment/process.go
@@ -35,21 +35,21 @@
 //
 // Example:
 //
-//	fault := experiment.Serve(stopped, os.Stdin, os.Stdout)
+//	err := experiment.Serve(stopped, os.Stdin, os.Stdout)
 func Serve(top scope.Scope, in io.Reader, out io.Writer) error {
 	lines := json.NewDecoder(in)
 	var first order
-	if fault := lines.Decode(&first); fault != nil {
-		return fmt.Errorf("router: the first order: %w", fault)
+	if err := lines.Decode(&first); err != nil {
+		return fmt.Errorf("router: the first order: %w", err)
 	}
-	listener, fault := net.Listen("tcp", first.Address)
-	if fault != nil {
-		return fault
+	listener, err := net.Listen("tcp", first.Address)
+	if err != nil {
+		return err
 	}
 	hangups := program.Hangups()
-	file, settings, fault := program.Open(first.Boot)
-	if fault != nil {
-		return fault
+	file, settings, err := program.Open(first.Boot)
+	if err != nil {
+		return err
 	}
 	reread := file.Watch(scope.New(scope.Options{Clock: top.Clock, Boot: settings}).Under(top), hangups)
 	inner, end := top.Detached().WithEnd()
@@ -95,22 +95,22 @@
 
 // spawn starts a router as a process.
 func (made *experiment) spawn(address string, list census.List) (*door, error) {
-	folder, fault := os.MkdirTemp("", "onyxwell-experiment-")
-	if fault != nil {
-		return nil, fault
+	folder, err := os.MkdirTemp("", "onyxwell-experiment-")
+	if err != nil {
+		return nil, err
 	}
 	begun := &process{command: exec.Command(made.options.Program[0], made.options.Program[1:]...), gone: make(chan struct{}), folder: folder}
-	fault = begun.boot(0)
+	err = begun.boot(0)
 	var told io.Reader
-	if fault == nil {
-		told, fault = begun.start()
+	if err == nil {
+		told, err = begun.start()
 	}
-	if fault != nil {
+	if err != nil {
 		_ = os.RemoveAll(folder)
-		return nil, fault
+		return nil, err
 	}
 	first := order{Address: address, Boot: begun.bootFile(), Document: document(), Forgive: made.options.Forgive, List: list}
-	fault = begun.lines.Encode(first)
+	err = begun.lines.Encode(first)
 	lines := bufio.NewScanner(told)
 	line := ""
 	if lines.Scan() {
@@ -126,7 +126,7 @@
 		_ = os.RemoveAll(folder)
 		close(begun.gone)
 	}()
-	if fault != nil || line == "" {
+	if err != nil || line == "" {
 		begun.kill()
 		return nil, fmt.Errorf("experiment: the router's process does not serve at %s", address)
 	}
@@ -136,14 +136,14 @@
 
 // start starts the process and gives what it tells.
 func (process *process) start() (io.Reader, error) {
-	pipe, fault := process.command.StdinPipe()
-	if fault != nil {
-		return nil, fault
+	pipe, err := process.command.StdinPipe()
+	if err != nil {
+		return nil, err
 	}
 	process.pipe, process.lines = pipe, json.NewEncoder(pipe)
-	told, fault := process.command.StdoutPipe()
-	if fault != nil {
-		return nil, fault
+	told, err := process.command.StdoutPipe()
+	if err != nil {
+		return nil, err
 	}
 	return told, process.command.Start()
 }
--- a/emulator/experiment/restart.go
+++ b/emulator/experiment/restart.go
@@ -28,9 +28,9 @@
 	if len(made.options.Program) > 0 {
 		return made.spawn(address, list)
 	}
-	listener, fault := net.Listen("tcp", address)
-	if fault != nil {
-		return nil, fault
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
 	}
 	own, end := inner.WithEnd()
 	build := made.options.Build
@@ -93,8 +93,8 @@
 	if made.stopped {
 		return true
 	}
-	fresh, fault := made.open(inner, address, made.newest)
-	if fault != nil {
+	fresh, err := made.open(inner, address, made.newest)
+	if err != nil {
 		return false
 	}
 	made.doors[index] = fresh
--- a/emulator/experiment/router.go
+++ b/emulator/experiment/router.go
@@ -156,7 +156,7 @@
 // Hear reads the answer.
 func (told *condition) Hear(heard call.Heard) error {
 	told.id, told.well = ids.RunnerID(heard.Header.Get(forward.RunnerHeader)), heard.Status == http.StatusOK
-	if left, fault := strconv.ParseFloat(heard.Header.Get(forward.ColdHeader), 64); fault == nil {
+	if left, err := strconv.ParseFloat(heard.Header.Get(forward.ColdHeader), 64); err == nil {
 		told.cold = boot.Milliseconds(left)
 	}
 	return nil
@@ -179,8 +179,8 @@
 	}
 	short, release := top.WithLimit(routerSilence)
 	defer release()
-	told, fault := call.Ask[condition](short, client, runner.Address, health{})
-	if fault != nil || told.id != id || !told.well {
+	told, err := call.Ask[condition](short, client, runner.Address, health{})
+	if err != nil || told.id != id || !told.well {
 		return
 	}
 	now := top.Now()
--- a/emulator/experiment/signals.go
+++ b/emulator/experiment/signals.go
@@ -66,8 +66,8 @@
 // boot writes the process' boot file, whole or not at all.
 func (process *process) boot(turn int) error {
 	fresh := process.bootFile() + ".new"
-	if fault := os.WriteFile(fresh, fmt.Appendf(nil, bootText, turn), 0o600); fault != nil {
-		return fault
+	if err := os.WriteFile(fresh, fmt.Appendf(nil, bootText, turn), 0o600); err != nil {
+		return err
 	}
 	return os.Rename(fresh, process.bootFile())
 }
--- a/emulator/runner/answer.go
+++ b/emulator/runner/answer.go
@@ -140,7 +140,7 @@
 	}
 	for text != "" {
 		count := min(size, len(text))
-		if _, fault := link.conn.Write([]byte(text[:count])); fault != nil {
+		if _, err := link.conn.Write([]byte(text[:count])); err != nil {
 			return false
 		}
 		if text = text[count:]; text != "" {
--- a/emulator/runner/health.go
+++ b/emulator/runner/health.go
@@ -67,11 +67,11 @@
 
 func (runner *Runner) report(*http.Request) ([]byte, error) {
 	running, waiting, handled := runner.slots.load()
-	body, fault := json.Marshal(report{
+	body, err := json.Marshal(report{
 		Phase: runner.settings.Phase, Models: []model{{Name: "m", Version: max(1, runner.settings.Version), Adapters: []string{}}},
 		Queued: waiting, Active: running, CacheUsed: runner.cache.used(), CacheTotal: runner.settings.CacheTokens, Handled: handled,
 	})
-	return own(http.StatusOK, map[string]string{"Content-Type": "application/json"}, string(body)), fault
+	return own(http.StatusOK, map[string]string{"Content-Type": "application/json"}, string(body)), err
 }
 
 // own makes an answer of the runner itself, that is no request's.
--- a/emulator/runner/link.go
+++ b/emulator/runner/link.go
@@ -55,16 +55,16 @@
 	limited, release := link.runner.options.Scope.WithLimit(link.runner.settings.KeepIdle)
 	defer release()
 	stop := context.AfterFunc(limited, func() { _ = link.conn.Close() })
-	_, fault := link.reader.Peek(1)
-	return stop() && fault == nil
+	_, err := link.reader.Peek(1)
+	return stop() && err == nil
 }
 
 func (link *link) serve() {
 	defer link.runner.leave(link)
 	defer link.conn.Close()
 	for link.await() {
-		request, fault := http.ReadRequest(link.reader)
-		if fault != nil {
+		request, err := http.ReadRequest(link.reader)
+		if err != nil {
 			return
 		}
 		if !link.answer(request) {
@@ -81,11 +81,11 @@
 		"/report":                   link.runner.report,
 	}[request.URL.Path]
 	if own != nil && attempt == "" && request.Method == http.MethodGet {
-		told, fault := own(request)
-		if fault == nil {
-			_, fault = link.conn.Write(told)
+		told, err := own(request)
+		if err == nil {
+			_, err = link.conn.Write(told)
 		}
-		return fault == nil && !request.Close
+		return err == nil && !request.Close
 	}
 	drawn := link.runner.settings.Mix.draw(link.runner.settings.Seed, link.runner.settings.ID, attempt)
 	if drawn.met[ResetUnread] {
@@ -97,16 +97,16 @@
 	asked := asking{request: request, attempt: attempt, drawn: drawn, limit: timeLeft(request)}
 	early := drawn.met[EarlyAnswer]
 	if !early {
-		body, fault := io.ReadAll(request.Body)
-		if fault != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return false
 		}
 		asked.body = body
 	}
 	open := link.play(asked, early)
 	if open && early {
-		body, fault := io.ReadAll(request.Body)
-		open = fault == nil
+		body, err := io.ReadAll(request.Body)
+		open = err == nil
 		if open && link.runner.options.Rest != nil && attempt != "" {
 			link.runner.options.Rest(attempt, piece.Hash(string(body)))
 		}
@@ -116,8 +116,8 @@
 
 // timeLeft is how long the client waits; what says nothing waits for a minute.
 func timeLeft(request *http.Request) clock.Span {
-	left, fault := strconv.ParseFloat(request.Header.Get(forward.LeftHeader), 64)
-	if fault != nil || left <= 0 {
+	left, err := strconv.ParseFloat(request.Header.Get(forward.LeftHeader), 64)
+	if err != nil || left <= 0 {
 		return 60 * clock.Second
 	}
 	return boot.Milliseconds(left)
--- a/emulator/runner/play.go
+++ b/emulator/runner/play.go
@@ -23,8 +23,8 @@
 
 // after is the event after which the client wants to go on.
 func (asked asking) after() int {
-	number, fault := strconv.Atoi(asked.request.Header.Get(forward.LastEventField))
-	if fault != nil {
+	number, err := strconv.Atoi(asked.request.Header.Get(forward.LastEventField))
+	if err != nil {
 		return 0
 	}
 	return number
@@ -80,8 +80,8 @@
 		link.reset()
 		return false
 	}
-	urgency, fault := strconv.Atoi(asked.request.Header.Get(forward.UrgencyHeader))
-	if fault != nil {
+	urgency, err := strconv.Atoi(asked.request.Header.Get(forward.UrgencyHeader))
+	if err != nil {
 		urgency = 5
 	}
 	if !runner.slots.take(limited, urgency) {
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -59,14 +59,14 @@
 //
 // Example:
 //
-//	played, fault := runner.Start(runner.Options{Scope: top, Settings: runner.Defaults("desk", "i-1"), Address: "127.0.0.1:0"})
+//	played, err := runner.Start(runner.Options{Scope: top, Settings: runner.Defaults("desk", "i-1"), Address: "127.0.0.1:0"})
 func Start(options Options) (*Runner, error) {
-	if fault := options.Settings.Check(); fault != nil {
-		return nil, fault
+	if err := options.Settings.Check(); err != nil {
+		return nil, err
 	}
-	listener, fault := net.Listen("tcp", options.Address)
-	if fault != nil {
-		return nil, fmt.Errorf("runner: %w", fault)
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, fmt.Errorf("runner: %w", err)
 	}
 	settings := options.Settings
 	made := &Runner{
@@ -164,8 +164,8 @@
 
 func (runner *Runner) accept() {
 	for {
-		opened, fault := runner.listener.Accept()
-		if fault != nil {
+		opened, err := runner.listener.Accept()
+		if err != nil {
 			return
 		}
 		made := newLink(runner, opened.(*net.TCPConn))
--- a/emulator/runner/runner_test.go
+++ b/emulator/runner/runner_test.go
@@ -29,13 +29,13 @@
 	settings.Services, settings.Silent = []string{"desk", "shop"}, 10*clock.Millisecond
 	change(&settings)
 	made := &played{t: t}
-	begun, fault := Start(Options{Scope: scope.New(scope.Options{}), Settings: settings, Address: "127.0.0.1:0", Tell: func(run oracle.Run) {
+	begun, err := Start(Options{Scope: scope.New(scope.Options{}), Settings: settings, Address: "127.0.0.1:0", Tell: func(run oracle.Run) {
 		made.lock.Lock()
 		defer made.lock.Unlock()
 		made.runs = append(made.runs, run)
 	}})
-	if fault != nil {
-		t.Fatal(fault)
+	if err != nil {
+		t.Fatal(err)
 	}
 	t.Cleanup(begun.Close)
 	made.Runner = begun
@@ -45,9 +45,9 @@
 // raw sends bytes on a new connection and gives all that comes back.
 func (played *played) raw(text string) string {
 	played.t.Helper()
-	conn, fault := net.Dial("tcp", played.Address())
-	if fault != nil {
-		played.t.Fatal(fault)
+	conn, err := net.Dial("tcp", played.Address())
+	if err != nil {
+		played.t.Fatal(err)
 	}
 	defer conn.Close()
 	_, _ = io.WriteString(conn, text)
@@ -61,13 +61,13 @@
 
 func parse(t *testing.T, text string) (*http.Response, string) {
 	t.Helper()
-	response, fault := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
-	if fault != nil {
-		t.Fatalf("%v: %q", fault, text)
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	if err != nil {
+		t.Fatalf("%v: %q", err, text)
 	}
-	body, fault := io.ReadAll(response.Body)
-	if fault != nil {
-		t.Fatalf("%v: %q", fault, text)
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("%v: %q", err, text)
 	}
 	return response, string(body)
 }
@@ -208,19 +208,19 @@
 func TestWrongSettingsAreNamedInOneLine(t *testing.T) {
 	settings := Defaults("", "two words")
 	settings.Capacity, settings.Work, settings.Health, settings.Mix = 0, -1, "health", Mix{"drop": 1, Garbage: -1}
-	fault := settings.Check()
+	err := settings.Check()
 	for _, part := range []string{"a service", `id "two words"`, "capacity 0", "work -1ns", `health "health"`, `no trouble "drop"`, "garbage: the rate -1"} {
-		if fault == nil || !strings.Contains(fault.Error(), part) || strings.Contains(fault.Error(), "\n") {
-			t.Fatalf("%s is missing in: %v", part, fault)
+		if err == nil || !strings.Contains(err.Error(), part) || strings.Contains(err.Error(), "\n") {
+			t.Fatalf("%s is missing in: %v", part, err)
 		}
 	}
 	mix := Mix{}
 	for _, text := range []string{"garbage", "garbage=x", "garbage=1.5", "none=1"} {
-		if fault := mix.Set(text); fault == nil {
+		if err := mix.Set(text); err == nil {
 			t.Errorf("%s was taken", text)
 		}
 	}
-	if fault := mix.Set("garbage=0.5"); fault != nil || mix[Garbage] != 0.5 {
-		t.Fatal(fault)
+	if err := mix.Set("garbage=0.5"); err != nil || mix[Garbage] != 0.5 {
+		t.Fatal(err)
 	}
 }
--- a/emulator/runner/settings.go
+++ b/emulator/runner/settings.go
@@ -63,7 +63,7 @@
 //
 // Example:
 //
-//	if fault := settings.Check(); fault != nil { ... }
+//	if err := settings.Check(); err != nil { ... }
 func (settings Settings) Check() error {
 	var wrong []string
 	need := func(good bool, text string, values ...any) {
@@ -86,8 +86,8 @@
 	need(settings.KeepIdle >= clock.Millisecond, "keep-idle %v: 1ms or more is wanted", settings.KeepIdle)
 	need(settings.Silent >= clock.Millisecond, "silent %v: 1ms or more is wanted", settings.Silent)
 	need(strings.HasPrefix(settings.Health, "/"), "health %q: a path is wanted", settings.Health)
-	if fault := settings.Mix.Check(); fault != nil {
-		wrong = append(wrong, fault.Error())
+	if err := settings.Mix.Check(); err != nil {
+		wrong = append(wrong, err.Error())
 	}
 	if len(wrong) > 0 {
 		return fmt.Errorf("runner: %s", strings.Join(wrong, "; "))
--- a/emulator/runner/slots.go
+++ b/emulator/runner/slots.go
@@ -101,8 +101,8 @@
 	unread, whole := 0.0, true
 	for _, part := range strings.Split(prompt, ",") {
 		id, count, found := strings.Cut(strings.TrimSpace(part), ":")
-		tokens, fault := strconv.ParseFloat(count, 64)
-		if !found || fault != nil || tokens < 0 {
+		tokens, err := strconv.ParseFloat(count, 64)
+		if !found || err != nil || tokens < 0 {
 			continue
 		}
 		key := model + " " + id
--- a/emulator/runner/trouble.go
+++ b/emulator/runner/trouble.go
@@ -120,11 +120,11 @@
 //
 // Example:
 //
-//	fault := mix.Set("extra-late=0.1")
+//	err := mix.Set("extra-late=0.1")
 func (mix Mix) Set(text string) error {
 	name, rate, found := strings.Cut(text, "=")
-	value, fault := strconv.ParseFloat(rate, 64)
-	if !found || fault != nil {
+	value, err := strconv.ParseFloat(rate, 64)
+	if !found || err != nil {
 		return fmt.Errorf("trouble %q: name=rate is wanted, as in %s=0.1", text, ExtraLate)
 	}
 	one := Mix{name: value}
@@ -136,7 +136,7 @@
 //
 // Example:
 //
-//	if fault := mix.Check(); fault != nil { ... }
+//	if err := mix.Check(); err != nil { ... }
 func (mix Mix) Check() error {
 	known := map[string]bool{}
 	for _, trouble := range Troubles {
--- a/scale/fit.go
+++ b/scale/fit.go
@@ -69,7 +69,7 @@
 //
 // Example:
 //
-//	fits, fault := scale.Fits("runners", results)
+//	fits, err := scale.Fits("runners", results)
 func Fits(variable string, results []Result) ([]Fit, error) {
 	read := readings[variable]
 	if read == nil {
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -40,14 +40,14 @@
 	for _, zone := range layout.AllZones() {
 		for index := range size.Hollow {
 			number := 1 + size.Routers + index
-			settings, fault := boot.Parse(layout.Settings(layout.Machine(zone, number), folder, true, layout.Seeds()))
-			if fault != nil {
-				return made, fault
+			settings, err := boot.Parse(layout.Settings(layout.Machine(zone, number), folder, true, layout.Seeds()))
+			if err != nil {
+				return made, err
 			}
 			subject := &hollow{seen: map[ids.Serial]time.Time{}}
-			subject.common, fault = daemon.New(scope.New(scope.Options{Boot: settings}), daemon.Options{Role: daemon.Carrier, Fresh: subject.hear})
-			if fault != nil {
-				return made, fault
+			subject.common, err = daemon.New(scope.New(scope.Options{Boot: settings}), daemon.Options{Role: daemon.Carrier, Fresh: subject.hear})
+			if err != nil {
+				return made, err
 			}
 			subject.common.Part("report", subject.report)
 			made.all = append(made.all, subject)
@@ -63,14 +63,14 @@
 func (hollow *hollow) hear(item spread.Item) {
 	readers := map[string]func(spread.Item){
 		spec.Key: func(item spread.Item) {
-			if version, fault := spec.Read(item.Body); fault == nil {
+			if version, err := spec.Read(item.Body); err == nil {
 				hollow.lock.Lock()
 				hollow.seen[version.Serial] = time.Now()
 				hollow.lock.Unlock()
 			}
 		},
 		census.Key: func(item spread.Item) {
-			if list, fault := courier.Unpack[census.List](item.Body); fault == nil {
+			if list, err := courier.Unpack[census.List](item.Body); err == nil {
 				hollow.lock.Lock()
 				hollow.listed = list.Runners
 				hollow.lock.Unlock()
--- a/scale/operator.go
+++ b/scale/operator.go
@@ -42,23 +42,23 @@
 		controller := operator.layout.Machine(zones[operator.next%len(zones)], 0)
 		operator.next++
 		url := "http://" + controller.Address(deployment.ControlPort) + "/settings"
-		request, fault := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-		if fault != nil {
-			return sent{}, fault
+		request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+		if err != nil {
+			return sent{}, err
 		}
 		request.Header.Set("Content-Type", "application/json")
 		request.Header.Set("If-Match", strconv.Itoa(operator.version))
-		response, fault := operator.client.Do(request)
-		if fault == nil {
+		response, err := operator.client.Do(request)
+		if err == nil {
 			text, _ := io.ReadAll(response.Body)
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				operator.version = version
 				return sent{serial: ids.Serial(version), asked: begin, acked: time.Now()}, nil
 			}
-			fault = fmt.Errorf("%s answered %d: %s", url, response.StatusCode, text)
+			err = fmt.Errorf("%s answered %d: %s", url, response.StatusCode, text)
 		}
-		last = fault
+		last = err
 		select {
 		case <-ctx.Done():
 			return sent{}, ctx.Err()
@@ -70,9 +70,9 @@
 
 // first sends the first configuration, whole.
 func (operator *operator) first(ctx context.Context) (sent, error) {
-	body, fault := document(operator.size, 1)
-	if fault != nil {
-		return sent{}, fault
+	body, err := document(operator.size, 1)
+	if err != nil {
+		return sent{}, err
 	}
 	return operator.send(ctx, http.MethodPut, body, 1)
 }
@@ -91,15 +91,15 @@
 		case <-ctx.Done():
 			return all, nil
 		case <-ticker.C:
-			body, fault := change(operator.size, operator.version+1)
-			if fault != nil {
-				return all, fault
+			body, err := change(operator.size, operator.version+1)
+			if err != nil {
+				return all, err
 			}
-			one, fault := operator.send(ctx, http.MethodPatch, body, operator.version+1)
-			if fault != nil && ctx.Err() == nil {
-				return all, fault
+			one, err := operator.send(ctx, http.MethodPatch, body, operator.version+1)
+			if err != nil && ctx.Err() == nil {
+				return all, err
 			}
-			if fault == nil {
+			if err == nil {
 				all = append(all, one)
 			}
 		}
--- a/scale/run.go
+++ b/scale/run.go
@@ -58,41 +58,41 @@
 //
 // Example:
 //
-//	result, fault := scale.Run(ctx, scale.Options{Size: size, Programs: "target"})
+//	result, err := scale.Run(ctx, scale.Options{Size: size, Programs: "target"})
 func Run(ctx context.Context, options Options) (Result, error) {
 	if options.Say == nil {
 		options.Say = func(string) {}
 	}
 	size := options.Size
-	if fault := size.Check(memoryKB()); fault != nil {
-		return Result{}, fault
+	if err := size.Check(memoryKB()); err != nil {
+		return Result{}, err
 	}
 	bounded, end := context.WithTimeout(ctx, 2*(size.Warm+size.Span)+60*clock.Second)
 	defer end()
 	layout := size.layout()
-	if fault := layout.Free(); fault != nil {
-		return Result{}, fault
+	if err := layout.Free(); err != nil {
+		return Result{}, err
 	}
-	folder, fault := os.MkdirTemp("", "onyxwell-scale-")
-	if fault != nil {
-		return Result{}, fault
+	folder, err := os.MkdirTemp("", "onyxwell-scale-")
+	if err != nil {
+		return Result{}, err
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	around := &outside{size: size, layout: layout}
 	defer around.stop()
-	if fault := around.start(); fault != nil {
-		return Result{}, fault
+	if err := around.start(); err != nil {
+		return Result{}, err
 	}
 	daemons := &real{}
 	defer daemons.stop()
-	if fault := daemons.start(options.Programs, folder, layout); fault != nil {
-		return Result{}, fault
+	if err := daemons.start(options.Programs, folder, layout); err != nil {
+		return Result{}, err
 	}
 	before := liveHeap()
-	beside, fault := startHollows(size, layout, folder)
+	beside, err := startHollows(size, layout, folder)
 	defer beside.end()
-	if fault != nil {
-		return Result{}, fault
+	if err != nil {
+		return Result{}, err
 	}
 	options.Say(fmt.Sprintf("%d daemons in %d zones started", size.Daemons(), size.ZoneCount()))
 	measuring := &measuring{options: options, real: daemons, beside: beside, layout: layout, heapBefore: before}
@@ -134,30 +134,30 @@
 func (measuring *measuring) run(ctx context.Context) (Result, error) {
 	size := measuring.options.Size
 	operator := newOperator(size, measuring.layout)
-	if _, fault := operator.first(ctx); fault != nil {
-		return Result{}, errors.Join(fmt.Errorf("the first configuration: %w", fault), measuring.real.died())
+	if _, err := operator.first(ctx); err != nil {
+		return Result{}, errors.Join(fmt.Errorf("the first configuration: %w", err), measuring.real.died())
 	}
-	if fault := wait(ctx, size.Warm); fault != nil {
-		return Result{}, fault
+	if err := wait(ctx, size.Warm); err != nil {
+		return Result{}, err
 	}
-	if fault := measuring.beside.ready(); fault != nil {
-		return Result{}, errors.Join(fault, measuring.real.died())
+	if err := measuring.beside.ready(); err != nil {
+		return Result{}, errors.Join(err, measuring.real.died())
 	}
 	measuring.options.Say("warm; measuring")
 	begin, counted, processor := time.Now(), measuring.beside.counts(), processorMS()
 	controllers, routers := measuring.real.used("fleet-controller"), measuring.real.used("router")
 	span, end := context.WithTimeout(ctx, size.Span)
 	defer end()
-	changes, fault := operator.changes(span)
-	if fault := errors.Join(fault, ctx.Err(), measuring.real.died()); fault != nil {
-		return Result{}, fault
+	changes, err := operator.changes(span)
+	if err := errors.Join(err, ctx.Err(), measuring.real.died()); err != nil {
+		return Result{}, err
 	}
 	seconds := time.Since(begin).Seconds()
 	result := Result{Version: format, Size: size, Daemons: size.Daemons(), ZoneCount: size.ZoneCount(), Changes: len(changes), Members: measuring.beside.members()}
 	measuring.traffic(&result, counted, processor, seconds)
 	measuring.processes(&result, controllers, routers, seconds)
-	if fault := wait(ctx, 4*clock.Second); fault != nil {
-		return Result{}, fault
+	if err := wait(ctx, 4*clock.Second); err != nil {
+		return Result{}, err
 	}
 	measuring.force(&result, changes)
 	return result, nil
@@ -197,7 +197,7 @@
 	}
 	result.AckedMS = quantile(acked, 0.5)
 	result.ForceMedianMS, result.ForceMostMS, result.ForceWorstMS = quantile(spans, 0.5), quantile(spans, 0.95), quantile(spans, 1)
-	if body, fault := document(measuring.options.Size, 1); fault == nil {
+	if body, err := document(measuring.options.Size, 1); err == nil {
 		result.ConfigurationSize = len(body)
 	}
 }
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -18,18 +18,18 @@
 
 func TestSizesThatDoNotFitAreNamed(t *testing.T) {
 	size := small()
-	if fault := size.Check(8 << 20); fault != nil {
-		t.Fatal(fault)
+	if err := size.Check(8 << 20); err != nil {
+		t.Fatal(err)
 	}
 	size.Routes, size.Runners = 0, 1<<20
-	fault := size.Check(8 << 20)
-	if fault == nil || !strings.Contains(fault.Error(), "routes") || !strings.Contains(fault.Error(), "runners") {
-		t.Fatalf("%v", fault)
+	err := size.Check(8 << 20)
+	if err == nil || !strings.Contains(err.Error(), "routes") || !strings.Contains(err.Error(), "runners") {
+		t.Fatalf("%v", err)
 	}
 	size = small()
 	size.Hollow = 700
-	if fault := size.Check(1 << 20); fault == nil || !strings.Contains(fault.Error(), "memory") {
-		t.Fatalf("%v", fault)
+	if err := size.Check(1 << 20); err == nil || !strings.Contains(err.Error(), "memory") {
+		t.Fatalf("%v", err)
 	}
 }
 
@@ -39,8 +39,8 @@
 	layout := size.layout()
 	for _, zone := range layout.AllZones() {
 		for number := range 3 {
-			if _, fault := boot.Parse(layout.Settings(layout.Machine(zone, number), "/tmp", true, layout.Seeds())); fault != nil {
-				t.Fatal(fault)
+			if _, err := boot.Parse(layout.Settings(layout.Machine(zone, number), "/tmp", true, layout.Seeds())); err != nil {
+				t.Fatal(err)
 			}
 		}
 	}
@@ -51,19 +51,19 @@
 	for _, runners := range []int{100, 200, 400} {
 		results = append(results, Result{Size: Size{Runners: runners}, BytesOut: 50 + 3*float64(runners)})
 	}
-	fits, fault := Fits("runners", results)
-	if fault != nil {
-		t.Fatal(fault)
+	fits, err := Fits("runners", results)
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, fit := range fits {
 		if fit.Measure == "bytes out/s of a daemon" && (math.Abs(fit.Slope-3) > 1e-9 || math.Abs(fit.At-50) > 1e-6 || fit.Residual > 1e-6 || fit.Reckon(1000) < 3049) {
 			t.Fatalf("%+v", fit)
 		}
 	}
-	if _, fault := Fits("runners", results[:2]); fault == nil {
+	if _, err := Fits("runners", results[:2]); err == nil {
 		t.Fatal("two points are enough for a line")
 	}
-	if _, fault := Fits("moons", results); fault == nil {
+	if _, err := Fits("moons", results); err == nil {
 		t.Fatal("an unknown variable is fitted")
 	}
 }
@@ -73,17 +73,17 @@
 func TestSmallEstate(t *testing.T) {
 	programs := t.TempDir()
 	build := exec.Command("go", "build", "-o", programs+string(filepath.Separator), "onyxwell/cmd/router", "onyxwell/cmd/fleet-controller")
-	if text, fault := build.CombinedOutput(); fault != nil {
-		t.Fatalf("%v: %s", fault, text)
+	if text, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
 	}
-	result, fault := Run(context.Background(), Options{Size: small(), Programs: programs, Say: func(text string) { t.Log(text) }})
-	if fault != nil {
-		t.Fatal(fault)
+	result, err := Run(context.Background(), Options{Size: small(), Programs: programs, Say: func(text string) { t.Log(text) }})
+	if err != nil {
+		t.Fatal(err)
 	}
 	if result.Changes == 0 || result.Messages <= 0 || result.ControllerMB <= 0 || result.Daemons != 4 {
 		t.Fatalf("%+v", result)
 	}
-	if _, fault := Run(context.Background(), Options{Size: small(), Programs: t.TempDir()}); fault == nil {
+	if _, err := Run(context.Background(), Options{Size: small(), Programs: t.TempDir()}); err == nil {
 		t.Fatal("a run without programs succeeds")
 	}
 }
--- a/scale/size.go
+++ b/scale/size.go
@@ -83,7 +83,7 @@
 //
 // Example:
 //
-//	if fault := size.Check(memoryKB); fault != nil { stop(fault) }
+//	if err := size.Check(memoryKB); err != nil { stop(err) }
 func (size Size) Check(memoryKB int64) error {
 	var found []error
 	for _, rule := range rules {
