SIGHUP reads the settings file whatever its stamp says; inner addresses of IPv6

Cause: by reading: a settings file changed within its time stamp's grain and with the same size was not seen, with a SIGHUP neither; an inner address was put together without brackets. Change: a SIGHUP always reads; net.JoinHostPort. Result: both new tests failed before the change (the first waits 5 s for a change that never came) and pass now.

--- a/base/boot/boot_test.go
+++ b/base/boot/boot_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"onyxwell/base/ids"
 )
 
 const good = `
@@ -66,3 +68,12 @@
 		t.Error("a missing file is taken")
 	}
 }
+
+func TestInnerAddressOfBothFamilies(t *testing.T) {
+	settings := &Boot{PortRange: []int{7720, 7735}}
+	for ip, want := range map[string]ids.Address{"10.1.0.13": "10.1.0.13:7721", "fd00::13": "[fd00::13]:7721"} {
+		if got := settings.InnerAddress(ip, "fleet-controller"); got != want {
+			t.Errorf("%s: %s, not %s", ip, got, want)
+		}
+	}
+}
--- a/base/boot/check.go
+++ b/base/boot/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -21,7 +22,7 @@
 //
 //	address := settings.InnerAddress("10.1.0.13", "fleet-controller")
 func (settings *Boot) InnerAddress(ip string, role string) ids.Address {
-	return ids.Address(ip + ":" + strconv.Itoa(settings.PortRange[0]+seats[role]))
+	return ids.Address(net.JoinHostPort(ip, strconv.Itoa(settings.PortRange[0]+seats[role])))
 }
 
 // SeedAddresses are the inner addresses of the controllers that the boot file
--- a/base/program/watch.go
+++ b/base/program/watch.go
@@ -41,14 +41,17 @@
 func (file *File) watch(top scope.Scope, hangups <-chan os.Signal, reread chan<- *boot.Boot) {
 	pause := max(boot.Seconds(top.Boot.Bounds.SeedLagS), boot.Milliseconds(top.Boot.Bounds.ApplyWithinMS))
 	for {
+		// A SIGHUP says that the file changed, whatever its size and time say.
+		changed := false
 		select {
 		case <-top.Done():
 			return
 		case <-hangups:
+			changed = true
 		case <-top.Clock.After(pause):
 		}
 		stamp := stampOf(file.path)
-		if stamp == file.last {
+		if stamp == file.last && !changed {
 			continue
 		}
 		fresh, err := boot.Read(file.path)
--- a/base/program/watch_test.go
+++ b/base/program/watch_test.go
@@ -90,3 +90,38 @@
 		t.Error("the change is never seen")
 	}
 }
+
+// TestHangupRereadsWhateverTheStampSays has the file change without its size and
+// time showing it.
+func TestHangupRereadsWhateverTheStampSays(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	write := func(name string) {
+		if err := os.WriteFile(path, fmt.Appendf(nil, bootText, name), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, time.Time{}, time.Unix(1_000_000, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("one")
+	hangups := Hangups()
+	file, settings, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
+	defer end()
+	reread := file.Watch(top, hangups)
+	write("two")
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case fresh := <-reread:
+		if fresh.NodeName != "two" {
+			t.Errorf("%q was read", fresh.NodeName)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the change is never seen")
+	}
+}
