--- a/soak/estate.go
+++ b/soak/estate.go
@@ -34,8 +34,12 @@
 	stop     func()
 	history  oracle.Oracle
 	ledger   ledger
-	requests atomic.Int64
-	served   atomic.Int64
+	// ran are the attempts that ran, unanswered those whose clients stayed and got
+	// no whole answer; both only where nothing but planned work is played.
+	ran        sync.Map
+	unanswered sync.Map
+	requests   atomic.Int64
+	served     atomic.Int64
 
 	// wiped is when the last disk was lost; 0 is never.
 	wiped atomic.Int64
@@ -103,6 +107,9 @@
 			// What the examination sends is no client's.
 			if !strings.HasPrefix(run.Attempt, examPrefix) {
 				e.history.Ran(run)
+				if e.options.planned() && !run.Refused {
+					e.ran.Store(run.Attempt, true)
+				}
 			}
 		}
 		started, err := runner.Start(runner.Options{Scope: inner, Settings: settings, Address: "127.0.0.1:0", Tell: tell, Rest: e.history.Rest})
--- a/soak/examine.go
+++ b/soak/examine.go
@@ -46,9 +46,21 @@
 	for _, verdict := range e.history.Judge() {
 		e.find(verdict.Rule, "attempt %s: %s\n      %s", verdict.Attempt, verdict.Why, strings.Join(verdict.History, "\n      "))
 	}
+	e.examineLost()
 	e.examineLogs()
 }
 
+// examineLost looks for requests that ran and whose clients got no whole answer
+// though nothing but planned work went on.
+func (e *estate) examineLost() {
+	e.unanswered.Range(func(attempt any, how any) bool {
+		if _, ran := e.ran.Load(attempt); ran {
+			e.find("LOST", "attempt %s ran and got no whole answer, %s", attempt, how)
+		}
+		return true
+	})
+}
+
 // until waits until nothing is left to say, at most for the span.
 func (e *estate) until(inner scope.Scope, limit clock.Span, left func() string) bool {
 	for begin := inner.Now(); left() != ""; {
--- a/soak/run.go
+++ b/soak/run.go
@@ -161,8 +161,8 @@
 		if got.Status == http.StatusOK && got.Whole {
 			e.served.Add(1)
 		}
-		if e.options.planned() && got.Status != 0 && !got.Whole && !asked.Leaves && inner.Now().Since(begin) < 2*clock.Second {
-			e.find("LOST", "attempt %s is cut in the middle of its answer at %s during planned work: %s", asked.Asked.Attempt, routers[asked.Router].Name(), got.Note)
+		if e.options.planned() && !got.Whole && !asked.Leaves && inner.Now().Since(begin) < patience {
+			e.unanswered.Store(asked.Asked.Attempt, fmt.Sprintf("status %d at %s: %s", got.Status, routers[asked.Router].Name(), got.Note))
 		}
 	}
 }
