A leaving router closes only connections on which nothing is asked

Cause: net/http's SetKeepAlivesEnabled and Shutdown close a connection that is idle by their account while its next request is being read; the request was passed on to a runner, and its answer had nobody to go to (LOST). Class: a check and an act that others come between. Change: the connection itself knows under one lock whether bytes of a request are here; the router closes only those at rest (Front.Rest), has answers end their connections, closes the listener and waits for what is asked (Front.Finish); a request on a connection that was closed is not acted on. Looked for elsewhere: idle time running out closes before anything is read on; runners' kept connections are taken and closed under one lock; the emulator's routers in its own process still leave by Shutdown (open).

--- a/data/answer/door.go
+++ b/data/answer/door.go
@@ -76,6 +76,8 @@
 	made := &watched{Conn: link, places: door.places}
 	made.timing.limits = door.front.limits
 	made.timing.enter(readingHead)
+	made.links = &door.front.links
+	made.links.add(made)
 	return made, nil
 }
 
@@ -88,6 +90,7 @@
 	net.Conn
 	timing timing
 	places *places
+	links  *links
 	left   sync.Once
 	// answered says that something was written since the last head began.
 	answered atomic.Bool
@@ -115,6 +118,7 @@
 		}
 	}
 	if size > 0 {
+		link.timing.begin()
 		if link.answered.Swap(false) {
 			link.over, link.line = false, link.line[:0]
 			link.lengths.Store(0)
@@ -142,7 +146,10 @@
 
 // Close ends the connection and gives its place to another.
 func (link *watched) Close() error {
-	link.left.Do(link.places.leave)
+	link.left.Do(func() {
+		link.links.remove(link)
+		link.places.leave()
+	})
 	return link.Conn.Close()
 }
 
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -45,6 +45,8 @@
 	lines   lines
 	// bodies bounds what bodies take together.
 	bodies *quota.Quota
+	// links are the clients' connections.
+	links links
 }
 
 // NewFront makes a front.
@@ -95,8 +97,9 @@
 func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	front.running.Add(1)
 	defer front.running.Add(-1)
-	if link, known := request.Context().Value(watchedKey{}).(*watched); known {
-		link.timing.enter(handling)
+	if link, known := request.Context().Value(watchedKey{}).(*watched); known && !link.timing.enter(handling) {
+		// It was closed as the request arrived: nobody would get the answer.
+		reply.Abort()
 	}
 	visit := &visit{front: front, writer: writer, request: request, since: front.options.Scope.Now(), held: front.bodies.Hold()}
 	defer visit.record()
--- a/data/answer/leave_test.go
+++ b/data/answer/leave_test.go
@@ -17,7 +17,7 @@
 
 // crossed is a listener whose connections do something when certain bytes have
 // arrived and nobody has read them yet. That they were closed shows only once
-// the request has reached a runner, or they are closed for the second time.
+// the request has reached a runner, or nobody reads on.
 type crossed struct {
 	net.Listener
 	bytes string
@@ -32,7 +32,6 @@
 	net.Conn
 	crossed crossed
 	acted   atomic.Bool
-	closes  atomic.Int32
 }
 
 func (c crossed) Accept() (net.Conn, error) {
@@ -53,11 +52,12 @@
 	return size, err
 }
 
-func (c *crossedConn) Close() error {
-	if c.closes.Add(1) == 2 {
+// SetReadDeadline ends the read that waits, as one in the past does.
+func (c *crossedConn) SetReadDeadline(until time.Time) error {
+	if c.acted.Load() && !until.IsZero() && until.Before(time.Now()) {
 		c.crossed.end()
 	}
-	return c.Conn.Close()
+	return c.Conn.SetReadDeadline(until)
 }
 
 // TestRequestThatCrossesTheCloseIsNotPassedOn has a router begin to leave at the
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	server := &httptest.Server{Config: NewServer(house.front)}
-	link.Listener, link.act = plain, func() { beginToLeave(house, server.Config) }
+	link.Listener, link.act = plain, func() { beginToLeave(house) }
 	server.Listener = Door(house.front, link)
 	server.Start()
 	t.Cleanup(server.Close)
@@ -98,7 +98,7 @@
 }
 
 // beginToLeave does what a router does first when it leaves.
-func beginToLeave(house *house, server *http.Server) {
+func beginToLeave(house *house) {
 	house.front.Leave(house.clock.Now())
-	server.SetKeepAlivesEnabled(false)
+	house.front.Rest()
 }
--- a/data/answer/limits.go
+++ b/data/answer/limits.go
@@ -22,6 +22,9 @@
 	resting
 	// handling: a request is being answered; its deadlines are its own.
 	handling
+	// closed: it was closed by this side while nothing was asked. What is read of
+	// it still is not acted on.
+	closed
 )
 
 // asTheConnectionSays stands for the deadlines that net/http sets: the
@@ -36,20 +39,53 @@
 	phase  phase
 	// since is when the phase began.
 	since time.Time
+	// begun says that bytes of the next request are here.
+	begun bool
 }
 
-// enter begins a phase.
-func (t *timing) enter(next phase) {
+// enter begins a phase; false says that the connection is closed.
+func (t *timing) enter(next phase) bool {
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	if t.phase == closed {
+		return false
+	}
 	t.phase, t.since = next, time.Now()
+	t.begun = t.begun && next != resting
+	return true
+}
+
+// begin notes that bytes have arrived.
+func (t *timing) begin() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.begun = true
+}
+
+// end has a connection on which nothing is asked be closed; false says that
+// something is.
+func (t *timing) end() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.phase == handling || t.begun {
+		return false
+	}
+	t.phase = closed
+	return true
+}
+
+// asked tells whether a request is being read or answered.
+func (t *timing) asked() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.phase == handling || (t.phase != closed && t.begun)
 }
 
 // deadline gives the deadline that counts where net/http sets one.
 func (t *timing) deadline(set time.Time) time.Time {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	if t.phase == handling {
+	if t.phase == handling || t.phase == closed {
 		return set
 	}
 	if set.IsZero() {
@@ -80,7 +116,7 @@
 	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	if t.phase == handling {
+	if t.phase == handling || t.phase == closed {
 		return time.Time{}, false
 	}
 	until := t.until()
--- a/data/router/doubt_test.go
+++ b/data/router/doubt_test.go
@@ -130,12 +130,12 @@
 	if r.withdraw() != nil {
 		t.Error("there is a server before there is a door")
 	}
-	r.open(&http.Server{})
-	if r.common.Table.Self().Ready || r.server != nil {
+	r.open(&entrance{})
+	if r.common.Table.Self().Ready || r.entrance != nil {
 		t.Error("a leaving router is ready")
 	}
 	r, _ = newRouter(t)
-	r.open(&http.Server{})
+	r.open(&entrance{})
 	if !r.common.Table.Self().Ready || r.withdraw() == nil || r.common.Table.Self().Ready {
 		t.Error("a router does not become ready, or stays so")
 	}
--- a/data/router/leave.go
+++ b/data/router/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"net/http"
 
 	"onyxwell/base/boot"
@@ -12,26 +13,39 @@
 
 func chance() float64 { return rand.Float64() }
 
-// open has the router be ready with the server that its clients come through; it
-// does not where the router leaves already.
-func (r *Router) open(server *http.Server) {
+// entrance is what clients come through.
+type entrance struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// open has the router be ready with an entrance; it does not where the router
+// leaves already.
+func (r *Router) open(opened *entrance) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	if r.leaving {
 		return
 	}
-	r.server = server
+	r.entrance = opened
 	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = true })
 }
 
-// withdraw has the router not be ready any more; it gives the server that its
+// leaves tells whether the router leaves.
+func (r *Router) leaves() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.leaving
+}
+
+// withdraw has the router not be ready any more; it gives the entrance that its
 // clients came through, nil where they never did.
-func (r *Router) withdraw() *http.Server {
+func (r *Router) withdraw() *entrance {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.leaving = true
 	r.common.Table.Announce(func(self *cohort.Member) { self.Ready = false })
-	return r.server
+	return r.entrance
 }
 
 const (
@@ -50,20 +64,20 @@
 func (r *Router) leave(top scope.Scope) {
 	grace := boot.Seconds(top.Boot.Bounds.GraceS)
 	begin := top.Now()
-	server := r.withdraw()
+	opened := r.withdraw()
 	r.common.Tell(top)
 	r.front.Leave(begin.Add(lastRequest))
-	if server != nil {
-		server.SetKeepAlivesEnabled(false)
-	}
+	r.front.Rest()
 	// Clients hold an answer of the directory for up to three times its time.
 	moving := min(4*boot.Seconds(min(1, top.Boot.Bounds.TTLMaxS)), grace*movingPart/100)
 	top.Wait(moving)
-	if server != nil {
+	if opened != nil {
+		_ = opened.listener.Close()
 		closing, release := top.WithLimit(grace*closingPart/100 - top.Now().Since(begin))
-		_ = server.Shutdown(closing)
+		r.front.Rest()
+		r.front.Finish(closing)
 		release()
-		_ = server.Close()
+		_ = opened.server.Close()
 	}
 	r.common.Leave(top)
 	top.Wait(r.pace.Probe.Answer)
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -46,10 +46,10 @@
 	gate   *readindex.Gate
 	front  *answer.Front
 	lock   sync.Mutex
-	// server is the one that clients come through, once there is one; leaving says
-	// that the router leaves.
-	server  *http.Server
-	leaving bool
+	// entrance is what clients come through, once there is one; leaving says that
+	// the router leaves.
+	entrance *entrance
+	leaving  bool
 }
 
 // Run runs the router until the scope ends, then leaves in order.
@@ -192,9 +192,10 @@
 	server := answer.NewServer(r.front)
 	stop := context.AfterFunc(inner, func() { _ = server.Close() })
 	defer stop()
-	r.open(server)
+	door := answer.Door(r.front, listener)
+	r.open(&entrance{listener: door, server: server})
 	r.common.Tell(inner)
-	if err := server.Serve(answer.Door(r.front, listener)); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(door); !errors.Is(err, http.ErrServerClosed) && !r.leaves() {
 		return err
 	}
 	<-inner.Done()
