A restarted router spends no extra tries in its first window

Cause: by reading: a process that is started again begins with its whole part of retry_extra, though the one before may have spent that in the same window (BUDGET). Class: a bound over lives kept by one life. Change: budget.Options.ExtraFrom, a window after the start unless all starts for the first time; the part that follows from its own requests stays. Looked for elsewhere: a cold runner's turns over two lives of a router stay inside cold_excess and cold_slack, since a life's first turn is drawn from a whole gap.

--- a/data/budget/budget.go
+++ b/data/budget/budget.go
@@ -19,6 +19,9 @@
 	Window clock.Span
 	// Sharers tells among how many routers the extra is shared.
 	Sharers func() int
+	// ExtraFrom is from when on the extra may be spent: a process that was started
+	// again does not know what the one before spent in the last window.
+	ExtraFrom clock.Instant
 }
 
 // Budget counts requests and further tries in a sliding window, per service.
@@ -70,6 +73,9 @@
 		spent += counted.spent[index]
 	}
 	share := budget.options.Extra / float64(max(1, budget.options.Sharers()))
+	if now.Before(budget.options.ExtraFrom) {
+		share = 0
+	}
 	if spent+1 > budget.options.Ratio*requests+share {
 		return false
 	}
--- a/data/budget/budget_test.go
+++ b/data/budget/budget_test.go
@@ -82,3 +82,28 @@
 		t.Fatal("the window does not slide")
 	}
 }
+
+// TestLivesOfARouterShareOneExtra has a router spend its part of the extra, end,
+// and be started again: both lives together stay inside the bound in every window.
+func TestLivesOfARouterShareOneExtra(t *testing.T) {
+	const extra, window = 6, 10 * clock.Second
+	one := func() int { return 1 }
+	now := clock.Instant(20 * clock.Second)
+	spent := 0
+	spend := func(life *Budget, at clock.Instant) {
+		for life.Spend("desk", at) {
+			spent++
+		}
+	}
+	spend(New(Options{Extra: extra, Window: window, Sharers: one}), now)
+	restarted := now.Add(clock.Second)
+	next := New(Options{Extra: extra, Window: window, Sharers: one, ExtraFrom: restarted.Add(window)})
+	spend(next, restarted)
+	spend(next, now.Add(window))
+	if spent > extra {
+		t.Errorf("%d further tries in one window, %d are allowed", spent, extra)
+	}
+	if spend(next, restarted.Add(window)); spent <= extra {
+		t.Error("the extra never comes back")
+	}
+}
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -89,10 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bounds := top.Boot.Bounds
-	tries := budget.New(budget.Options{
-		Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: boot.Seconds(bounds.RetryWindowS), Sharers: r.sharers,
-	})
+	tries := budget.New(r.budget(top))
 	gate := admit.NewGate(admit.Options{
 		Scope: top, Frame: r.frame, Board: r.board, Budget: tries, Warmth: r.warmth,
 		Region: top.Boot.Region, Sharers: r.common.Zones.Sharers, Routers: r.sharers, Chance: chance,
@@ -112,6 +109,20 @@
 	return r, nil
 }
 
+// budget is what this router may spend on further tries. A process before this
+// one may have spent its part of the extra just now, unless all starts for the
+// first time.
+func (r *Router) budget(top scope.Scope) budget.Options {
+	bounds := top.Boot.Bounds
+	options := budget.Options{
+		Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: boot.Seconds(bounds.RetryWindowS), Sharers: r.sharers,
+	}
+	if !top.Boot.FirstStart {
+		options.ExtraFrom = top.Now().Add(options.Window)
+	}
+	return options
+}
+
 // sharers is how many routers there could be.
 func (r *Router) sharers() int { return r.common.Zones.Routers() }
 
