Metrics on ports that no settings file gives away

Cause: the ports in the deploy file stay while a deployment's ports are drawn; a daemon that took another's port for its figures would keep that from serving. Result: go test of the changed packages passed.

--- a/base/boot/boot.go
+++ b/base/boot/boot.go
@@ -56,12 +56,12 @@
 	Path string
 }
 
-// UnmarshalText reads PORT/PATH, as in 9464/metrics; kong calls it.
+// UnmarshalText reads PORT/PATH, as in 19464/metrics; kong calls it.
 func (place *MetricsPlace) UnmarshalText(text []byte) error {
 	port, path, found := strings.Cut(string(text), "/")
 	number, err := strconv.ParseUint(port, 10, 16)
 	if err != nil || number == 0 || !found || path == "" || strings.ContainsAny(path, " {}") {
-		return fmt.Errorf("%q is no PORT/PATH such as 9464/metrics", text)
+		return fmt.Errorf("%q is no PORT/PATH such as 19464/metrics", text)
 	}
 	place.Port, place.Path = int(number), "/"+path
 	return nil
--- a/base/boot/boot_test.go
+++ b/base/boot/boot_test.go
@@ -77,3 +77,12 @@
 		}
 	}
 }
+
+func TestPortsThatAreGivenAway(t *testing.T) {
+	settings := &Boot{PortRange: []int{7720, 7735}, Seeds: []ids.Address{"10.1.0.13:8166"}, Listen: map[string]ids.Address{"front": "10.1.0.13:8161"}}
+	for port, want := range map[int]bool{7720: true, 7735: true, 8166: true, 8161: true, 19464: false} {
+		if settings.Uses(port) != want {
+			t.Errorf("%d: not %v", port, want)
+		}
+	}
+}
--- a/base/boot/check.go
+++ b/base/boot/check.go
@@ -25,6 +25,29 @@
 	return ids.Address(net.JoinHostPort(ip, strconv.Itoa(settings.PortRange[0]+seats[role])))
 }
 
+// Uses tells whether the settings give a port away: to what this process serves,
+// to what controllers serve, or to what daemons say to each other.
+//
+// Example:
+//
+//	if settings.Uses(19464) { return }
+func (settings *Boot) Uses(port int) bool {
+	if len(settings.PortRange) == 2 && port >= settings.PortRange[0] && port <= settings.PortRange[1] {
+		return true
+	}
+	given := slices.Clone(settings.Seeds)
+	for _, address := range settings.Listen {
+		given = append(given, address)
+	}
+	for _, address := range given {
+		parsed, err := netip.ParseAddrPort(string(address))
+		if err == nil && int(parsed.Port()) == port {
+			return true
+		}
+	}
+	return false
+}
+
 // SeedAddresses are the inner addresses of the controllers that the boot file
 // names.
 //
--- a/control/daemon/figures.go
+++ b/control/daemon/figures.go
@@ -22,6 +22,10 @@
 	if where.Port == 0 {
 		return
 	}
+	if daemon.Scope.Boot.Uses(where.Port) {
+		daemon.Scope.Log.Error().Str("part", "metrics").Int("port", where.Port).Msg("the port is one that the settings give away: figures are not served")
+		return
+	}
 	address := ids.Address(net.JoinHostPort(daemon.Scope.Boot.IP, strconv.Itoa(where.Port)))
 	daemon.Part("metrics", func(inner scope.Scope) error {
 		return daemon.ServeHTTP(inner, address, metrics.Handler(where.Path))
