--- a/data/answer/planted_test.go
+++ b/data/answer/planted_test.go
@@ -1,8 +1,11 @@
 package answer
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"onyxwell/base/clock"
@@ -24,6 +27,11 @@
 	stamped := func(attempt string, seal string) *http.Response {
 		return &http.Response{StatusCode: 200, Header: http.Header{forward.AttemptHeader: {attempt}, forward.SealHeader: {seal}}}
 	}
+	// A run that goes on, though it was asked for its beginning.
+	events := func(first int) *http.Response {
+		text := fmt.Sprintf("id: %d\ndata: x\n\n", first)
+		return &http.Response{StatusCode: 200, Body: io.NopCloser(strings.NewReader(text)), Request: &http.Request{Header: http.Header{}}}
+	}
 	cases := []struct {
 		name   invariant.Name
 		route  spec.Route
@@ -44,6 +52,8 @@
 		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("other", "s"), 0) }, 1},
 		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("a", ""), 0) }, 1},
 		{invariant.AnswerSeal, spec.Route{}, nil, func(visit *visit) { visit.begin(stamped("a", "s"), 0) }, 0},
+		{invariant.EventOrder, spec.Route{}, nil, func(visit *visit) { goOn(visit, events(9)) }, 1},
+		{invariant.EventOrder, spec.Route{}, nil, func(visit *visit) { goOn(visit, events(6)) }, 0},
 	}
 	for _, example := range cases {
 		monitor := &invariant.Monitor{Tolerant: true}
@@ -58,3 +68,9 @@
 		}
 	}
 }
+
+// goOn has a visit that has passed on event 5 pass on an answer's events.
+func goOn(visit *visit, response *http.Response) {
+	visit.begun, visit.known, visit.last = true, true, 5
+	visit.passEvents(response)
+}
