--- a/soak/examine.go
+++ b/soak/examine.go
@@ -214,7 +214,8 @@
 	report.Acknowledged, report.Refused, report.Open, report.Longest = e.ledger.counts()
 	report.Reads = len(e.ledger.reads)
 	for _, machine := range e.machines {
-		report.Starts += machine.starts
+		starts, _ := machine.told()
+		report.Starts += starts
 	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
--- a/soak/figures.go
+++ b/soak/figures.go
@@ -34,9 +34,10 @@
 
 func (e *estate) examineMemory(report *Report) {
 	for _, machine := range e.machines {
-		report.PeakMB = max(report.PeakMB, machine.peakMB)
-		if machine.peakMB > memoryMB {
-			e.find("MEMORY", "%s had %.0f MB of %d", machine.Name(), machine.peakMB, memoryMB)
+		_, peakMB := machine.told()
+		report.PeakMB = max(report.PeakMB, peakMB)
+		if peakMB > memoryMB {
+			e.find("MEMORY", "%s had %.0f MB of %d", machine.Name(), peakMB, memoryMB)
 		}
 	}
 }
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -113,7 +113,8 @@
 		if !inner.Wait(down) {
 			return
 		}
-		err := m.settle(false, m.starts)
+		starts, _ := m.told()
+		err := m.settle(false, starts)
 		if err == nil {
 			err = m.start()
 		}
@@ -170,6 +171,13 @@
 	_ = json.NewEncoder(m.process.Input()).Encode(order)
 }
 
+// told gives how often the daemon was started and the most memory that it had.
+func (m *machine) told() (starts int, peakMB float64) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.starts, m.peakMB
+}
+
 // measure notes how much memory the daemon has.
 func (m *machine) measure() {
 	usage, err := m.running().Usage()
