--- a/base/program/watch_test.go
+++ b/base/program/watch_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"onyxwell/base/boot"
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 )
@@ -31,97 +32,80 @@
 rate_per_s = 42.0
 `
 
-// TestHangupRereads sends this process a SIGHUP at once after Hangups: it lives,
-// and the changed file is there though no time passes.
-func TestHangupRereads(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "boot.toml")
-	write := func(name string) {
-		if err := os.WriteFile(path, fmt.Appendf(nil, bootText, name), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	write("one")
-	hangups := Hangups()
-	file, settings, err := Open(path)
-	if err != nil {
+// settingsAt is a settings file of a test.
+type settingsAt string
+
+func (path settingsAt) write(t *testing.T, name string) {
+	t.Helper()
+	if err := os.WriteFile(string(path), fmt.Appendf(nil, bootText, name), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
-	defer end()
-	reread := file.Watch(top, hangups)
-	for _, name := range []string{"the second", "the third one"} {
-		write(name)
-		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
-		if fresh := <-reread; fresh.NodeName != name {
-			t.Fatalf("%q was read, not %q", fresh.NodeName, name)
-		}
-	}
 }
 
-// TestChangeDuringTheFirstReadIsSeen has the settings file change after it was
-// read and before anybody watches it.
-func TestChangeDuringTheFirstReadIsSeen(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "boot.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, bootText, "one"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+// read reads the file for the first time; what it gives begins to watch it, on a
+// clock that stands still.
+func (path settingsAt) read(t *testing.T) (watch func() <-chan *boot.Boot) {
+	t.Helper()
 	hangups := Hangups()
-	file, settings, err := Open(path)
+	file, settings, err := Open(string(path))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(path, fmt.Appendf(nil, bootText, "the second"), 0o600); err != nil {
-		t.Fatal(err)
-	}
 	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
-	defer end()
-	reread := file.Watch(top, hangups)
+	t.Cleanup(end)
+	return func() <-chan *boot.Boot { return file.Watch(top, hangups) }
+}
+
+// hangUp sends this process a SIGHUP and wants the settings of that name.
+func hangUp(t *testing.T, reread <-chan *boot.Boot, name string) {
+	t.Helper()
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
 	select {
 	case fresh := <-reread:
-		if fresh.NodeName != "the second" {
-			t.Errorf("%q was read", fresh.NodeName)
+		if fresh.NodeName != name {
+			t.Fatalf("%q was read, not %q", fresh.NodeName, name)
 		}
 	case <-time.After(5 * time.Second):
-		t.Error("the change is never seen")
+		t.Fatalf("%q is never seen", name)
 	}
 }
 
+// TestHangupRereads sends this process a SIGHUP at once after Hangups: it lives,
+// and the changed file is there though no time passes.
+func TestHangupRereads(t *testing.T) {
+	path := settingsAt(filepath.Join(t.TempDir(), "boot.toml"))
+	path.write(t, "one")
+	reread := path.read(t)()
+	for _, name := range []string{"the second", "the third one"} {
+		path.write(t, name)
+		hangUp(t, reread, name)
+	}
+}
+
+// TestChangeDuringTheFirstReadIsSeen has the settings file change after it was
+// read and before anybody watches it.
+func TestChangeDuringTheFirstReadIsSeen(t *testing.T) {
+	path := settingsAt(filepath.Join(t.TempDir(), "boot.toml"))
+	path.write(t, "one")
+	watch := path.read(t)
+	path.write(t, "the second")
+	hangUp(t, watch(), "the second")
+}
+
 // TestHangupRereadsWhateverTheStampSays has the file change without its size and
 // time showing it.
 func TestHangupRereadsWhateverTheStampSays(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "boot.toml")
+	path := settingsAt(filepath.Join(t.TempDir(), "boot.toml"))
 	write := func(name string) {
-		if err := os.WriteFile(path, fmt.Appendf(nil, bootText, name), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.Chtimes(path, time.Time{}, time.Unix(1_000_000, 0)); err != nil {
+		path.write(t, name)
+		if err := os.Chtimes(string(path), time.Time{}, time.Unix(1_000_000, 0)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	write("one")
-	hangups := Hangups()
-	file, settings, err := Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	top, end := scope.New(scope.Options{Clock: clock.NewFake(), Boot: settings}).WithEnd()
-	defer end()
-	reread := file.Watch(top, hangups)
+	reread := path.read(t)()
 	write("two")
-	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case fresh := <-reread:
-		if fresh.NodeName != "two" {
-			t.Errorf("%q was read", fresh.NodeName)
-		}
-	case <-time.After(5 * time.Second):
-		t.Error("the change is never seen")
-	}
+	hangUp(t, reread, "two")
 }
