--- a/soak/options.go
+++ b/soak/options.go
@@ -18,7 +18,7 @@
 // Options are one run.
 type Options struct {
 	Seed uint64
-	// Length is the time in which troubles begin; Calm comes before the judgement.
+	// Length is the time in which troubles begin.
 	Length clock.Span
 	// Overlap is how many troubles begin close to each other, Every the time
 	// between such moments.
--- a/soak/troubles.go
+++ b/soak/troubles.go
@@ -146,6 +146,7 @@
 	return e.bearsLoss(inner) && e.wiped.CompareAndSwap(last, int64(now))
 }
 
+// wipeOne takes the disk of a controller, where one may be lost now.
 func wipeOne(e *estate, inner scope.Scope, drawn *rand.Rand) {
 	machine := one(drawn, e.role(controller.Role))
 	if !e.mayWipe(inner) {
