Package census is discovery: the field's term for finding runners

Change: the package and its import path; functions of the router and the emulator that carried the word; errors of the package are err. Names of news items, the duty's key in the register and the log's part names stay. No behaviour changes.

--- a/base/call/ask.go
+++ b/base/call/ask.go
@@ -60,7 +60,7 @@
 //
 // Example:
 //
-//	page, err := call.Ask[census.Page](short, client, platform, census.PageQuestion{Zone: zone})
+//	page, err := call.Ask[discovery.Page](short, client, platform, discovery.PageQuestion{Zone: zone})
 func Ask[Told any, Pointer interface {
 	*Told
 	Hearing
--- a/cmd/fleet-controller/main.go
+++ b/cmd/fleet-controller/main.go
@@ -1,5 +1,5 @@
 // Fleet-controller keeps the control state of onyxwell: specs, evacuations,
-// the census of runners and the plan, on the machines with a disk.
+// the discovery of runners and the plan, on the machines with a disk.
 package main
 
 import (
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -10,12 +10,12 @@
 	"onyxwell/base/boot"
 	"onyxwell/base/call"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
 	"onyxwell/control/cohort"
 	"onyxwell/control/contact"
 	"onyxwell/control/daemon"
 	"onyxwell/control/desk"
 	"onyxwell/control/directory"
+	"onyxwell/control/discovery"
 	"onyxwell/control/journal"
 	"onyxwell/control/lease"
 	"onyxwell/control/operator"
@@ -146,7 +146,7 @@
 	})
 	common.Part("sweep", func(inner scope.Scope) error { made.front.Run(inner, pace.Sweep); return nil })
 	made.duty("census", func(holder *lease.Holder) func(inner scope.Scope) {
-		taker := &census.Taker{
+		taker := &discovery.Taker{
 			Client: made.platformClient(), News: common.News, Held: holder.Held,
 			Every: pace.Census, Beat: 2 * pace.Census,
 		}
--- a/control/controller/plan.go
+++ b/control/controller/plan.go
@@ -3,7 +3,7 @@
 import (
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/control/lease"
 	"onyxwell/control/scaler"
 )
@@ -22,7 +22,7 @@
 	return func(holder *lease.Holder) func(scope.Scope) {
 		made.scaler = scaler.New(scaler.Options{
 			Address: made.common.Address, News: made.common.News, Held: holder.Held, Now: top.Now,
-			Runners: func() []scaler.Listed { return made.runners(top) }, Serial: census.SerialOf,
+			Runners: func() []scaler.Listed { return made.runners(top) }, Serial: discovery.SerialOf,
 			Window: metricWindow, Step: metricStep, Pace: planPace, Grouping: top.Boot.Grouping,
 		})
 		made.scaler.Serve(made.common.Calls)
@@ -31,7 +31,7 @@
 	}
 }
 
-// runners reads the newest census.
+// runners reads the newest list.
 func (made *Controller) runners(top scope.Scope) []scaler.Listed {
 	var listed []scaler.Listed
 	for _, runner := range made.list().Runners {
--- a/control/controller/room.go
+++ b/control/controller/room.go
@@ -5,8 +5,8 @@
 
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
 	"onyxwell/control/courier"
+	"onyxwell/control/discovery"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/lease"
 	"onyxwell/control/room"
@@ -33,7 +33,7 @@
 		if now, held := holder.Held(inner.Now()); err != nil || !held || now != epoch {
 			continue
 		}
-		made.common.News.Put(spread.Item{Key: room.Key, Serial: census.SerialOf(epoch, counter), Body: body})
+		made.common.News.Put(spread.Item{Key: room.Key, Serial: discovery.SerialOf(epoch, counter), Body: body})
 		inner.Log.Info().Str("part", "room").RawJSON("report", body).Msg("estimated")
 	}
 }
@@ -64,7 +64,7 @@
 }
 
 // standings are asked in this order; the first that holds is the runner's.
-func standingOf(runner census.Runner, emptied bool, resting bool) string {
+func standingOf(runner discovery.Runner, emptied bool, resting bool) string {
 	standings := []struct {
 		holds bool
 		name  string
@@ -77,9 +77,9 @@
 	return room.Ready
 }
 
-func (made *Controller) list() census.List {
-	item, _ := made.common.News.Get(census.Key)
-	list, _ := courier.Unpack[census.List](item.Body)
+func (made *Controller) list() discovery.List {
+	item, _ := made.common.News.Get(discovery.Key)
+	list, _ := courier.Unpack[discovery.List](item.Body)
 	return list
 }
 
--- a/control/census/census.go
+++ b/control/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package census asks the platform which runners there are and makes news of
+// Package discovery asks the platform which runners there are and makes news of
 // the answer.
-package census
+package discovery
 
 import (
 	"encoding/json"
@@ -45,10 +45,10 @@
 type PageAsk struct{ Token string }
 
 // Outgoing makes the call.
-func (asked PageAsk) Outgoing() call.Outgoing {
+func (ask PageAsk) Outgoing() call.Outgoing {
 	path := "/servers"
-	if asked.Token != "" {
-		path += "?page_token=" + url.QueryEscape(asked.Token)
+	if ask.Token != "" {
+		path += "?page_token=" + url.QueryEscape(ask.Token)
 	}
 	return call.Outgoing{Method: http.MethodGet, Path: path}
 }
@@ -86,13 +86,13 @@
 //
 // Example:
 //
-//	list, fault := census.Fetch(short, client, platform)
+//	list, err := discovery.Fetch(short, client, platform)
 func Fetch(inner scope.Scope, client *http.Client, platform ids.Address) (List, error) {
 	list, token := List{}, ""
 	for range pageLimit {
-		page, fault := call.Ask[Page](inner, client, platform, PageAsk{Token: token})
-		if fault != nil {
-			return List{}, fault
+		page, err := call.Ask[Page](inner, client, platform, PageAsk{Token: token})
+		if err != nil {
+			return List{}, err
 		}
 		for _, read := range page.Servers {
 			list.Runners = append(list.Runners, Runner{
@@ -146,7 +146,7 @@
 	epoch int64
 }
 
-// Run takes the census until the scope ends.
+// Run reads the list until the scope ends.
 //
 // Example:
 //
@@ -169,9 +169,9 @@
 	}
 	short, release := inner.WithLimit(2 * taker.Every)
 	defer release()
-	list, fault := Fetch(short, taker.Client, inner.Boot.Platform.Address)
-	if fault != nil {
-		inner.Log.Warn().Str("part", "census").Err(fault).Msg("the platform did not answer")
+	list, err := Fetch(short, taker.Client, inner.Boot.Platform.Address)
+	if err != nil {
+		inner.Log.Warn().Str("part", "census").Err(err).Msg("the platform did not answer")
 		return
 	}
 	now := inner.Now()
@@ -195,8 +195,8 @@
 }
 
 func (taker *Taker) tell(key string, serial ids.Serial, message any) {
-	body, fault := packers[key](message)
-	if fault == nil {
+	body, err := packers[key](message)
+	if err == nil {
 		taker.News.Put(spread.Item{Key: key, Serial: serial, Body: body})
 	}
 }
@@ -210,5 +210,5 @@
 //
 // Example:
 //
-//	serial := census.SerialOf(epoch, counter)
+//	serial := discovery.SerialOf(epoch, counter)
 func SerialOf(epoch int64, counter int64) ids.Serial { return ids.Serial(epoch<<32 | counter) }
--- a/control/census/census_test.go
+++ b/control/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package census
+package discovery
 
 import (
 	"fmt"
@@ -56,9 +56,9 @@
 	taker, _, top, _ := newTaker(t)
 	taker.Take(top)
 	item, found := taker.News.Get(Key)
-	list, fault := courier.Unpack[List](item.Body)
-	if !found || fault != nil || len(list.Runners) != 2 || list.Runners[1].ID != "i-2" || list.Runners[1].Draining || list.Runners[0].Capacity != 8 {
-		t.Fatalf("%+v %v", list, fault)
+	list, err := courier.Unpack[List](item.Body)
+	if !found || err != nil || len(list.Runners) != 2 || list.Runners[1].ID != "i-2" || list.Runners[1].Draining || list.Runners[0].Capacity != 8 {
+		t.Fatalf("%+v %v", list, err)
 	}
 }
 
@@ -156,8 +156,8 @@
 	platform.condition = "draining"
 	frozen.Take(top)
 	item, _ := taker.News.Get(Key)
-	list, fault := courier.Unpack[List](item.Body)
-	if fault != nil || item.Serial>>32 != 3 || list.Runners[0].Draining {
-		t.Fatalf("a frozen holder's list of epoch %d stands: %+v %v", item.Serial>>32, list, fault)
+	list, err := courier.Unpack[List](item.Body)
+	if err != nil || item.Serial>>32 != 3 || list.Runners[0].Draining {
+		t.Fatalf("a frozen holder's list of epoch %d stands: %+v %v", item.Serial>>32, list, err)
 	}
 }
--- a/control/scaler/scaler.go
+++ b/control/scaler/scaler.go
@@ -32,7 +32,7 @@
 	// Now gives the present, for a look at the duty right before a plan is told;
 	// by default the instant of the step stands for it.
 	Now func() clock.Instant
-	// Runners gives the runners of the newest census.
+	// Runners gives the runners of the newest list.
 	Runners func() []Listed
 	// Serial joins an epoch and a count.
 	Serial func(epoch int64, counter int64) ids.Serial
--- a/data/admit/admit_test.go
+++ b/data/admit/admit_test.go
@@ -6,7 +6,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
 	"onyxwell/data/metrics"
@@ -16,7 +16,7 @@
 func some(weights ...float64) []candidate {
 	var found []candidate
 	for index, weight := range weights {
-		runner := &snapshot.Runner{Runner: census.Runner{ID: ids.RunnerID(fmt.Sprint("i", index))}, Region: "north"}
+		runner := &snapshot.Runner{Runner: discovery.Runner{ID: ids.RunnerID(fmt.Sprint("i", index))}, Region: "north"}
 		found = append(found, candidate{runner: runner, weight: weight})
 	}
 	return found
--- a/data/answer/bench_test.go
+++ b/data/answer/bench_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"onyxwell/base/ids"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/data/script"
 )
 
@@ -68,7 +68,7 @@
 // parallel visitors, whose processor time counts with the router's.
 func bench(b *testing.B, visitor func(house *house, each *testing.PB) error) {
 	house := newHouse(b, 10, script.Start(b, script.Hangup()))
-	house.listed[0] = census.Runner{ID: "i-1", Service: "desk", Address: quick(b), Zone: "n", Capacity: 1000}
+	house.listed[0] = discovery.Runner{ID: "i-1", Service: "desk", Address: quick(b), Zone: "n", Capacity: 1000}
 	house.list()
 	before := processor()
 	b.ReportAllocs()
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -13,8 +13,8 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
 	"onyxwell/control/courier"
+	"onyxwell/control/discovery"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/spread"
 	"onyxwell/data/admit"
@@ -44,7 +44,7 @@
 	board  *metrics.Board
 	front  *Front
 	server *httptest.Server
-	listed []census.Runner
+	listed []discovery.Runner
 	serial ids.Serial
 }
 
@@ -81,7 +81,7 @@
 	made.spec(1, document)
 	for index, runner := range runners {
 		zone := ids.Zone("n")
-		made.listed = append(made.listed, census.Runner{
+		made.listed = append(made.listed, discovery.Runner{
 			ID: ids.RunnerID(fmt.Sprintf("i-%d", index+1)), Service: "desk", Address: runner.Address, Zone: zone, Capacity: 4,
 		})
 	}
@@ -95,11 +95,11 @@
 
 func (house *house) list() {
 	house.serial++
-	body, err := courier.Pack(census.List{Runners: house.listed})
+	body, err := courier.Pack(discovery.List{Runners: house.listed})
 	if err != nil {
 		house.t.Fatal(err)
 	}
-	house.news.Put(spread.Item{Key: census.Key, Serial: house.serial, Body: body})
+	house.news.Put(spread.Item{Key: discovery.Key, Serial: house.serial, Body: body})
 }
 
 func (house *house) empty(zone ids.Zone, serial ids.Serial, empty bool) {
--- a/data/answer/planted_test.go
+++ b/data/answer/planted_test.go
@@ -13,7 +13,7 @@
 	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/control/spec"
 	"onyxwell/data/forward"
 	"onyxwell/data/snapshot"
@@ -22,7 +22,7 @@
 // TestInvariantsCountPlantedViolations has a visit do what the decision keeps it
 // from, and wants each counted.
 func TestInvariantsCountPlantedViolations(t *testing.T) {
-	runner := &snapshot.Runner{Runner: census.Runner{ID: "i"}, Region: "north"}
+	runner := &snapshot.Runner{Runner: discovery.Runner{ID: "i"}, Region: "north"}
 	ran := []sending{{runner: "i", fate: forward.Doubtful}}
 	stamped := func(attempt string, seal string) *http.Response {
 		return &http.Response{StatusCode: 200, Header: http.Header{forward.AttemptHeader: {attempt}, forward.SealHeader: {seal}}}
--- a/data/router/doubt_test.go
+++ b/data/router/doubt_test.go
@@ -10,10 +10,10 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
 	"onyxwell/control/daemon"
+	"onyxwell/control/discovery"
 	"onyxwell/control/spread"
 	"onyxwell/data/metrics"
 	"onyxwell/data/snapshot"
@@ -23,23 +23,23 @@
 const document = `{"config_version":1,"routes":[{"name":"a","hostname":"h","path_prefix":"/","give_up_ms":100,"service":"s"}],
  "services":[{"name":"s","health_path":"/well"},{"name":"unused"}]}`
 
-func newRouter(t *testing.T, runners ...census.Runner) (*Router, *clock.Fake) {
+func newRouter(t *testing.T, runners ...discovery.Runner) (*Router, *clock.Fake) {
 	t.Helper()
 	machine := clock.NewFake()
 	r := &Router{board: metrics.NewBoard(), warmth: warmth.New(chance), pace: daemon.Pace{Connect: clock.Second}}
 	r.common = &daemon.Daemon{Table: cohort.NewTable(machine, cohort.Member{Address: "self", Role: Role, Region: "north"})}
 	r.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	r.frame.Absorb(spread.Item{Key: "spec", Serial: 1, Body: []byte(document)})
-	body, err := courier.Pack(census.List{Runners: runners})
+	body, err := courier.Pack(discovery.List{Runners: runners})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.frame.Absorb(spread.Item{Key: census.Key, Serial: 1, Body: body})
+	r.frame.Absorb(spread.Item{Key: discovery.Key, Serial: 1, Body: body})
 	return r, machine
 }
 
 func TestLostRegionIsDoubtedOnce(t *testing.T) {
-	r, machine := newRouter(t, census.Runner{ID: "near", Service: "s", Zone: "n"}, census.Runner{ID: "far", Service: "s", Zone: "s"})
+	r, machine := newRouter(t, discovery.Runner{ID: "near", Service: "s", Zone: "n"}, discovery.Runner{ID: "far", Service: "s", Zone: "s"})
 	members := []cohort.Member{{Address: "x", Region: "south", Incarnation: 1}, {Address: "y", Region: "south", Incarnation: 1}}
 	r.common.Table.Merge(members)
 	answered := r.doubtRegions(nil, machine.Now())
@@ -64,7 +64,7 @@
 }
 
 func TestReachIsOfEveryRoutedService(t *testing.T) {
-	r, machine := newRouter(t, census.Runner{ID: "one", Service: "s", Zone: "n"}, census.Runner{ID: "two", Service: "s", Zone: "s", Draining: true})
+	r, machine := newRouter(t, discovery.Runner{ID: "one", Service: "s", Zone: "n"}, discovery.Runner{ID: "two", Service: "s", Zone: "s", Draining: true})
 	if !r.reaches(machine.Now()) {
 		t.Fatal("a service without routes counts, or a ready runner does not")
 	}
@@ -105,7 +105,7 @@
 			writer.WriteHeader(example.status)
 		}))
 		address := ids.Address(strings.TrimPrefix(server.URL, "http://"))
-		r, machine := newRouter(t, census.Runner{ID: "i", Service: "s", Zone: "n", Address: address})
+		r, machine := newRouter(t, discovery.Runner{ID: "i", Service: "s", Zone: "n", Address: address})
 		r.warmth.List([]warmth.Entry{{ID: "i"}}, 0, machine.Now())
 		r.board.Doubt("i", machine.Now())
 		client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: clock.Second, Silence: clock.Second}, PerHost: 1})
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -153,7 +153,7 @@
 	})
 	common.Once("readindex", r.gate.Run)
 	common.Part("front", r.serveFront)
-	common.Part("census", r.lookAfterCensus)
+	common.Part("census", r.followList)
 	common.Part("report", r.report)
 	common.Part("doubts", r.doubts)
 }
--- a/data/router/tasks.go
+++ b/data/router/tasks.go
@@ -8,27 +8,27 @@
 	"onyxwell/base/call"
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 )
 
-// lookAfterCensus asks the platform where no census came for long: slowly, so
+// followList asks the platform where no list came for long: slowly, so
 // that all daemons together stay under the platform's rate.
-func (r *Router) lookAfterCensus(inner scope.Scope) error {
+func (r *Router) followList(inner scope.Scope) error {
 	client := r.client()
-	// The holder tells the census once a span; a third of the time for
+	// The holder tells the list once a span; a third of the time for
 	// draining without one is long.
 	patience := 3 * r.pace.Census
 	for pause := clock.Span(0); inner.Wait(pause); pause = r.pace.Census / 4 {
-		if r.censusFresh(inner, patience) {
+		if r.listFresh(inner, patience) {
 			continue
 		}
 		crowd := boot.Seconds(2 * float64(r.sharers()) / inner.Boot.Platform.RatePerS)
-		if !inner.Wait(rand.N(crowd)) || r.censusFresh(inner, patience) {
+		if !inner.Wait(rand.N(crowd)) || r.listFresh(inner, patience) {
 			continue
 		}
 		inner.Log.Info().Str("part", "census").Msg("no news of it: the platform is asked from here")
 		short, release := inner.WithLimit(r.pace.Census)
-		list, err := census.Fetch(short, client, inner.Boot.Platform.Address)
+		list, err := discovery.Fetch(short, client, inner.Boot.Platform.Address)
 		release()
 		if err == nil {
 			r.frame.Take(list)
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func (r *Router) censusFresh(inner scope.Scope, patience clock.Span) bool {
+func (r *Router) listFresh(inner scope.Scope, patience clock.Span) bool {
 	seen := r.frame.Now()
 	return seen.Runners != nil && inner.Now().Since(seen.Census) < patience
 }
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -1,5 +1,5 @@
 // Package snapshot holds what a router acts on: one immutable snapshot of spec,
-// census, evacuations and plan, swapped whole; the serial of each part only
+// runners, evacuations and plan, swapped whole; the serial of each part only
 // rises.
 package snapshot
 
@@ -11,8 +11,8 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
-	"onyxwell/control/census"
 	"onyxwell/control/courier"
+	"onyxwell/control/discovery"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/lengths"
 	"onyxwell/control/scaler"
@@ -22,7 +22,7 @@
 
 // Runner is a listed runner with the region that it stands in.
 type Runner struct {
-	census.Runner
+	discovery.Runner
 	Region ids.Region
 }
 
@@ -116,7 +116,7 @@
 // Example:
 //
 //	frame.Take(list)
-func (frame *Frame) Take(list census.List) {
+func (frame *Frame) Take(list discovery.List) {
 	frame.swap(func(next *Snapshot) bool {
 		frame.list(next, list)
 		next.Listed = 0
@@ -133,16 +133,16 @@
 		next.Spec = read
 		return true
 	},
-	census.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		list, err := courier.Unpack[census.List](item.Body)
+	discovery.Key: func(frame *Frame, next *Snapshot, item spread.Item) bool {
+		list, err := courier.Unpack[discovery.List](item.Body)
 		if err == nil {
 			frame.list(next, list)
 			next.Listed = item.Serial
 		}
 		return err == nil
 	},
-	census.BeatKey: func(frame *Frame, next *Snapshot, item spread.Item) bool {
-		beat, err := courier.Unpack[census.Beat](item.Body)
+	discovery.BeatKey: func(frame *Frame, next *Snapshot, item spread.Item) bool {
+		beat, err := courier.Unpack[discovery.Beat](item.Body)
 		if err != nil || next.Listed != beat.List {
 			return false
 		}
@@ -168,7 +168,7 @@
 	},
 }
 
-func (frame *Frame) list(next *Snapshot, list census.List) {
+func (frame *Frame) list(next *Snapshot, list discovery.List) {
 	next.Census = frame.options.Clock.Now()
 	next.Runners = map[ids.Service][]*Runner{}
 	for _, listed := range list.Runners {
--- a/data/snapshot/snapshot_test.go
+++ b/data/snapshot/snapshot_test.go
@@ -9,8 +9,8 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/fixed"
 	"onyxwell/base/ids"
-	"onyxwell/control/census"
 	"onyxwell/control/courier"
+	"onyxwell/control/discovery"
 	"onyxwell/control/evacuation"
 	"onyxwell/control/spread"
 )
@@ -65,7 +65,7 @@
 	if ready() {
 		t.Fatal("ready without a list of runners")
 	}
-	frame.Take(census.List{})
+	frame.Take(discovery.List{})
 	if !ready() {
 		t.Fatal("not ready with both")
 	}
@@ -74,19 +74,19 @@
 func TestBeatVouchesOnlyForItsOwnList(t *testing.T) {
 	machine := clock.NewFake()
 	frame := NewFrame(Options{Clock: machine})
-	list, _ := courier.Pack(census.List{Runners: []census.Runner{{ID: "i", Service: "s"}}})
-	frame.Absorb(spread.Item{Key: census.Key, Serial: 4, Body: list})
+	list, _ := courier.Pack(discovery.List{Runners: []discovery.Runner{{ID: "i", Service: "s"}}})
+	frame.Absorb(spread.Item{Key: discovery.Key, Serial: 4, Body: list})
 	begin := frame.Now().Census
 	machine.Move(clock.Second)
 	for serial, moved := range map[ids.Serial]bool{3: false, 5: false} {
-		beat, _ := courier.Pack(census.Beat{List: serial})
-		frame.Absorb(spread.Item{Key: census.BeatKey, Serial: 9, Body: beat})
+		beat, _ := courier.Pack(discovery.Beat{List: serial})
+		frame.Absorb(spread.Item{Key: discovery.BeatKey, Serial: 9, Body: beat})
 		if (frame.Now().Census != begin) != moved {
 			t.Fatalf("the beat of list %d counts for list 4", serial)
 		}
 	}
-	beat, _ := courier.Pack(census.Beat{List: 4})
-	frame.Absorb(spread.Item{Key: census.BeatKey, Serial: 10, Body: beat})
+	beat, _ := courier.Pack(discovery.Beat{List: 4})
+	frame.Absorb(spread.Item{Key: discovery.BeatKey, Serial: 10, Body: beat})
 	if frame.Now().Census == begin {
 		t.Fatal("the beat of the own list does not count")
 	}
--- a/emulator/experiment/experiment.go
+++ b/emulator/experiment/experiment.go
@@ -8,7 +8,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/emulator/client"
 	"onyxwell/emulator/oracle"
 	"onyxwell/emulator/runner"
@@ -28,7 +28,7 @@
 	stopped bool
 	// processes are the routers of their own that are not gone.
 	processes sync.WaitGroup
-	newest    census.List
+	newest    discovery.List
 	// restarted counts the routers that took another's place.
 	restarted atomic.Int64
 	// frozen counts freezes; none begins while all comes to rest.
@@ -62,7 +62,7 @@
 		made.stop(inner)
 		return nil, err
 	}
-	go made.census(inner, known)
+	go made.announce(inner, known)
 	begin := top.Now()
 	for made.report.Requests < options.Requests && top.Err() == nil && len(made.report.Verdicts) == 0 {
 		made.round(top, inner, min(options.Round, options.Requests-made.report.Requests))
--- a/emulator/experiment/lister.go
+++ b/emulator/experiment/lister.go
@@ -4,7 +4,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/emulator/runner"
 )
 
@@ -17,7 +17,7 @@
 }
 
 type lingering struct {
-	census.Runner
+	discovery.Runner
 	until clock.Instant
 }
 
@@ -29,8 +29,8 @@
 )
 
 // look gives the list and whether it changed since the last look.
-func (lister *lister) look(now clock.Instant) (census.List, bool) {
-	var list census.List
+func (lister *lister) look(now clock.Instant) (discovery.List, bool) {
+	var list discovery.List
 	changed := lister.lives == nil
 	for index, played := range lister.made.runners {
 		life := played.Life()
@@ -55,14 +55,14 @@
 	return list, changed
 }
 
-func listed(life runner.Life, played *runner.Runner) census.Runner {
-	return census.Runner{
+func listed(life runner.Life, played *runner.Runner) discovery.Runner {
+	return discovery.Runner{
 		ID: ids.RunnerID(life.ID), Service: ids.Service(life.Service), Address: ids.Address(played.Address()), Zone: "zone", Capacity: 64,
 	}
 }
 
-// census tells the routers of new lives, a little late.
-func (made *experiment) census(inner scope.Scope, known *lister) {
+// announce tells the routers of new lives, a little late.
+func (made *experiment) announce(inner scope.Scope, known *lister) {
 	for inner.Wait(lag) {
 		list, changed := known.look(inner.Now())
 		if !changed {
--- a/emulator/experiment/naive_test.go
+++ b/emulator/experiment/naive_test.go
@@ -13,7 +13,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/data/forward"
 )
 
@@ -27,7 +27,7 @@
 type naive struct {
 	errs errs
 	top  scope.Scope
-	list atomic.Pointer[census.List]
+	list atomic.Pointer[discovery.List]
 	turn atomic.Int64
 	lock sync.Mutex
 	kept map[string][]*keptConn
@@ -41,7 +41,7 @@
 func planted(errs errs) Build {
 	return func(top scope.Scope, _ []byte, _ Options) Router {
 		made := &naive{errs: errs, top: top, kept: map[string][]*keptConn{}}
-		return Router{Handler: made, List: func(list census.List) { made.list.Store(&list) }}
+		return Router{Handler: made, List: func(list discovery.List) { made.list.Store(&list) }}
 	}
 }
 
@@ -107,7 +107,7 @@
 
 // try sends a request to a runner; it tells whether it may have run there.
 func (naive *naive) try(request *http.Request, service string, body []byte, went map[string]bool) (*http.Response, []byte, bool) {
-	var open []census.Runner
+	var open []discovery.Runner
 	for _, runner := range naive.list.Load().Runners {
 		if string(runner.Service) == service {
 			open = append(open, runner)
--- a/emulator/experiment/process.go
+++ b/emulator/experiment/process.go
@@ -15,7 +15,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/program"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 )
 
 // order is the first line that a router of its own process reads; further lines
@@ -25,7 +25,7 @@
 	Boot     string
 	Document []byte
 	Forgive  clock.Span
-	List     census.List
+	List     discovery.List
 }
 
 // Serve is a router in a process of its own: it reads its orders from a pipe,
@@ -62,7 +62,7 @@
 	go func() {
 		defer orphan()
 		for {
-			var list census.List
+			var list discovery.List
 			if lines.Decode(&list) != nil {
 				return
 			}
@@ -94,7 +94,7 @@
 }
 
 // spawn starts a router as a process.
-func (made *experiment) spawn(address string, list census.List) (*door, error) {
+func (made *experiment) spawn(address string, list discovery.List) (*door, error) {
 	folder, err := os.MkdirTemp("", "onyxwell-experiment-")
 	if err != nil {
 		return nil, err
@@ -130,7 +130,7 @@
 		begun.kill()
 		return nil, fmt.Errorf("experiment: the router's process does not serve at %s", address)
 	}
-	router := Router{List: func(list census.List) { _ = begun.lines.Encode(list) }}
+	router := Router{List: func(list discovery.List) { _ = begun.lines.Encode(list) }}
 	return &door{address: line, router: router, process: begun, end: func() {}}, nil
 }
 
--- a/emulator/experiment/restart.go
+++ b/emulator/experiment/restart.go
@@ -7,7 +7,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 )
 
 // door is the address of a router and whoever serves there now.
@@ -21,7 +21,7 @@
 }
 
 // open has a new router serve at an address; an empty one draws a port.
-func (made *experiment) open(inner scope.Scope, address string, list census.List) (*door, error) {
+func (made *experiment) open(inner scope.Scope, address string, list discovery.List) (*door, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -63,7 +63,7 @@
 }
 
 // tell gives all routers a list.
-func (made *experiment) tell(list census.List) {
+func (made *experiment) tell(list discovery.List) {
 	made.doorLock.Lock()
 	defer made.doorLock.Unlock()
 	made.newest = list
--- a/emulator/experiment/router.go
+++ b/emulator/experiment/router.go
@@ -12,7 +12,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
+	"onyxwell/control/discovery"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
 	"onyxwell/data/admit"
@@ -28,7 +28,7 @@
 type Router struct {
 	Handler http.Handler
 	// List tells it which runners there are.
-	List func(list census.List)
+	List func(list discovery.List)
 	// Server serves the handler; nil has a plain one serve it. Door is what the
 	// listener goes through first; nil is nothing.
 	Server *http.Server
@@ -62,7 +62,7 @@
 	board  *metrics.Board
 	warmth *warmth.Warmth
 	lock   sync.Mutex
-	runner []census.Runner
+	runner []discovery.Runner
 }
 
 // routerSilence bounds what a router waits for connections and sent bytes.
@@ -106,7 +106,7 @@
 	}
 }
 
-func (made *real) list(list census.List) {
+func (made *real) list(list discovery.List) {
 	made.lock.Lock()
 	made.runner = list.Runners
 	made.lock.Unlock()
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -85,7 +85,7 @@
 //
 // Example:
 //
-//	list := census.List{Runners: []census.Runner{{Address: ids.Address(played.Address())}}}
+//	list := discovery.List{Runners: []discovery.Runner{{Address: ids.Address(played.Address())}}}
 func (runner *Runner) Address() string { return runner.listener.Addr().String() }
 
 // Life tells who has the address now.
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -10,10 +10,10 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
-	"onyxwell/control/census"
 	"onyxwell/control/cohort"
 	"onyxwell/control/courier"
 	"onyxwell/control/daemon"
+	"onyxwell/control/discovery"
 	"onyxwell/control/scaler"
 	"onyxwell/control/spec"
 	"onyxwell/control/spread"
@@ -25,7 +25,7 @@
 	common *daemon.Daemon
 	lock   sync.Mutex
 	seen   map[ids.Serial]time.Time
-	listed []census.Runner
+	listed []discovery.Runner
 }
 
 // hollows are all hollow daemons of a run, in this process.
@@ -69,8 +69,8 @@
 				hollow.lock.Unlock()
 			}
 		},
-		census.Key: func(item spread.Item) {
-			if list, err := courier.Unpack[census.List](item.Body); err == nil {
+		discovery.Key: func(item spread.Item) {
+			if list, err := courier.Unpack[discovery.List](item.Body); err == nil {
 				hollow.lock.Lock()
 				hollow.listed = list.Runners
 				hollow.lock.Unlock()
