A zone that does not answer is left alone as a whole

Change: a zone's first relay tells its zone which zones' backbones answer no more, as soon as the mates of the first suspect, probed at once, are silent too. Routers use the runners of a lost zone only where there are no others, and test one of each service: once one answers, the zone is used again, cold if that one is.

--- a/control/cohort/circle.go
+++ b/control/cohort/circle.go
@@ -50,12 +50,12 @@
 	return target, true
 }
 
-// hurry puts those of a suspected member's zone at the head of the turn: a zone
-// that is lost is found out as a whole.
-func (prober *Prober) hurry(suspected Member) {
+// hurry puts those of a suspected member's zone at the head of the turn, and gives
+// them: a zone that is lost is found out as a whole.
+func (prober *Prober) hurry(suspected Member) []Member {
 	of := prober.circleOf(suspected)
 	if of == nearCircle {
-		return
+		return nil
 	}
 	var mates []Member
 	for _, member := range prober.others(of, suspected.Address) {
@@ -68,6 +68,7 @@
 	if prober.turns != nil {
 		prober.turns[of] = append(mates, slices.DeleteFunc(prober.turns[of], func(member Member) bool { return member.Zone == suspected.Zone })...)
 	}
+	return mates
 }
 
 // others are those of a circle whom this daemon probes. Only the backbone
--- a/control/cohort/probe.go
+++ b/control/cohort/probe.go
@@ -100,7 +100,9 @@
 		return
 	}
 	prober.Table.Judge(target.Address, Suspect)
-	prober.hurry(target)
+	for _, mate := range prober.hurry(target) {
+		prober.spawn(func() { prober.Probe(inner, mate) })
+	}
 }
 
 // Take handles a datagram that arrived; one that can't be read is counted and
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -184,10 +184,11 @@
 	BackbonePrefix = "view/"
 	ZonePrefix     = "rest/"
 	LocalPrefix    = "local/"
+	LostPrefix     = "lost/"
 )
 
 // zonePrefixes begin the keys of items that only the daemons of one zone hold.
-var zonePrefixes = []string{ZonePrefix, LocalPrefix}
+var zonePrefixes = []string{ZonePrefix, LocalPrefix, LostPrefix}
 
 // concerns tells whether a daemon should hold an item of that key.
 func concerns(key string, who cohort.Member) bool {
--- a/control/spread/push.go
+++ b/control/spread/push.go
@@ -142,6 +142,7 @@
 	{BackbonePrefix, func(_ *Spreader, duty Duty) Duty { duty.Backbone = true; return duty }},
 	{ZonePrefix, ownZoneOnly},
 	{LocalPrefix, ownZoneOnly},
+	{LostPrefix, ownZoneOnly},
 	{"", func(_ *Spreader, duty Duty) Duty { return duty }},
 }
 
--- /dev/null
+++ b/control/zoneview/lost.go
@@ -0,0 +1,57 @@
+package zoneview
+
+import (
+	"slices"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/cohort"
+	"onyxwell/control/courier"
+	"onyxwell/control/spread"
+)
+
+// Lost is the news of one zone on others: those whose backbone answered before and
+// does not now. Their runners are gone too, most likely; routers of the zone need
+// not find that out one request at a time.
+type Lost struct{ Zones []ids.Zone }
+
+// LostKey is the news key of what a zone's daemons are told of lost zones.
+//
+// Example:
+//
+//	item, found := news.Get(zoneview.LostKey(zone))
+func LostKey(zone ids.Zone) string { return spread.LostPrefix + string(zone) }
+
+// ReadLost reads the body of the news item.
+//
+// Example:
+//
+//	lost, err := zoneview.ReadLost(item.Body)
+func ReadLost(body []byte) (Lost, error) { return courier.Unpack[Lost](body) }
+
+// lost gives the zones of whose backbone nobody answers, though somebody did in
+// this daemon's life. A zone whose daemons all left in order is not lost.
+func (watcher *Watcher) lost() Lost {
+	alive, silent := map[ids.Zone]bool{}, map[ids.Zone]bool{}
+	for _, member := range watcher.Table.Members() {
+		if !member.Backbone() {
+			continue
+		}
+		alive[member.Zone] = alive[member.Zone] || member.State == cohort.Alive
+		silent[member.Zone] = silent[member.Zone] || member.State == cohort.Suspect || member.State == cohort.Removed
+	}
+	watcher.lock.Lock()
+	defer watcher.lock.Unlock()
+	if watcher.answered == nil {
+		watcher.answered = map[ids.Zone]bool{}
+	}
+	var found Lost
+	for zone := range watcher.Zones {
+		if alive[zone] {
+			watcher.answered[zone] = true
+		} else if silent[zone] && watcher.answered[zone] && zone != watcher.Table.Self().Zone {
+			found.Zones = append(found.Zones, zone)
+		}
+	}
+	slices.Sort(found.Zones)
+	return found
+}
--- a/control/zoneview/zoneview.go
+++ b/control/zoneview/zoneview.go
@@ -38,10 +38,12 @@
 	// Role is that of the daemons which carry requests.
 	Role string
 
-	lock    sync.Mutex
-	sizes   map[ids.Zone]int64
-	routers atomic.Int64
-	inZone  atomic.Int64
+	lock  sync.Mutex
+	sizes map[ids.Zone]int64
+	// answered are the zones of whose backbone somebody answered in this life.
+	answered map[ids.Zone]bool
+	routers  atomic.Int64
+	inZone   atomic.Int64
 }
 
 // Look makes news of the own zone where it changed, if this daemon is the first
@@ -53,6 +55,7 @@
 func (watcher *Watcher) Look() {
 	watcher.Table.Forget()
 	watcher.count()
+	lost := watcher.lost()
 	self := watcher.Table.Self()
 	first := watcher.Table.Relays(self.Zone, 1)
 	if !self.Relay || len(first) == 0 || first[0].Address != self.Address {
@@ -68,6 +71,9 @@
 		}
 	}
 	publish(watcher, FrontsPrefix, fronts)
+	if _, told := watcher.News.Get(LostKey(self.Zone)); told || len(lost.Zones) > 0 {
+		publish(watcher, spread.LostPrefix, lost)
+	}
 	publish(watcher, SizePrefix, cohort.Size{Zone: self.Zone, Routers: watcher.size()})
 }
 
--- a/control/zoneview/zoneview_test.go
+++ b/control/zoneview/zoneview_test.go
@@ -127,3 +127,45 @@
 		t.Fatalf("%+v long after the others are gone", size)
 	}
 }
+
+// TestLostZonesAreToldByTheFirstRelay has a zone's backbone fall silent: it is lost
+// once nobody of it answers, though somebody did, and no more once one does again.
+func TestLostZonesAreToldByTheFirstRelay(t *testing.T) {
+	machine := clock.NewFake()
+	watcher := watcherOf(machine, "a:1", "east")
+	backbone := func(address ids.Address, incarnation int64) cohort.Member {
+		return cohort.Member{Address: address, Zone: "west", Region: "r2", Role: "router", Relay: true, Incarnation: incarnation}
+	}
+	gone := backbone("z:1", 1)
+	gone.Zone, gone.State = "south", cohort.Removed
+	watcher.Table.Merge([]cohort.Member{backbone("x:1", 1), backbone("y:1", 1), gone})
+	machine.Move(clock.Second)
+	watcher.Table.Elect(2, 0)
+	told := func() []ids.Zone {
+		watcher.Look()
+		item, found := watcher.News.Get(LostKey("east"))
+		if !found {
+			return nil
+		}
+		lost, err := ReadLost(item.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return lost.Zones
+	}
+	if lost := told(); lost != nil {
+		t.Fatalf("%v: a zone that never answered is lost", lost)
+	}
+	watcher.Table.Judge("x:1", cohort.Suspect)
+	if lost := told(); lost != nil {
+		t.Fatalf("%v: lost though one answers", lost)
+	}
+	watcher.Table.Judge("y:1", cohort.Removed)
+	if lost := told(); !slices.Equal(lost, []ids.Zone{"west"}) {
+		t.Fatalf("%v", lost)
+	}
+	watcher.Table.Merge([]cohort.Member{backbone("y:1", 2)})
+	if lost := told(); len(lost) != 0 {
+		t.Fatalf("%v: lost though one answers again", lost)
+	}
+}
--- a/data/admit/choose.go
+++ b/data/admit/choose.go
@@ -79,7 +79,7 @@
 		slots := math.Max(1, float64(runner.Capacity))
 		told := ledger.Load.Running + ledger.Load.Waiting
 		able := candidate{runner: runner, weight: seen.Weight(runner), load: math.Max(told+ledger.Load.Sent, ledger.Running) / slots, group: seen.Planned[runner.ID].Group}
-		if seen.Rests(runner.ID, now) {
+		if seen.Rests(runner.ID, now) || gate.lost(runner.Zone) {
 			resting = append(resting, able)
 		} else {
 			found = append(found, able)
--- a/data/admit/gate.go
+++ b/data/admit/gate.go
@@ -30,6 +30,9 @@
 	Sharers func(zone ids.Zone) int
 	// Routers is how many routers there could be.
 	Routers func() int
+	// Lost tells whether a zone seems to be lost: its runners are used only where no
+	// others are. It may be left out.
+	Lost func(zone ids.Zone) bool
 	// Chance gives numbers from 0 to below 1; tests replace it.
 	Chance func() float64
 }
@@ -139,6 +142,10 @@
 	return key
 }
 
+func (gate *Gate) lost(zone ids.Zone) bool {
+	return gate.options.Lost != nil && gate.options.Lost(zone)
+}
+
 func (gate *Gate) bound(service *spec.Service, zone ids.Zone) warmth.Bound {
 	if service == nil {
 		return warmth.Bound{}
--- a/data/router/doubt.go
+++ b/data/router/doubt.go
@@ -49,10 +49,10 @@
 // the directory when this router reaches no runner for some route.
 func (r *Router) doubts(inner scope.Scope) error {
 	client := call.Client(call.Pooling{Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence}, Idle: r.pace.Connect, PerHost: 1})
-	unable, reached, answered := 0, false, map[ids.Region]bool{}
+	unable, reached := 0, false
 	for inner.Wait(r.pace.Connect / looksAtDoubt) {
 		now := inner.Now()
-		answered = r.doubtRegions(answered, now)
+		r.testLost(inner, client)
 		for _, id := range r.board.Due(now, r.pace.Connect/4) {
 			go r.test(inner, client, id)
 		}
@@ -68,24 +68,6 @@
 	return nil
 }
 
-// doubtRegions doubts all runners of a region as soon as no daemon there
-// answers any more: tests find out faster than visitors would. It gives the
-// regions that answer now.
-func (r *Router) doubtRegions(answered map[ids.Region]bool, now clock.Instant) map[ids.Region]bool {
-	answers := map[ids.Region]bool{}
-	for _, member := range r.common.Table.Members() {
-		answers[member.Region] = answers[member.Region] || member.State == cohort.Alive
-	}
-	for _, runners := range r.frame.Now().Runners {
-		for _, runner := range runners {
-			if answered[runner.Region] && !answers[runner.Region] {
-				r.board.Doubt(runner.ID, now)
-			}
-		}
-	}
-	return answers
-}
-
 func (r *Router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
 	seen := r.frame.Now()
 	runner := seen.Find(id)
@@ -133,7 +115,7 @@
 
 func (r *Router) reachesOne(seen *snapshot.Snapshot, service ids.Service, now clock.Instant) bool {
 	for _, runner := range seen.Runners[service] {
-		if seen.Open(runner) && !r.board.Look(runner.ID).Doubted && r.board.Silence(runner.ID, now) < r.pace.Connect {
+		if seen.Open(runner) && !r.lost.has(runner.Zone) && !r.board.Look(runner.ID).Doubted && r.board.Silence(runner.ID, now) < r.pace.Connect {
 			return true
 		}
 	}
--- a/data/router/serve.go
+++ b/data/router/serve.go
@@ -43,6 +43,7 @@
 	frame  *snapshot.Frame
 	board  *metrics.Board
 	warmth *warmth.Warmth
+	lost   lostZones
 	gate   *readindex.Gate
 	front  *answer.Front
 	lock   sync.Mutex
@@ -95,7 +96,7 @@
 	tries := budget.New(r.budget(top))
 	gate := admit.NewGate(admit.Options{
 		Scope: top, Frame: r.frame, Board: r.board, Budget: tries, Warmth: r.warmth,
-		Region: top.Boot.Region, Sharers: r.common.Zones.Sharers, Routers: r.sharers, Chance: chance,
+		Region: top.Boot.Region, Sharers: r.common.Zones.Sharers, Routers: r.sharers, Lost: r.lost.has, Chance: chance,
 	})
 	sender := forward.NewSender(forward.Options{
 		Clock: top.Clock, Dialing: call.Dialing{Limit: r.pace.Connect, Silence: r.pace.Silence},
--- a/data/snapshot/rests.go
+++ b/data/snapshot/rests.go
@@ -4,6 +4,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/eject"
+	"onyxwell/control/zoneview"
 )
 
 // absorbRests takes over who rests; the news comes to the own zone only.
@@ -20,6 +21,19 @@
 	return true
 }
 
+// absorbLost takes over which zones do not answer this router's.
+func absorbLost(next *Snapshot, body []byte) bool {
+	lost, err := zoneview.ReadLost(body)
+	if err != nil {
+		return false
+	}
+	next.Lost = map[ids.Zone]bool{}
+	for _, zone := range lost.Zones {
+		next.Lost[zone] = true
+	}
+	return true
+}
+
 // Rests tells whether a runner is to be left alone where others are there.
 //
 // Example:
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -40,6 +40,8 @@
 	types   map[runnerType]float64
 	// Resting are runners that failed the zone's requests, each until when.
 	Resting map[ids.RunnerID]clock.Instant
+	// Lost are the zones that do not answer this router's zone.
+	Lost map[ids.Zone]bool
 	// Lengths are how long answers take in this region.
 	Lengths *lengths.Table
 }
@@ -125,6 +127,10 @@
 		frame.swap(func(next *Snapshot) bool { return frame.absorbRests(next, item.Body) })
 		return
 	}
+	if strings.HasPrefix(item.Key, spread.LostPrefix) {
+		frame.swap(func(next *Snapshot) bool { return absorbLost(next, item.Body) })
+		return
+	}
 	if zone, found := evacuation.ZoneOf(item.Key); found {
 		frame.swap(func(next *Snapshot) bool { return frame.absorbZone(next, zone, item.Body) })
 	}
