--- a/control/zoneview/zoneview_test.go
+++ b/control/zoneview/zoneview_test.go
@@ -133,7 +133,7 @@
 func TestLostZonesAreToldByTheFirstRelay(t *testing.T) {
 	machine := clock.NewFake()
 	watcher := watcherOf(machine, "a:1", "east")
-	backbone := func(address ids.Address, incarnation int64) cohort.Member {
+	backbone := func(address ids.Address, incarnation ids.Incarnation) cohort.Member {
 		return cohort.Member{Address: address, Zone: "west", Region: "r2", Role: "router", Relay: true, Incarnation: incarnation}
 	}
 	gone := backbone("z:1", 1)
