Each failed request's line tells its reason, its attempt and all sendings

Cause: in three soaks 690 of 717 lines on failed requests named neither the reason (bad-request has six) nor the client's attempt, and clients that send nonsense used up the lines of a second, so that honest failures were suppressed; of several sendings each was a key of the same name.

--- a/data/admit/choose.go
+++ b/data/admit/choose.go
@@ -59,20 +59,33 @@
 	route := decision.asking.Route
 	share := gate.connections(service)
 	patience := max(route.Goal()/2, 50*clock.Millisecond)
+	decision.left = LeftOut{}
 	for _, runner := range seen.Runners[decision.service] {
-		if decision.tried[runner.ID] || !seen.Open(runner) || !route.AtHome(runner.Region) {
+		if decision.tried[runner.ID] {
+			decision.left.Tried++
+			continue
+		}
+		if !seen.Open(runner) {
+			decision.left.Closed++
+			continue
+		}
+		if !route.AtHome(runner.Region) {
+			decision.left.Away++
 			continue
 		}
 		ledger := gate.options.Board.Look(runner.ID)
 		if ledger.Doubted || gate.options.Board.Silence(runner.ID, now) > patience {
 			// Its test may be over in a moment.
+			decision.left.Silent++
 			soon = shortWait
 			continue
 		}
 		if ledger.Running >= share {
+			decision.left.Full++
 			continue
 		}
 		if !gate.options.Warmth.Open(runner.ID, gate.bound(service, runner.Zone), now) {
+			decision.left.Cold++
 			soon = shortWait
 			continue
 		}
--- a/data/admit/decision.go
+++ b/data/admit/decision.go
@@ -40,6 +40,7 @@
 	ran     bool
 	garbled bool
 	crowded bool
+	left    LeftOut
 }
 
 // Service is the service that the request goes to.
--- a/data/answer/carry.go
+++ b/data/answer/carry.go
@@ -22,8 +22,9 @@
 		inner.Wait(order.Span)
 		return false
 	},
-	admit.Answer: func(visit *visit, _ scope.Scope, _ *admit.Decision, order admit.Order) bool {
+	admit.Answer: func(visit *visit, _ scope.Scope, decision *admit.Decision, order admit.Order) bool {
 		visit.refuse(order.Kind, "")
+		visit.reason = "left out: " + decision.LeftOut().String()
 		return true
 	},
 }
--- a/data/answer/front.go
+++ b/data/answer/front.go
@@ -137,6 +137,8 @@
 	// sends are what was sent so far, outcome how the visit ended.
 	sends   []sending
 	outcome string
+	// reason is why it was refused, beyond the outcome.
+	reason string
 	// held is the request's body.
 	held *quota.Body
 	// status is that of the runner's answer that was passed on.
@@ -154,7 +156,7 @@
 	if kind.Answer().NotRun && visit.mayHaveRun() {
 		visit.front.options.Monitor.Violated(invariant.PromiseNotRun, "attempt %s is answered %s after %v", visit.sent.Attempt, kind, visit.sends)
 	}
-	visit.outcome = kind.String()
+	visit.outcome, visit.reason = kind.String(), detail
 	made := reply.Of(kind, detail)
 	if kind.Answer().Status == http.StatusServiceUnavailable && visit.route != nil {
 		made = made.After(max(comeBack(kind, visit.route.Goal()), 20*clock.Millisecond))
--- a/data/answer/harness_test.go
+++ b/data/answer/harness_test.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,6 +45,7 @@
 	board  *metrics.Board
 	front  *Front
 	server *httptest.Server
+	log    *bytes.Buffer
 	listed []discovery.Runner
 	serial ids.Serial
 }
@@ -57,8 +59,8 @@
 func newHouseOn(t testing.TB, settings *boot.Boot, extra float64, runners ...*script.Runner) *house {
 	t.Helper()
 	machine := clock.NewFake()
-	top := scope.New(scope.Options{Clock: machine, Boot: settings})
-	made := &house{t: t, clock: machine, board: metrics.NewBoard()}
+	made := &house{t: t, clock: machine, board: metrics.NewBoard(), log: &bytes.Buffer{}}
+	top := scope.New(scope.Options{Clock: machine, Boot: settings, Log: scope.Logger("warn", made.log)})
 	made.frame = snapshot.NewFrame(snapshot.Options{Clock: machine, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
 	made.news = spread.NewNews(made.frame.Absorb)
 	one := func() int { return 1 }
--- /dev/null
+++ b/data/answer/record_test.go
@@ -0,0 +1,52 @@
+package answer
+
+import (
+	"strings"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/data/script"
+)
+
+// TestFailedRequestTellsWhy has requests fail in different ways: each line names
+// the client's attempt, the reason, and every sending.
+func TestFailedRequestTellsWhy(t *testing.T) {
+	cases := []struct {
+		name, path string
+		heads      []string
+		want       []string
+	}{
+		{"two attempts in one", "/safe/x", []string{"Onyxwell-Attempt-Id", ""},
+			[]string{`"outcome":"bad-request"`, `"reason":"there must be one Onyxwell-Attempt-Id"`, `"attempt":""`}},
+		{"no runner left", "/safe/x", nil,
+			[]string{`"outcome":"runner-lost"`, `"attempt":"v1"`, `"reason":"left out: tried 1"`, `"sendings":["i-1 doubtful `}},
+		{"no home", "/home/x", nil,
+			[]string{`"outcome":"no-runner"`, `"reason":"left out: away 1"`}},
+	}
+	for _, example := range cases {
+		house := newHouse(t, 10, script.Start(t, script.Hangup()))
+		house.ask(example.path, "", example.heads...)
+		house.server.Close()
+		for _, want := range example.want {
+			if text := house.log.String(); !strings.Contains(text, want) {
+				t.Errorf("%s: %s is missing in %s", example.name, want, text)
+			}
+		}
+	}
+}
+
+func TestNoOutcomeHidesAnother(t *testing.T) {
+	kept, now := &lines{}, clock.Instant(clock.Second)
+	for range 40 {
+		kept.take("bad-request", now)
+	}
+	if told, _ := kept.take("runner-lost", now); !told {
+		t.Error("bad requests hide a lost runner")
+	}
+	if told, _ := kept.take("bad-request", now); told {
+		t.Error("lines of one outcome are not rationed")
+	}
+	if told, suppressed := kept.take("bad-request", now.Add(clock.Second)); !told || suppressed != 41-linesPerSecond {
+		t.Errorf("told %v, %d suppressed", told, suppressed)
+	}
+}
--- a/data/answer/trace.go
+++ b/data/answer/trace.go
@@ -1,8 +1,6 @@
 package answer
 
 import (
-	"sync"
-
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
@@ -81,69 +79,3 @@
 	visit.sends = append(visit.sends, sending{runner: runner.ID, fate: fate, cause: cause, spent: spent})
 	visit.front.options.Metrics.Send(fate.String(), cause)
 }
-
-// record counts how the visit ended, and tells of one that failed.
-func (visit *visit) record() {
-	options := visit.front.options
-	spent := options.Scope.Now().Since(visit.since)
-	outcome := visit.outcome
-	if outcome == "" {
-		outcome = outcomeCut
-		if visit.gone || visit.request.Context().Err() != nil {
-			outcome = outcomeLeft
-		}
-	}
-	route := ""
-	if visit.route != nil {
-		route = visit.route.Name
-	}
-	options.Metrics.Request(route, outcome, spent)
-	if ordinary[outcome] {
-		return
-	}
-	told, suppressed := visit.front.lines.take(options.Scope.Now())
-	if !told {
-		return
-	}
-	entry := options.Scope.Log.Warn().Str("part", "request").Str("outcome", outcome).Str("route", route).
-		Dur("spent", spent).Int("body_bytes", visit.asking.Bytes).Int64("running", visit.front.Running()).Int64("suppressed", suppressed)
-	if visit.sent != nil {
-		entry = entry.Str("attempt", visit.sent.Attempt)
-	}
-	if visit.seen != nil && visit.seen.Spec != nil {
-		entry = entry.Int64("version", int64(visit.seen.Spec.Serial))
-	}
-	for _, sent := range visit.sends {
-		entry = entry.Str("sent", string(sent.runner)+" "+sent.fate.String()+" "+sent.cause+" "+sent.spent.String())
-	}
-	entry.Msg("a request was not served")
-}
-
-// linesPerSecond bounds the log lines of requests that failed.
-const linesPerSecond = 5
-
-// lines counts the log lines of the present second.
-type lines struct {
-	lock       sync.Mutex
-	second     int64
-	count      int
-	suppressed int64
-}
-
-// take tells whether another line may be written now, and how many were not
-// since the last.
-func (lines *lines) take(now clock.Instant) (bool, int64) {
-	lines.lock.Lock()
-	defer lines.lock.Unlock()
-	if second := int64(now) / int64(clock.Second); second != lines.second {
-		lines.second, lines.count = second, 0
-	}
-	if lines.count >= linesPerSecond {
-		lines.suppressed++
-		return false, 0
-	}
-	lines.count++
-	suppressed := lines.suppressed
-	lines.suppressed = 0
-	return true, suppressed
-}
