--- a/base/failure/failure.go
+++ b/base/failure/failure.go
@@ -123,13 +123,13 @@
 //
 // Example:
 //
-//	if failure.KindOf(fault) == failure.StaleSpec { ... }
-func KindOf(fault error) Kind {
-	if fault == nil {
+//	if failure.KindOf(err) == failure.StaleSpec { ... }
+func KindOf(err error) Kind {
+	if err == nil {
 		return None
 	}
 	var known *Failure
-	if errors.As(fault, &known) {
+	if errors.As(err, &known) {
 		return known.Kind
 	}
 	return Internal
@@ -139,10 +139,10 @@
 //
 // Example:
 //
-//	body.Detail = failure.DetailOf(fault)
-func DetailOf(fault error) string {
+//	body.Detail = failure.DetailOf(err)
+func DetailOf(err error) string {
 	var known *Failure
-	if errors.As(fault, &known) {
+	if errors.As(err, &known) {
 		return known.Detail
 	}
 	return ""
--- a/base/failure/failure_test.go
+++ b/base/failure/failure_test.go
@@ -27,8 +27,8 @@
 }
 
 func TestKindIsFoundInWraps(t *testing.T) {
-	fault := fmt.Errorf("outside: %w", Of(StaleSpec, "version %d", 7))
-	if KindOf(fault) != StaleSpec || DetailOf(fault) != "version 7" || KindOf(nil) != None || KindOf(errors.New("x")) != Internal {
-		t.Fatalf("%v %q", KindOf(fault), DetailOf(fault))
+	err := fmt.Errorf("outside: %w", Of(StaleSpec, "version %d", 7))
+	if KindOf(err) != StaleSpec || DetailOf(err) != "version 7" || KindOf(nil) != None || KindOf(errors.New("x")) != Internal {
+		t.Fatalf("%v %q", KindOf(err), DetailOf(err))
 	}
 }
--- a/cmd/fleet-controller/main.go
+++ b/cmd/fleet-controller/main.go
@@ -21,9 +21,9 @@
 }
 
 func serve(top scope.Scope, reread <-chan *boot.Boot) error {
-	made, fault := controller.New(top, controller.Options{})
-	if fault != nil {
-		return fault
+	made, err := controller.New(top, controller.Options{})
+	if err != nil {
+		return err
 	}
 	return made.Run(top, reread)
 }
--- a/cmd/replay/main.go
+++ b/cmd/replay/main.go
@@ -32,20 +32,20 @@
 
 func run(arguments []string, input io.Reader, out io.Writer, errors io.Writer) int {
 	var line commandLine
-	parser, fault := kong.New(&line, kong.Name("replay"), kong.Writers(out, errors), kong.Vars{"version": "replay " + program.Version},
+	parser, err := kong.New(&line, kong.Name("replay"), kong.Writers(out, errors), kong.Vars{"version": "replay " + program.Version},
 		kong.Description("Plays a recorded day of requests against routers and tells the outcomes by route."))
-	if fault == nil {
-		_, fault = parser.Parse(arguments)
+	if err == nil {
+		_, err = parser.Parse(arguments)
 	}
-	if fault == nil && line.Speed <= 0 {
-		fault = fmt.Errorf("--speed wants a number above 0")
+	if err == nil && line.Speed <= 0 {
+		err = fmt.Errorf("--speed wants a number above 0")
 	}
 	var records []replay.Record
-	if fault == nil {
-		records, fault = read(line.Day, input)
+	if err == nil {
+		records, err = read(line.Day, input)
 	}
-	if fault != nil {
-		fmt.Fprintf(errors, "replay: %v\n", fault)
+	if err != nil {
+		fmt.Fprintf(errors, "replay: %v\n", err)
 		return 1
 	}
 	outcomes := replay.Play(scope.New(scope.Options{}), records, replay.Options{
@@ -58,21 +58,21 @@
 	if path == "-" {
 		return replay.Read(input)
 	}
-	file, fault := os.Open(path)
-	if fault != nil {
-		return nil, fault
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
 	}
 	defer file.Close()
-	records, fault := replay.Read(file)
-	if fault != nil {
-		return nil, fmt.Errorf("%s: %w", path, fault)
+	records, err := replay.Read(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return records, nil
 }
 
 func show(out io.Writer, outcomes []replay.Outcome, asJSON bool) int {
 	if asJSON {
-		if fault := json.NewEncoder(out).Encode(outcomes); fault != nil {
+		if err := json.NewEncoder(out).Encode(outcomes); err != nil {
 			return 1
 		}
 		return 0
--- a/cmd/room/main.go
+++ b/cmd/room/main.go
@@ -52,21 +52,21 @@
 
 func run(arguments []string, out io.Writer, errors io.Writer) int {
 	var line commandLine
-	parser, fault := kong.New(&line, kong.Name("room"), kong.Writers(out, errors), kong.Vars{"version": "room " + program.Version},
+	parser, err := kong.New(&line, kong.Name("room"), kong.Writers(out, errors), kong.Vars{"version": "room " + program.Version},
 		kong.Description("Tells how many times its load each model family can bear before its requests run late."))
-	if fault == nil {
-		_, fault = parser.Parse(arguments)
+	if err == nil {
+		_, err = parser.Parse(arguments)
 	}
-	if fault == nil && len(line.Controller) == 0 {
-		line.Controller, fault = seeds(line.Boot)
+	if err == nil && len(line.Controller) == 0 {
+		line.Controller, err = seeds(line.Boot)
 	}
-	if fault != nil {
-		fmt.Fprintf(errors, "room: %v\n", fault)
+	if err != nil {
+		fmt.Fprintf(errors, "room: %v\n", err)
 		return 1
 	}
-	answer, fault := ask(line)
-	if fault != nil {
-		fmt.Fprintf(errors, "room: %v\n", fault)
+	answer, err := ask(line)
+	if err != nil {
+		fmt.Fprintf(errors, "room: %v\n", err)
 		return 1
 	}
 	if line.JSON {
@@ -81,9 +81,9 @@
 	if path == "" {
 		path = boot.Path()
 	}
-	settings, fault := boot.Read(path)
-	if fault != nil {
-		return nil, fault
+	settings, err := boot.Read(path)
+	if err != nil {
+		return nil, err
 	}
 	return settings.Seeds, nil
 }
@@ -93,12 +93,12 @@
 	var last error
 	for _, address := range line.Controller {
 		short, release := scope.New(scope.Options{}).WithLimit(line.Limit)
-		answer, fault := call.Ask[heard](short, client, address, asking{})
+		answer, err := call.Ask[heard](short, client, address, asking{})
 		release()
-		if fault == nil {
+		if err == nil {
 			return answer, nil
 		}
-		last = fmt.Errorf("%s: %w", address, fault)
+		last = fmt.Errorf("%s: %w", address, err)
 	}
 	return heard{}, last
 }
--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -84,14 +84,14 @@
 
 func run(arguments []string) int {
 	var line commandLine
-	parser, fault := kong.New(&line, kong.Name("simulate"), kong.Description(
+	parser, err := kong.New(&line, kong.Name("simulate"), kong.Description(
 		"Runs whole controllers on a simulated clock, network and disk while machines are cut off, frozen, killed, wiped and replaced. The status is 1 where a promise was broken."))
-	if fault != nil {
-		return complain(fault)
+	if err != nil {
+		return complain(err)
 	}
-	parsed, fault := parser.Parse(arguments)
-	if fault != nil {
-		return complain(fault)
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		return complain(err)
 	}
 	commands := map[string]func() (int, error){
 		"run":           func() (int, error) { return line.many() },
@@ -101,15 +101,15 @@
 		"service":       func() (int, error) { return line.Service.play() },
 		"list":          list,
 	}
-	status, fault := commands[parsed.Command()]()
-	if fault != nil {
-		return complain(fault)
+	status, err := commands[parsed.Command()]()
+	if err != nil {
+		return complain(err)
 	}
 	return status
 }
 
-func complain(fault error) int {
-	fmt.Fprintln(os.Stderr, "simulate:", fault)
+func complain(err error) int {
+	fmt.Fprintln(os.Stderr, "simulate:", err)
 	return 2
 }
 
--- a/cmd/simulate/many.go
+++ b/cmd/simulate/many.go
@@ -47,8 +47,8 @@
 // many plays seeds in several processes until they are done or time is up.
 func (line commandLine) many() (int, error) {
 	asked := line.Run
-	if _, fault := asked.options(); fault != nil {
-		return 0, fault
+	if _, err := asked.options(); err != nil {
+		return 0, err
 	}
 	if asked.Seeds < 1 || asked.Jobs < 1 {
 		return 0, fmt.Errorf("--seeds and --jobs want a number above 0")
@@ -100,21 +100,21 @@
 }
 
 func (total *sum) play(ctx context.Context, set setting, first uint64, seeds int) {
-	program, fault := os.Executable()
-	if fault != nil {
-		total.fail(first, fault.Error())
+	program, err := os.Executable()
+	if err != nil {
+		total.fail(first, err.Error())
 		return
 	}
 	arguments := append([]string{"batch", "--from", strconv.FormatUint(first, 10), "--seeds", strconv.Itoa(seeds)}, set.arguments()...)
 	child := exec.CommandContext(ctx, program, arguments...)
 	var said bytes.Buffer
 	child.Stderr = &said
-	output, fault := child.StdoutPipe()
-	if fault == nil {
-		fault = child.Start()
+	output, err := child.StdoutPipe()
+	if err == nil {
+		err = child.Start()
 	}
-	if fault != nil {
-		total.fail(first, fault.Error())
+	if err != nil {
+		total.fail(first, err.Error())
 		return
 	}
 	next := first
@@ -127,9 +127,9 @@
 			next = result.Seed + 1
 		}
 	}
-	if fault := child.Wait(); fault != nil && ctx.Err() == nil {
+	if err := child.Wait(); err != nil && ctx.Err() == nil {
 		head, _, _ := strings.Cut(said.String(), "\n\n")
-		total.fail(next, fault.Error()+": "+head)
+		total.fail(next, err.Error()+": "+head)
 	}
 }
 
--- a/cmd/simulate/play.go
+++ b/cmd/simulate/play.go
@@ -25,9 +25,9 @@
 
 // one plays a seed again.
 func (line commandLine) one() (int, error) {
-	options, fault := line.Seed.options()
-	if fault != nil {
-		return 0, fault
+	options, err := line.Seed.options()
+	if err != nil {
+		return 0, err
 	}
 	options.Seed = line.Seed.Number
 	if line.Seed.Trace {
@@ -47,16 +47,16 @@
 
 // batch plays some seeds for the run that started it, a line of JSON each.
 func (line commandLine) batch() (int, error) {
-	options, fault := line.Batch.options()
-	if fault != nil {
-		return 0, fault
+	options, err := line.Batch.options()
+	if err != nil {
+		return 0, err
 	}
 	bubble(func(t *testing.T) {
 		for offset := range line.Batch.Seeds {
 			options.Seed = line.Batch.From + uint64(offset)
-			body, fault := json.Marshal(simulation.Run(t, options))
-			if fault != nil {
-				t.Fatal(fault)
+			body, err := json.Marshal(simulation.Run(t, options))
+			if err != nil {
+				t.Fatal(err)
 			}
 			fmt.Println(string(body))
 			runtime.GC()
--- a/cmd/simulate/redundancy.go
+++ b/cmd/simulate/redundancy.go
@@ -49,12 +49,12 @@
 
 // play plays the seeds of each kind and prints a table.
 func (asked redundancy) play() (int, error) {
-	kinds, fault := asked.kinds()
-	if fault != nil {
-		return 0, fault
+	kinds, err := asked.kinds()
+	if err != nil {
+		return 0, err
 	}
-	if _, fault := asked.setting("").options(); fault != nil {
-		return 0, fault
+	if _, err := asked.setting("").options(); err != nil {
+		return 0, err
 	}
 	if asked.Seeds < 1 || asked.Jobs < 1 {
 		return 0, errors.New("--seeds and --jobs want a number above 0")
--- a/cmd/simulate/service.go
+++ b/cmd/simulate/service.go
@@ -36,8 +36,8 @@
 	for _, site := range asked.Site {
 		for _, strike := range struck {
 			set := setting{Site: site, Length: asked.Length, Operators: asked.Operators, Quiet: true, Hurry: asked.Hurry, Service: strike}
-			if _, fault := set.options(); fault != nil {
-				return 0, fault
+			if _, err := set.options(); err != nil {
+				return 0, err
 			}
 			name := site + ", " + strike
 			order, sets[name] = append(order, name), set
--- a/control/cohort/cohort_test.go
+++ b/control/cohort/cohort_test.go
@@ -168,12 +168,12 @@
 	disk := journal.Folder(t.TempDir())
 	first := table(clock.NewFake(), "a")
 	first.Merge([]Member{{Address: "b", Role: "router", Ready: true, Incarnation: 9}})
-	if fault := (&Keeper{Table: first, Disk: disk, Name: "members"}).Save(); fault != nil {
-		t.Fatal(fault)
+	if err := (&Keeper{Table: first, Disk: disk, Name: "members"}).Save(); err != nil {
+		t.Fatal(err)
 	}
 	second := table(clock.NewFake(), "a")
-	if fault := (&Keeper{Table: second, Disk: disk, Name: "members"}).Load(); fault != nil {
-		t.Fatal(fault)
+	if err := (&Keeper{Table: second, Disk: disk, Name: "members"}).Load(); err != nil {
+		t.Fatal(err)
 	}
 	if member, known := second.Find("b"); !known || member.Present() || member.Ready {
 		t.Fatalf("%+v %v", member, known)
--- a/control/cohort/keep.go
+++ b/control/cohort/keep.go
@@ -38,14 +38,14 @@
 //
 // Example:
 //
-//	fault := keeper.Load()
+//	err := keeper.Load()
 func (keeper *Keeper) Load() error {
-	body, fault := keeper.Disk.Read(keeper.Name)
-	if fault != nil || len(body) == 0 {
-		return fault
+	body, err := keeper.Disk.Read(keeper.Name)
+	if err != nil || len(body) == 0 {
+		return err
 	}
-	read, fault := courier.Unpack[kept](body)
-	if fault != nil {
+	read, err := courier.Unpack[kept](body)
+	if err != nil {
 		// A torn file is as good as none: the members will be heard of again.
 		return nil
 	}
@@ -63,7 +63,7 @@
 //
 // Example:
 //
-//	fault := keeper.Save()
+//	err := keeper.Save()
 func (keeper *Keeper) Save() error {
 	sums := keeper.Table.Sums()
 	if sums == keeper.told {
@@ -73,15 +73,15 @@
 	if keeper.Sizes != nil {
 		whole.Sizes = keeper.Sizes()
 	}
-	body, fault := courier.Pack(whole)
-	if fault != nil {
-		return fault
+	body, err := courier.Pack(whole)
+	if err != nil {
+		return err
 	}
-	fault = journal.Replace(keeper.Disk, keeper.Name, body)
-	if fault == nil {
+	err = journal.Replace(keeper.Disk, keeper.Name, body)
+	if err == nil {
 		keeper.told = sums
 	}
-	return fault
+	return err
 }
 
 // Run saves now and then until the scope ends.
@@ -91,8 +91,8 @@
 //	keeper.Run(top, 2*clock.Second)
 func (keeper *Keeper) Run(inner scope.Scope, every clock.Span) {
 	for inner.Wait(every) {
-		if fault := keeper.Save(); fault != nil {
-			inner.Log.Warn().Str("part", "members").Err(fault).Msg("the members are not saved")
+		if err := keeper.Save(); err != nil {
+			inner.Log.Warn().Str("part", "members").Err(err).Msg("the members are not saved")
 		}
 	}
 }
--- a/control/cohort/probe.go
+++ b/control/cohort/probe.go
@@ -112,9 +112,9 @@
 //
 //	prober.Take(inner, sender, body)
 func (prober *Prober) Take(inner scope.Scope, sender fmt.Stringer, body []byte) {
-	datagram, fault := courier.Disclose[Datagram](prober.Gate, body)
-	if fault != nil {
-		prober.Gate.Refused(inner, sender.String(), fault)
+	datagram, err := courier.Disclose[Datagram](prober.Gate, body)
+	if err != nil {
+		prober.Gate.Refused(inner, sender.String(), err)
 		return
 	}
 	handle := handlers[datagram.Kind]
@@ -170,7 +170,7 @@
 func (prober *Prober) post(to ids.Address, datagram Datagram) {
 	datagram.From = prober.Table.Self().Address
 	datagram.Reports = prober.Table.untold(4, to)
-	if body, fault := courier.Enclose(prober.Gate, datagram); fault == nil {
+	if body, err := courier.Enclose(prober.Gate, datagram); err == nil {
 		prober.Send(to, body)
 	}
 }
--- a/control/contact/contact_test.go
+++ b/control/contact/contact_test.go
@@ -84,12 +84,12 @@
 		delays := &sync.Map{}
 		delays.Store(ids.Address("1"), 70*clock.Millisecond)
 		made := scripted(3, delays)
-		if fault := made.Sure(top); fault != nil {
-			t.Fatal(fault)
+		if err := made.Sure(top); err != nil {
+			t.Fatal(err)
 		}
-		guarded, end, fault := made.Guard(top)
-		if fault != nil {
-			t.Fatal(fault)
+		guarded, end, err := made.Guard(top)
+		if err != nil {
+			t.Fatal(err)
 		}
 		defer end()
 		delays.Delete(ids.Address("1"))
@@ -100,16 +100,16 @@
 		}
 		begin := top.Now()
 		for range 3 {
-			if fault := made.Sure(top); failure.KindOf(fault) != failure.Unsettled {
-				t.Errorf("cut off: %v", fault)
+			if err := made.Sure(top); failure.KindOf(err) != failure.Unsettled {
+				t.Errorf("cut off: %v", err)
 			}
 		}
 		if took := top.Now().Since(begin); took > 3*wait {
 			t.Errorf("three refusals took %v", took)
 		}
 		delays.Store(ids.Address("2"), 70*clock.Millisecond)
-		if fault := made.Sure(top); fault != nil {
-			t.Error(fault)
+		if err := made.Sure(top); err != nil {
+			t.Error(err)
 		}
 		if told := made.Status(top.Now()); !told.Majority || told.AgeMS != 70 {
 			t.Errorf("%+v", told)
@@ -153,34 +153,34 @@
 		defer gone()
 		told := make(chan error)
 		go func() {
-			_, end, fault := made.Guard(caller)
+			_, end, err := made.Guard(caller)
 			end()
-			told <- fault
+			told <- err
 		}()
 		if goes {
 			gone()
 		}
 		for {
 			select {
-			case fault := <-told:
-				return fault
+			case err := <-told:
+				return err
 			default:
 				machine.Next()
 			}
 		}
 	}
-	if fault := guard(false); fault != nil {
-		t.Fatal(fault)
+	if err := guard(false); err != nil {
+		t.Fatal(err)
 	}
 	machine.Move(2 * fresh)
 	if !made.woken(machine.Now()) {
 		t.Fatal("not found to have stood still")
 	}
-	if fault := guard(true); failure.KindOf(fault) != failure.Unsettled {
-		t.Fatalf("begun for a caller that is gone: %v", fault)
+	if err := guard(true); failure.KindOf(err) != failure.Unsettled {
+		t.Fatalf("begun for a caller that is gone: %v", err)
 	}
-	if fault := guard(false); fault != nil {
-		t.Fatal(fault)
+	if err := guard(false); err != nil {
+		t.Fatal(err)
 	}
 }
 
@@ -207,9 +207,9 @@
 		_ = passer.ask(top, "1")
 		machine.Move(clock.Span(rapid.IntRange(0, 3000).Draw(t, "age")) * clock.Millisecond)
 		giveUp := machine.Now().Add(fresh + clock.Span(there+back)*clock.Millisecond)
-		stamp, fault := passer.Stamp(top, "1", giveUp)
-		if fault != nil {
-			t.Fatal(fault)
+		stamp, err := passer.Stamp(top, "1", giveUp)
+		if err != nil {
+			t.Fatal(err)
 		}
 		if quick := machine.Now().Since(giveUp) < -clock.Span(back)*clock.Millisecond-100*clock.Millisecond; quick && !receiver.Open(stamp, theirs()) {
 			t.Fatal("a quick order finds itself closed")
--- a/control/contact/guard.go
+++ b/control/contact/guard.go
@@ -11,7 +11,7 @@
 //
 // Example:
 //
-//	if fault := reached.Sure(short); fault != nil { return fault }
+//	if err := reached.Sure(short); err != nil { return err }
 func (contact *Contact) Sure(inner scope.Scope) error {
 	if contact.Fresh(inner.Now()) {
 		return ended(inner)
@@ -36,8 +36,8 @@
 	if contact.Fresh(inner.Now()) {
 		return ended(inner)
 	}
-	if fault := ended(inner); fault != nil {
-		return fault
+	if err := ended(inner); err != nil {
+		return err
 	}
 	contact.note(inner, false)
 	return failure.Of(failure.Unsettled, "no contact with a majority of the voters")
@@ -56,15 +56,15 @@
 //
 // Example:
 //
-//	guarded, release, fault := reached.Guard(short)
+//	guarded, release, err := reached.Guard(short)
 func (contact *Contact) Guard(inner scope.Scope) (scope.Scope, func(), error) {
 	if contact.woken(inner.Now()) {
 		// What came while this process stood still may be from callers that are
 		// gone: they are noticed first.
 		inner.Wait(lull)
 	}
-	if fault := contact.Sure(inner); fault != nil {
-		return inner, func() {}, fault
+	if err := contact.Sure(inner); err != nil {
+		return inner, func() {}, err
 	}
 	guarded, end := inner.WithEnd()
 	contact.options.Spawn(func() {
--- a/control/contact/round.go
+++ b/control/contact/round.go
@@ -41,9 +41,9 @@
 // ask asks one voter and notes its answer.
 func (contact *Contact) ask(inner scope.Scope, address ids.Address) error {
 	begin := inner.Now()
-	told, fault := contact.options.Ask(inner, address)
-	if fault != nil {
-		return fault
+	told, err := contact.options.Ask(inner, address)
+	if err != nil {
+		return err
 	}
 	came := inner.Now()
 	contact.lock.Lock()
@@ -73,12 +73,12 @@
 //
 // Example:
 //
-//	order.Until, fault = reached.Stamp(brief, owner, giveUp)
+//	order.Until, err = reached.Stamp(brief, owner, giveUp)
 func (contact *Contact) Stamp(inner scope.Scope, address ids.Address, giveUp clock.Instant) (Stamp, error) {
 	known, found := contact.reading(address)
 	if !found || inner.Now().Since(known.came) > readingKept*contact.options.Fresh {
-		if fault := contact.ask(inner, address); fault != nil {
-			return Stamp{}, fault
+		if err := contact.ask(inner, address); err != nil {
+			return Stamp{}, err
 		}
 		if known, found = contact.reading(address); !found {
 			return Stamp{}, failure.Of(failure.Unsettled, "%s tells no reading of its clock", address)
--- a/control/contact/silence_test.go
+++ b/control/contact/silence_test.go
@@ -52,8 +52,8 @@
 				line.cut.Store(before < 0)
 				top.Wait(max(0, -before))
 				begin := top.Now()
-				guarded, release, fault := line.contact.Guard(top)
-				if fault == nil {
+				guarded, release, err := line.contact.Guard(top)
+				if err == nil {
 					guarded.Wait(max(0, before))
 					if guarded.Err() != nil {
 						t.Errorf("trip %v: an order ended before the cut", trip)
@@ -66,8 +66,8 @@
 					t.Errorf("trip %v, cut %v after the beginning: ended after %v", trip, before, took)
 				}
 				for range 2 {
-					if _, _, fault := line.contact.Guard(top); failure.KindOf(fault) != failure.Unsettled || line.contact.Status(top.Now()).Majority {
-						t.Errorf("begun on contact that fell silent: %v", fault)
+					if _, _, err := line.contact.Guard(top); failure.KindOf(err) != failure.Unsettled || line.contact.Status(top.Now()).Majority {
+						t.Errorf("begun on contact that fell silent: %v", err)
 					}
 				}
 				release()
@@ -103,9 +103,9 @@
 				go line.contact.Run(top)
 				top.Wait(2 * clock.Second)
 				for order := range 5 {
-					guarded, release, fault := line.contact.Guard(top)
-					if fault != nil {
-						t.Fatal(fault)
+					guarded, release, err := line.contact.Guard(top)
+					if err != nil {
+						t.Fatal(err)
 					}
 					if begin := top.Now(); !guarded.Wait(2 * clock.Second) {
 						t.Errorf("order %d ended after %v, at a round trip of %v", order, top.Now().Since(begin), line.contact.roundTrip())
@@ -176,9 +176,9 @@
 		machine := &jumping{Clock: scope.New(scope.Options{}).Clock}
 		top := scope.New(scope.Options{Clock: machine})
 		line := newLine(always(70 * clock.Millisecond))
-		guarded, release, fault := line.contact.Guard(top)
-		if fault != nil {
-			t.Fatal(fault)
+		guarded, release, err := line.contact.Guard(top)
+		if err != nil {
+			t.Fatal(err)
 		}
 		for range 3 {
 			guarded.Wait(500 * clock.Millisecond)
--- a/control/courier/courier.go
+++ b/control/courier/courier.go
@@ -79,44 +79,44 @@
 //
 // Example:
 //
-//	promise, fault := courier.Send[register.PromiseAnswer](short, messenger, address, "promise", question)
+//	promise, err := courier.Send[register.PromiseAnswer](short, messenger, address, "promise", question)
 func Send[Told, Asked any](inner scope.Scope, messenger *Courier, address ids.Address, name string, question Asked) (Told, error) {
 	var nothing Told
-	body, fault := Enclose(messenger.Gate, question)
-	if fault != nil {
-		return nothing, fault
+	body, err := Enclose(messenger.Gate, question)
+	if err != nil {
+		return nothing, err
 	}
 	if messenger.traffic != nil {
 		messenger.traffic.Messages.Add(1)
 	}
-	answer, fault := call.Ask[told](inner, messenger.client, address, asked{name: name, body: body})
-	if fault != nil {
-		return nothing, fault
+	answer, err := call.Ask[told](inner, messenger.client, address, asked{name: name, body: body})
+	if err != nil {
+		return nothing, err
 	}
 	messenger.Tally.Add(name, len(body), len(answer.body))
-	told, fault := Unpack[Told](answer.body)
-	if fault != nil {
-		messenger.Gate.Refused(inner, string(address), fault)
+	told, err := Unpack[Told](answer.body)
+	if err != nil {
+		messenger.Gate.Refused(inner, string(address), err)
 	}
-	return told, fault
+	return told, err
 }
 
 type packet[Asked any] struct{ message Asked }
 
 // Read unpacks the question.
 func (question *packet[Asked]) Read(incoming call.Incoming) error {
-	message, fault := Unpack[Asked](incoming.Body)
+	message, err := Unpack[Asked](incoming.Body)
 	question.message = message
-	return fault
+	return err
 }
 
 type packed[Told any] struct{ message Told }
 
 // Reply packs the answer.
 func (answer packed[Told]) Reply() reply.Reply {
-	body, fault := Pack(answer.message)
-	if fault != nil {
-		return reply.Of(failure.Internal, fault.Error())
+	body, err := Pack(answer.message)
+	if err != nil {
+		return reply.Of(failure.Internal, err.Error())
 	}
 	return reply.Raw(http.StatusOK, "avro/binary", body)
 }
@@ -128,7 +128,7 @@
 //	courier.Handle(table, "promise", acceptor.Promise)
 func Handle[Asked, Told any](table *call.Table, name string, serve func(scope.Scope, Asked) (Told, error)) {
 	call.Handle(table, "POST", "/"+name, func(inner scope.Scope, question packet[Asked]) (packed[Told], error) {
-		answer, fault := serve(inner, question.message)
-		return packed[Told]{message: answer}, fault
+		answer, err := serve(inner, question.message)
+		return packed[Told]{message: answer}, err
 	})
 }
--- a/control/courier/courier_test.go
+++ b/control/courier/courier_test.go
@@ -48,20 +48,20 @@
 }
 
 func TestEveryTornMessageIsRefused(t *testing.T) {
-	whole, fault := Pack(asking)
-	if fault != nil {
-		t.Fatal(fault)
+	whole, err := Pack(asking)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if read, fault := Unpack[question](whole); fault != nil || read.Number != 700 || len(read.Items) != 2 || string(read.Items[0].Bytes) != "xyz" {
-		t.Fatalf("%+v, %v", read, fault)
+	if read, err := Unpack[question](whole); err != nil || read.Number != 700 || len(read.Items) != 2 || string(read.Items[0].Bytes) != "xyz" {
+		t.Fatalf("%+v, %v", read, err)
 	}
 	for length := range whole {
-		if _, fault := Unpack[question](whole[:length]); fault == nil || FlawOf(fault) != Torn {
-			t.Errorf("cut to %d of %d bytes: %v", length, len(whole), fault)
+		if _, err := Unpack[question](whole[:length]); err == nil || FlawOf(err) != Torn {
+			t.Errorf("cut to %d of %d bytes: %v", length, len(whole), err)
 		}
 	}
-	if _, fault := Unpack[question](append(bytes.Clone(whole), 0)); fault == nil || FlawOf(fault) != Torn {
-		t.Errorf("a byte too many: %v", fault)
+	if _, err := Unpack[question](append(bytes.Clone(whole), 0)); err == nil || FlawOf(err) != Torn {
+		t.Errorf("a byte too many: %v", err)
 	}
 	// Whatever single byte is turned over, the reader ends with a word on it or
 	// with a message; it claims no memory that the bytes can't fill.
@@ -72,8 +72,8 @@
 			_, _ = Unpack[question](odd)
 		}
 	}
-	if _, fault := Unpack[older](whole); fault == nil || FlawOf(fault) != Version {
-		t.Errorf("read as another type: %v", fault)
+	if _, err := Unpack[older](whole); err == nil || FlawOf(err) != Version {
+		t.Errorf("read as another type: %v", err)
 	}
 }
 
@@ -145,19 +145,19 @@
 	messenger := New(call.Dialing{Limit: clock.Second, Silence: clock.Second})
 	messenger.Gate = here()
 	address := ids.Address(strings.TrimPrefix(server.URL, "http://"))
-	if told, fault := Send[answer](top, messenger, address, "sum", asking); fault == nil || FlawOf(fault) != Version {
-		t.Fatalf("%+v, %v", told, fault)
+	if told, err := Send[answer](top, messenger, address, "sum", asking); err == nil || FlawOf(err) != Version {
+		t.Fatalf("%+v, %v", told, err)
 	}
-	if told, fault := Send[older](top, messenger, address, "sum", asking); fault != nil || told.Number != 9 {
-		t.Fatalf("%+v, %v", told, fault)
+	if told, err := Send[older](top, messenger, address, "sum", asking); err != nil || told.Number != 9 {
+		t.Fatalf("%+v, %v", told, err)
 	}
 	if totals := messenger.Gate.Totals(); totals["version"] != 1 || totals["torn"] != 0 {
 		t.Fatalf("%v", totals)
 	}
 	stranger := New(call.Dialing{Limit: clock.Second, Silence: clock.Second})
 	stranger.Gate = NewGate(nil)
-	if _, fault := Send[older](top, stranger, address, "sum", asking); failure.KindOf(fault) != failure.BadRequest {
-		t.Fatalf("a foreign message: %v", fault)
+	if _, err := Send[older](top, stranger, address, "sum", asking); failure.KindOf(err) != failure.BadRequest {
+		t.Fatalf("a foreign message: %v", err)
 	}
 }
 
--- a/control/courier/gate.go
+++ b/control/courier/gate.go
@@ -50,10 +50,10 @@
 }
 
 // Error tells the failure.
-func (fault *flawed) Error() string { return fault.told.Error() }
+func (err *flawed) Error() string { return err.told.Error() }
 
 // Unwrap gives the failure.
-func (fault *flawed) Unwrap() error { return fault.told }
+func (err *flawed) Unwrap() error { return err.told }
 
 func flawOf(flaw Flaw, format string, values ...any) error {
 	return &flawed{flaw: flaw, told: failure.Of(failure.BadRequest, "%s: %s", flaw, fmt.Sprintf(format, values...))}
@@ -63,13 +63,13 @@
 //
 // Example:
 //
-//	if courier.FlawOf(fault) == courier.Version { ... }
-func FlawOf(fault error) Flaw {
+//	if courier.FlawOf(err) == courier.Version { ... }
+func FlawOf(err error) Flaw {
 	var known *flawed
-	if errors.As(fault, &known) {
+	if errors.As(err, &known) {
 		return known.flaw
 	}
-	if flaw, found := flawOfKind[failure.KindOf(fault)]; found {
+	if flaw, found := flawOfKind[failure.KindOf(err)]; found {
 		return flaw
 	}
 	return Torn
@@ -118,7 +118,7 @@
 //
 // Example:
 //
-//	body, fault := gate.Enter(incoming)
+//	body, err := gate.Enter(incoming)
 func (gate *Gate) Enter(body []byte) ([]byte, error) {
 	if gate == nil {
 		return body, nil
@@ -137,12 +137,12 @@
 //
 // Example:
 //
-//	gate.Refused(inner, sender, fault)
-func (gate *Gate) Refused(inner scope.Scope, sender string, fault error) {
+//	gate.Refused(inner, sender, err)
+func (gate *Gate) Refused(inner scope.Scope, sender string, err error) {
 	if gate == nil {
 		return
 	}
-	flaw := FlawOf(fault)
+	flaw := FlawOf(err)
 	gate.Counts[flaw].Add(1)
 	name := flaw.String() + " " + sender
 	gate.lock.Lock()
@@ -152,7 +152,7 @@
 	}
 	gate.lock.Unlock()
 	if !logged {
-		inner.Log.Warn().Str("part", "gate").Str("flaw", flaw.String()).Str("sender", sender).Msg(fault.Error())
+		inner.Log.Warn().Str("part", "gate").Str("flaw", flaw.String()).Str("sender", sender).Msg(err.Error())
 	}
 }
 
@@ -176,7 +176,7 @@
 //
 // Example:
 //
-//	body, fault := courier.Enclose(prober.Gate, datagram)
+//	body, err := courier.Enclose(prober.Gate, datagram)
 func Enclose[Message any](gate *Gate, message Message) ([]byte, error) {
 	if gate == nil {
 		return packAfter(nil, message)
@@ -188,12 +188,12 @@
 //
 // Example:
 //
-//	datagram, fault := courier.Disclose[Datagram](prober.Gate, body)
+//	datagram, err := courier.Disclose[Datagram](prober.Gate, body)
 func Disclose[Message any](gate *Gate, body []byte) (Message, error) {
-	rest, fault := gate.Enter(body)
-	if fault != nil {
+	rest, err := gate.Enter(body)
+	if err != nil {
 		var nothing Message
-		return nothing, fault
+		return nothing, err
 	}
 	return Unpack[Message](rest)
 }
--- a/control/courier/pack.go
+++ b/control/courier/pack.go
@@ -30,15 +30,15 @@
 //
 // Example:
 //
-//	body, fault := courier.Pack(Digest{Serial: 7})
+//	body, err := courier.Pack(Digest{Serial: 7})
 func Pack[Message any](message Message) ([]byte, error) {
 	return packAfter(nil, message)
 }
 
 func packAfter[Message any](head []byte, message Message) ([]byte, error) {
-	known, fault := formOf(reflect.TypeFor[Message]())
-	if fault != nil {
-		return nil, fault
+	known, err := formOf(reflect.TypeFor[Message]())
+	if err != nil {
+		return nil, err
 	}
 	writer := writers.Get().(*avro.Writer)
 	defer writers.Put(writer)
@@ -59,11 +59,11 @@
 //
 // Example:
 //
-//	digest, fault := courier.Unpack[Digest](body)
-func Unpack[Message any](body []byte) (message Message, fault error) {
-	known, fault := formOf(reflect.TypeFor[Message]())
-	if fault != nil {
-		return message, fault
+//	digest, err := courier.Unpack[Digest](body)
+func Unpack[Message any](body []byte) (message Message, err error) {
+	known, err := formOf(reflect.TypeFor[Message]())
+	if err != nil {
+		return message, err
 	}
 	if len(body) < fingerprintLength {
 		return message, flawOf(Torn, "%d bytes", len(body))
@@ -78,7 +78,7 @@
 	// What a torn length makes the library do must not end the daemon.
 	defer func() {
 		if caught := recover(); caught != nil {
-			fault = flawOf(Torn, "%v", caught)
+			err = flawOf(Torn, "%v", caught)
 		}
 	}()
 	reader := pool.Get().(*avro.Reader).Reset(body[fingerprintLength:])
--- a/control/courier/schema.go
+++ b/control/courier/schema.go
@@ -38,9 +38,9 @@
 			return found, nil
 		}
 	}
-	made, fault := derive(kind)
-	if fault != nil {
-		return form{}, fault
+	made, err := derive(kind)
+	if err != nil {
+		return form{}, err
 	}
 	addition.Lock()
 	defer addition.Unlock()
@@ -53,17 +53,17 @@
 }
 
 func derive(kind reflect.Type) (form, error) {
-	shape, fault := shapeOf(kind, map[reflect.Type]bool{})
-	if fault != nil {
-		return form{}, fault
+	shape, err := shapeOf(kind, map[reflect.Type]bool{})
+	if err != nil {
+		return form{}, err
 	}
-	text, fault := json.Marshal(shape)
-	if fault != nil {
-		return form{}, fault
+	text, err := json.Marshal(shape)
+	if err != nil {
+		return form{}, err
 	}
-	schema, fault := avro.ParseWithCache(string(text), "", &avro.SchemaCache{})
-	if fault != nil {
-		return form{}, fault
+	schema, err := avro.ParseWithCache(string(text), "", &avro.SchemaCache{})
+	if err != nil {
+		return form{}, err
 	}
 	made := form{schema: schema}
 	whole := schema.Fingerprint()
@@ -84,8 +84,8 @@
 		return "bytes", nil
 	}
 	if kind.Kind() == reflect.Slice {
-		items, fault := shapeOf(kind.Elem(), named)
-		return map[string]any{"type": "array", "items": items}, fault
+		items, err := shapeOf(kind.Elem(), named)
+		return map[string]any{"type": "array", "items": items}, err
 	}
 	if kind.Kind() != reflect.Struct {
 		return nil, fmt.Errorf("courier: %s has no Avro shape", kind)
@@ -98,9 +98,9 @@
 	fields := []any{}
 	for index := range kind.NumField() {
 		field := kind.Field(index)
-		shape, fault := shapeOf(field.Type, named)
-		if fault != nil {
-			return nil, fault
+		shape, err := shapeOf(field.Type, named)
+		if err != nil {
+			return nil, err
 		}
 		fields = append(fields, map[string]any{"name": field.Name, "type": shape})
 	}
--- a/control/desk/chosen.go
+++ b/control/desk/chosen.go
@@ -28,18 +28,18 @@
 	if read == nil || len(value) == 0 {
 		return spread.Item{}, false
 	}
-	item, fault := read(value)
+	item, err := read(value)
 	item.Key = key
-	return item, fault == nil && item.Serial > 0
+	return item, err == nil && item.Serial > 0
 }
 
 var publishers = map[string]func([]byte) (spread.Item, error){
 	spec.Key: func(value []byte) (spread.Item, error) {
-		kept, fault := revision.Travelling(value)
-		return spread.Item{Serial: kept.Serial, Body: kept.Document, Packed: kept.Packed}, fault
+		kept, err := revision.Travelling(value)
+		return spread.Item{Serial: kept.Serial, Body: kept.Document, Packed: kept.Packed}, err
 	},
 	"evacuation": func(value []byte) (spread.Item, error) {
-		kept, fault := evacuation.Read(value)
-		return spread.Item{Serial: kept.Serial, Body: value}, fault
+		kept, err := evacuation.Read(value)
+		return spread.Item{Serial: kept.Serial, Body: value}, err
 	},
 }
--- a/control/desk/desk.go
+++ b/control/desk/desk.go
@@ -100,23 +100,23 @@
 //
 // Example:
 //
-//	value, fault := front.Passed(call, order)
+//	value, err := front.Passed(call, order)
 func (desk *Desk) Passed(inner scope.Scope, order Order) ([]byte, error) {
 	short, release := inner.WithLimit(desk.options.Limit)
 	defer release()
 	if order.Until == (contact.Stamp{}) {
 		return nil, failure.Of(failure.Unsettled, "an order that was passed on without an end")
 	}
-	if fault := desk.open(short, order); fault != nil {
-		return nil, fault
+	if err := desk.open(short, order); err != nil {
+		return nil, err
 	}
 	if order.Forwarded {
 		order.Forwarded = false
 		return desk.Do(short, order)
 	}
-	guarded, end, fault := desk.options.Contact.Guard(short)
-	if fault != nil {
-		return nil, fault
+	guarded, end, err := desk.options.Contact.Guard(short)
+	if err != nil {
+		return nil, err
 	}
 	defer end()
 	return desk.act(guarded, order, desk.options.Keeper.ChangeOwned)
@@ -137,13 +137,13 @@
 //
 // Example:
 //
-//	value, fault := front.Do(call, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
+//	value, err := front.Do(call, desk.Order{Key: spec.Key, Verb: desk.VerbRead})
 func (desk *Desk) Do(inner scope.Scope, order Order) ([]byte, error) {
 	limited, release := inner.WithLimit(desk.options.Limit)
 	defer release()
-	short, end, fault := desk.options.Contact.Guard(limited)
-	if fault != nil {
-		return nil, fault
+	short, end, err := desk.options.Contact.Guard(limited)
+	if err != nil {
+		return nil, err
 	}
 	defer end()
 	return desk.once(short, order)
@@ -153,10 +153,10 @@
 // over meanwhile.
 func (desk *Desk) strive(short scope.Scope, order Order) ([]byte, error) {
 	for tries := 1; ; tries++ {
-		value, fault := desk.bring(short, order, tries)
-		settled := failure.KindOf(fault) != failure.Unsettled
+		value, err := desk.bring(short, order, tries)
+		settled := failure.KindOf(err) != failure.Unsettled
 		if settled || short.Err() != nil || tries == mostTries || !desk.outbid(order.Key) {
-			return value, fault
+			return value, err
 		}
 	}
 }
@@ -186,13 +186,13 @@
 	}
 	if owner, found := desk.owner(short, order.Key); found {
 		begin := short.Now()
-		outcome, fault := desk.pass(short, owner, order, desk.options.Pass)
+		outcome, err := desk.pass(short, owner, order, desk.options.Pass)
 		kind := failure.Kind(outcome.Kind)
-		if fault == nil && kind != failure.Unsettled && kind != failure.Internal {
+		if err == nil && kind != failure.Unsettled && kind != failure.Internal {
 			desk.answered(owner)
-			return outcome.Value, outcome.fault()
+			return outcome.Value, outcome.err()
 		}
-		if fault != nil && short.Err() == nil && desk.suspect(owner, begin, short.Now()) {
+		if err != nil && short.Err() == nil && desk.suspect(owner, begin, short.Now()) {
 			return nil, failure.Of(failure.Unsettled, "the owner of %s is busy", order.Key)
 		}
 	}
@@ -218,8 +218,8 @@
 	// That the order may still be begun is looked at under the key's turn.
 	carry := func(step register.Step) ([]byte, error) {
 		return change(inner, order.Key, func(current []byte) ([]byte, error) {
-			if fault := desk.open(inner, order); fault != nil {
-				return nil, fault
+			if err := desk.open(inner, order); err != nil {
+				return nil, err
 			}
 			return step(current)
 		})
--- a/control/desk/desk_test.go
+++ b/control/desk/desk_test.go
@@ -35,8 +35,8 @@
 			}
 			world.cutOff("a", false)
 			world.top.Wait(clock.Second)
-			if fault := world.nodes["a"].contact.Sure(world.top); fault != nil {
-				t.Fatal(fault)
+			if err := world.nodes["a"].contact.Sure(world.top); err != nil {
+				t.Fatal(err)
 			}
 			world.cutOff("a", true)
 		}
@@ -110,8 +110,8 @@
 				world.must("b", zone(VerbEmpty))
 				world.must("b", zone(VerbRefill))
 				for _, node := range world.nodes {
-					if fault := node.contact.Sure(world.top); fault != nil {
-						t.Fatal(fault)
+					if err := node.contact.Sure(world.top); err != nil {
+						t.Fatal(err)
 					}
 				}
 				world.top.Wait(50 * clock.Millisecond)
@@ -129,8 +129,8 @@
 				world.must("c", zone(VerbRefill))
 				for _, ghost := range kept {
 					for range 2 {
-						if _, fault := world.nodes["b"].desk.Passed(world.top, ghost); failure.KindOf(fault) != failure.Unsettled {
-							t.Errorf("a late order: %v", fault)
+						if _, err := world.nodes["b"].desk.Passed(world.top, ghost); failure.KindOf(err) != failure.Unsettled {
+							t.Errorf("a late order: %v", err)
 						}
 					}
 				}
@@ -152,23 +152,23 @@
 		owner := world.nodes["b"]
 		stamp := func(span clock.Span) Order {
 			order := zone(VerbRefill)
-			until, fault := world.nodes["a"].contact.Stamp(world.top, "b", world.top.Now().Add(span))
-			if fault != nil {
-				t.Fatal(fault)
+			until, err := world.nodes["a"].contact.Stamp(world.top, "b", world.top.Now().Add(span))
+			if err != nil {
+				t.Fatal(err)
 			}
 			order.Until = until
 			return order
 		}
 		for name, order := range map[string]Order{"of another": stamp(pass), "without an end": zone(VerbRefill)} {
-			if _, fault := owner.desk.Passed(world.top, order); failure.KindOf(fault) != failure.Unsettled {
-				t.Errorf("%s: %v", name, fault)
+			if _, err := owner.desk.Passed(world.top, order); failure.KindOf(err) != failure.Unsettled {
+				t.Errorf("%s: %v", name, err)
 			}
 		}
 		if !world.nodes["a"].keeper.Owns(zone("").Key) || world.empty("a") != true {
 			t.Error("the order took the key over")
 		}
-		if fault := owner.keeper.Settle(world.top, zone("").Key); fault != nil {
-			t.Fatal(fault)
+		if err := owner.keeper.Settle(world.top, zone("").Key); err != nil {
+			t.Fatal(err)
 		}
 		late := stamp(200 * clock.Millisecond)
 		turn, begun := make(chan struct{}), make(chan struct{})
@@ -177,11 +177,11 @@
 		}()
 		<-begun
 		waited := make(chan error)
-		go func() { _, fault := owner.desk.Passed(world.top, late); waited <- fault }()
+		go func() { _, err := owner.desk.Passed(world.top, late); waited <- err }()
 		world.top.Wait(300 * clock.Millisecond)
 		close(turn)
-		if fault := <-waited; failure.KindOf(fault) != failure.Unsettled || !world.empty("b") {
-			t.Errorf("begun after its end: %v", fault)
+		if err := <-waited; failure.KindOf(err) != failure.Unsettled || !world.empty("b") {
+			t.Errorf("begun after its end: %v", err)
 		}
 	})
 }
@@ -198,16 +198,16 @@
 			waited.Go(func() {
 				short, release := world.top.WithLimit(span)
 				defer release()
-				if _, fault := world.nodes["a"].keeper.Read(short, zone("").Key); failure.KindOf(fault) != failure.Unsettled {
-					t.Errorf("cut off: %v", fault)
+				if _, err := world.nodes["a"].keeper.Read(short, zone("").Key); failure.KindOf(err) != failure.Unsettled {
+					t.Errorf("cut off: %v", err)
 				}
 			})
 		}
 		waited.Wait()
 		world.cutOff("a", false)
 		begin := world.top.Now()
-		if _, fault := world.nodes["a"].keeper.Read(world.top, zone("").Key); fault != nil {
-			t.Error(fault)
+		if _, err := world.nodes["a"].keeper.Read(world.top, zone("").Key); err != nil {
+			t.Error(err)
 		}
 		if took := world.top.Now().Since(begin); took > 300*clock.Millisecond {
 			t.Errorf("answered %v after the return", took)
@@ -219,11 +219,11 @@
 func TestOrderTravelsWithItsEnd(t *testing.T) {
 	sent := put(3, 4)
 	sent.Until = contact.Stamp{Life: -7, End: 1 << 50}
-	body, fault := courier.Pack(sent)
-	if fault != nil {
-		t.Fatal(fault)
+	body, err := courier.Pack(sent)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if came, fault := courier.Unpack[Order](body); fault != nil || came.Until != sent.Until || came.Change.Match != 3 {
-		t.Errorf("%+v: %v", came, fault)
+	if came, err := courier.Unpack[Order](body); err != nil || came.Until != sent.Until || came.Change.Match != 3 {
+		t.Errorf("%+v: %v", came, err)
 	}
 }
--- a/control/desk/house_test.go
+++ b/control/desk/house_test.go
@@ -81,13 +81,13 @@
 		made.voters.Seats = append(made.voters.Seats, register.Seat{Address: name})
 	}
 	for _, name := range names {
-		voter, fault := register.NewAcceptor(name, nil)
-		if fault != nil {
-			t.Fatalf("%v", fault)
+		voter, err := register.NewAcceptor(name, nil)
+		if err != nil {
+			t.Fatalf("%v", err)
 		}
 		voter.Attach(anyDisk{})
-		if fault := voter.Form(made.voters); fault != nil {
-			t.Fatalf("%v", fault)
+		if err := voter.Form(made.voters); err != nil {
+			t.Fatalf("%v", err)
 		}
 		made.acceptor[name] = voter
 		keeper := register.NewKeeper(register.Options{
@@ -149,8 +149,8 @@
 }
 
 func (house *house) order(name ids.Address, change revision.Change) failure.Kind {
-	_, fault := house.desks[name].Do(house.scope, Order{Key: spec.Key, Verb: VerbChange, Change: change})
-	return failure.KindOf(fault)
+	_, err := house.desks[name].Do(house.scope, Order{Key: spec.Key, Verb: VerbChange, Change: change})
+	return failure.KindOf(err)
 }
 
 // again sends an order again while there is no clear answer: one who was the
--- a/control/desk/once.go
+++ b/control/desk/once.go
@@ -20,13 +20,13 @@
 	if !wishing || order.Past > 0 {
 		return desk.strive(short, order)
 	}
-	value, fault := desk.strive(short, Order{Key: order.Key, Verb: VerbRead, Until: order.Until})
-	if fault != nil {
-		return nil, fault
+	value, err := desk.strive(short, Order{Key: order.Key, Verb: VerbRead, Until: order.Until})
+	if err != nil {
+		return nil, err
 	}
-	kept, fault := evacuation.Read(value)
-	if fault != nil {
-		return nil, failure.Of(failure.Internal, "kept evacuation: %v", fault)
+	kept, err := evacuation.Read(value)
+	if err != nil {
+		return nil, failure.Of(failure.Internal, "kept evacuation: %v", err)
 	}
 	if kept.Serial > 0 && kept.Empty == wanted {
 		return value, nil
--- a/control/desk/once_test.go
+++ b/control/desk/once_test.go
@@ -31,9 +31,9 @@
 					world.unsettled = nil
 					seen++
 					// Two of three disks hold it by now: whoever reads it sees it.
-					kept, fault := evacuation.Read(world.nodes["c"].voter.Slot(zone("").Key).Accepted.Value)
-					if fault != nil || kept.Empty != (one.order == VerbEmpty) {
-						t.Errorf("the owner has not acted: %+v, %v", kept, fault)
+					kept, err := evacuation.Read(world.nodes["c"].voter.Slot(zone("").Key).Accepted.Value)
+					if err != nil || kept.Empty != (one.order == VerbEmpty) {
+						t.Errorf("the owner has not acted: %+v, %v", kept, err)
 					}
 					world.must("a", zone(one.back))
 				}
--- a/control/desk/order.go
+++ b/control/desk/order.go
@@ -48,14 +48,14 @@
 	VerbEpoch:  func(Order) register.Step { return nextEpoch },
 }
 
-func outcomeOf(value []byte, fault error) Outcome {
-	if fault == nil {
+func outcomeOf(value []byte, err error) Outcome {
+	if err == nil {
 		return Outcome{Value: value}
 	}
-	return Outcome{Kind: int64(failure.KindOf(fault)), Detail: failure.DetailOf(fault)}
+	return Outcome{Kind: int64(failure.KindOf(err)), Detail: failure.DetailOf(err)}
 }
 
-func (outcome Outcome) fault() error {
+func (outcome Outcome) err() error {
 	if kind := failure.Kind(outcome.Kind); kind != failure.None {
 		return failure.Of(kind, "%s", outcome.Detail)
 	}
--- a/control/desk/pass.go
+++ b/control/desk/pass.go
@@ -24,9 +24,9 @@
 		if inner.Err() != nil || (known && member.State != cohort.Alive) {
 			continue
 		}
-		outcome, fault := desk.pass(inner, seat.Address, order, 2*desk.options.Pass)
-		if kind := failure.Kind(outcome.Kind); fault == nil && kind != failure.Unsettled && kind != failure.Internal {
-			return outcome.Value, outcome.fault()
+		outcome, err := desk.pass(inner, seat.Address, order, 2*desk.options.Pass)
+		if kind := failure.Kind(outcome.Kind); err == nil && kind != failure.Unsettled && kind != failure.Internal {
+			return outcome.Value, outcome.err()
 		}
 	}
 	return nil, failure.Of(failure.Unsettled, "no voter answered")
@@ -41,9 +41,9 @@
 	giveUp := inner.Now().Add(span)
 	brief, release := inner.WithLimit(span)
 	defer release()
-	until, fault := desk.options.Contact.Stamp(brief, receiver, giveUp)
-	if fault != nil {
-		return Outcome{}, fault
+	until, err := desk.options.Contact.Stamp(brief, receiver, giveUp)
+	if err != nil {
+		return Outcome{}, err
 	}
 	order.Until, order.Change = until, order.Change.Packing()
 	return desk.options.Send(brief, receiver, order)
--- a/control/desk/repeats.go
+++ b/control/desk/repeats.go
@@ -32,21 +32,21 @@
 	desk.pages.lock.Lock()
 	sealed := desk.pages.sealed
 	desk.pages.lock.Unlock()
-	value, fault := carry(order.Change.After(sealed))
+	value, err := carry(order.Change.After(sealed))
 	var beyond *revision.Beyond
-	if !errors.As(fault, &beyond) {
-		return value, fault
+	if !errors.As(err, &beyond) {
+		return value, err
 	}
-	page, fault := desk.options.Keeper.Read(inner, beyond.Key())
-	if failure.KindOf(fault) == failure.Unsettled && inner.Err() == nil {
+	page, err := desk.options.Keeper.Read(inner, beyond.Key())
+	if failure.KindOf(err) == failure.Unsettled && inner.Err() == nil {
 		// The page may have had another owner since this one read it last.
-		page, fault = desk.options.Keeper.Read(inner, beyond.Key())
+		page, err = desk.options.Keeper.Read(inner, beyond.Key())
 	}
-	if fault != nil {
-		return nil, fault
+	if err != nil {
+		return nil, err
 	}
-	if fault := beyond.Judge(page); fault != nil {
-		return nil, fault
+	if err := beyond.Judge(page); err != nil {
+		return nil, err
 	}
 	return value, nil
 }
@@ -73,8 +73,8 @@
 		if _, due := duePage(held.Value, sealed); !due {
 			break
 		}
-		written, fault := desk.sealNext(inner, sealed)
-		if fault != nil || written <= sealed {
+		written, err := desk.sealNext(inner, sealed)
+		if err != nil || written <= sealed {
 			return
 		}
 		sealed = written
@@ -89,16 +89,16 @@
 func (desk *Desk) sealNext(inner scope.Scope, sealed int64) (int64, error) {
 	short, release := inner.WithLimit(desk.options.Limit)
 	defer release()
-	value, fault := desk.options.Keeper.Read(short, spec.Key)
-	if fault != nil {
-		return sealed, fault
+	value, err := desk.options.Keeper.Read(short, spec.Key)
+	if err != nil {
+		return sealed, err
 	}
 	page, due := duePage(value, sealed)
 	if !due {
 		return sealed, nil
 	}
-	if _, fault := desk.options.Keeper.Change(short, page.Key(), page.Step); fault != nil {
-		return sealed, fault
+	if _, err := desk.options.Keeper.Change(short, page.Key(), page.Step); err != nil {
+		return sealed, err
 	}
 	desk.pages.lock.Lock()
 	defer desk.pages.lock.Unlock()
@@ -107,8 +107,8 @@
 }
 
 func duePage(value []byte, sealed int64) (revision.Page, bool) {
-	kept, fault := revision.Travelling(value)
-	if fault != nil {
+	kept, err := revision.Travelling(value)
+	if err != nil {
 		return revision.Page{}, false
 	}
 	return kept.Memory.Due(sealed)
--- a/control/desk/sweep.go
+++ b/control/desk/sweep.go
@@ -17,9 +17,9 @@
 func nextEpoch(current []byte) ([]byte, error) {
 	kept := EpochKept{}
 	if len(current) > 0 {
-		read, fault := courier.Unpack[EpochKept](current)
-		if fault != nil {
-			return nil, failure.Of(failure.Internal, "kept epoch: %v", fault)
+		read, err := courier.Unpack[EpochKept](current)
+		if err != nil {
+			return nil, failure.Of(failure.Internal, "kept epoch: %v", err)
 		}
 		kept = read
 	}
@@ -32,12 +32,12 @@
 //
 //	hold.Options{Epoch: front.Epoch}
 func (desk *Desk) Epoch(inner scope.Scope, duty string) (int64, error) {
-	value, fault := desk.Do(inner, Order{Key: "hold/" + duty, Verb: VerbEpoch})
-	if fault != nil {
-		return 0, fault
+	value, err := desk.Do(inner, Order{Key: "hold/" + duty, Verb: VerbEpoch})
+	if err != nil {
+		return 0, err
 	}
-	kept, fault := courier.Unpack[EpochKept](value)
-	return kept.Number, fault
+	kept, err := courier.Unpack[EpochKept](value)
+	return kept.Number, err
 }
 
 // Newest gives the serial of the newest configuration that a majority confirms
@@ -47,12 +47,12 @@
 //
 //	readindex.NewReader(front.Newest).Serve(calls)
 func (desk *Desk) Newest(inner scope.Scope) (ids.Serial, error) {
-	value, fault := desk.Do(inner, Order{Key: spec.Key, Verb: VerbRead})
-	if fault != nil {
-		return 0, fault
+	value, err := desk.Do(inner, Order{Key: spec.Key, Verb: VerbRead})
+	if err != nil {
+		return 0, err
 	}
-	kept, fault := revision.Travelling(value)
-	return kept.Serial, fault
+	kept, err := revision.Travelling(value)
+	return kept.Serial, err
 }
 
 // Sweep looks for values that this machine's voter holds but that never became
@@ -73,8 +73,8 @@
 		if known, told := desk.options.News.Get(slot.Key); told && known.Serial >= item.Serial {
 			continue
 		}
-		value, fault := desk.Do(inner, Order{Key: slot.Key, Verb: VerbRead})
-		if fault != nil {
+		value, err := desk.Do(inner, Order{Key: slot.Key, Verb: VerbRead})
+		if err != nil {
 			continue
 		}
 		if settled, found := newsOf(slot.Key, value); found {
--- a/control/desk/world_test.go
+++ b/control/desk/world_test.go
@@ -69,13 +69,13 @@
 func (world *world) start(address ids.Address, voters register.Voters) {
 	made := &node{world: world, address: address}
 	world.nodes[address] = made
-	var fault error
-	if made.voter, fault = register.NewAcceptor(address, nil); fault != nil {
-		world.t.Fatal(fault)
+	var err error
+	if made.voter, err = register.NewAcceptor(address, nil); err != nil {
+		world.t.Fatal(err)
 	}
 	made.voter.Attach(made)
-	if fault := made.voter.Form(voters); fault != nil {
-		world.t.Fatal(fault)
+	if err := made.voter.Form(voters); err != nil {
+		world.t.Fatal(err)
 	}
 	made.contact = contact.New(contact.Options{Address: address, Voters: made.voter.Voters, Fresh: pass, Ask: func(inner scope.Scope, to ids.Address) (contact.Told, error) {
 		return deliver(made, inner, to, func(other *node) contact.Told { return other.contact.Tell(inner.Now()) })
@@ -146,12 +146,12 @@
 		<-inner.Done()
 		return Outcome{}, inner.Err()
 	}
-	outcome, fault := deliver(own, inner, to, func(other *node) Outcome { return outcomeOf(other.desk.Passed(inner, order)) })
+	outcome, err := deliver(own, inner, to, func(other *node) Outcome { return outcomeOf(other.desk.Passed(inner, order)) })
 	own.world.lock.Lock()
 	meddle := own.world.unsettled
 	own.world.lock.Unlock()
-	if meddle == nil || order.Verb == VerbRead || fault != nil {
-		return outcome, fault
+	if meddle == nil || order.Verb == VerbRead || err != nil {
+		return outcome, err
 	}
 	meddle()
 	return outcomeOf(nil, failure.Of(failure.Unsettled, "too many voters refused")), nil
@@ -168,8 +168,8 @@
 // ask gives an order to a controller.
 func (world *world) ask(to ids.Address, order Order) (failure.Kind, []byte, clock.Span) {
 	begin := world.top.Now()
-	value, fault := world.nodes[to].desk.Do(world.top, order)
-	return failure.KindOf(fault), value, world.top.Now().Since(begin)
+	value, err := world.nodes[to].desk.Do(world.top, order)
+	return failure.KindOf(err), value, world.top.Now().Since(begin)
 }
 
 // must gives an order that has to be acknowledged.
@@ -185,9 +185,9 @@
 // empty tells whether the zone is being emptied.
 func (world *world) empty(at ids.Address) bool {
 	world.t.Helper()
-	kept, fault := evacuation.Read(world.must(at, zone(VerbRead)))
-	if fault != nil {
-		world.t.Fatal(fault)
+	kept, err := evacuation.Read(world.must(at, zone(VerbRead)))
+	if err != nil {
+		world.t.Fatal(err)
 	}
 	return kept.Empty
 }
--- a/control/eject/eject.go
+++ b/control/eject/eject.go
@@ -181,5 +181,5 @@
 //
 // Example:
 //
-//	rests, fault := eject.Read(item.Body)
+//	rests, err := eject.Read(item.Body)
 func Read(body []byte) (Rests, error) { return courier.Unpack[Rests](body) }
--- a/control/evacuation/evacuation.go
+++ b/control/evacuation/evacuation.go
@@ -41,12 +41,12 @@
 //
 // Example:
 //
-//	value, fault := keeper.Change(short, evacuation.Key(zone), evacuation.Step(true, kept.Serial))
+//	value, err := keeper.Change(short, evacuation.Key(zone), evacuation.Step(true, kept.Serial))
 func Step(empty bool, past ids.Serial) func([]byte) ([]byte, error) {
 	return func(current []byte) ([]byte, error) {
-		kept, fault := Read(current)
-		if fault != nil {
-			return nil, failure.Of(failure.Internal, "kept evacuation: %v", fault)
+		kept, err := Read(current)
+		if err != nil {
+			return nil, failure.Of(failure.Internal, "kept evacuation: %v", err)
 		}
 		turned := past > 0 && kept.Serial > past
 		if turned || (kept.Empty == empty && kept.Serial > 0) {
@@ -60,7 +60,7 @@
 //
 // Example:
 //
-//	kept, fault := evacuation.Read(value)
+//	kept, err := evacuation.Read(value)
 func Read(value []byte) (Kept, error) {
 	if len(value) == 0 {
 		return Kept{}, nil
--- a/control/journal/disk.go
+++ b/control/journal/disk.go
@@ -38,17 +38,17 @@
 
 // Read gives a whole file; a missing one is empty.
 func (folder Folder) Read(name string) ([]byte, error) {
-	content, fault := os.ReadFile(filepath.Join(string(folder), name))
-	if os.IsNotExist(fault) {
+	content, err := os.ReadFile(filepath.Join(string(folder), name))
+	if os.IsNotExist(err) {
 		return nil, nil
 	}
-	return content, fault
+	return content, err
 }
 
 // Create opens an empty file, making the folder where it is missing.
 func (folder Folder) Create(name string) (File, error) {
-	if fault := makeFolder(string(folder)); fault != nil {
-		return nil, fault
+	if err := makeFolder(string(folder)); err != nil {
+		return nil, err
 	}
 	return os.OpenFile(filepath.Join(string(folder), name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 }
@@ -56,33 +56,33 @@
 // makeFolder makes a folder and those above it; each that it makes is synced
 // into the one above.
 func makeFolder(path string) error {
-	if found, fault := os.Stat(path); fault == nil && found.IsDir() {
+	if found, err := os.Stat(path); err == nil && found.IsDir() {
 		return nil
 	}
 	above := filepath.Dir(path)
 	if above != path {
-		if fault := makeFolder(above); fault != nil {
-			return fault
+		if err := makeFolder(above); err != nil {
+			return err
 		}
 	}
-	if fault := os.Mkdir(path, 0o755); fault != nil && !os.IsExist(fault) {
-		return fault
+	if err := os.Mkdir(path, 0o755); err != nil && !os.IsExist(err) {
+		return err
 	}
 	return Folder(above).SyncFolder()
 }
 
 // Append opens a file and cuts it to the length.
 func (folder Folder) Append(name string, length int64) (File, error) {
-	file, fault := os.OpenFile(filepath.Join(string(folder), name), os.O_WRONLY, 0o644)
-	if fault != nil {
-		return nil, fault
+	file, err := os.OpenFile(filepath.Join(string(folder), name), os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
 	}
-	if fault = file.Truncate(length); fault == nil {
-		_, fault = file.Seek(length, io.SeekStart)
+	if err = file.Truncate(length); err == nil {
+		_, err = file.Seek(length, io.SeekStart)
 	}
-	if fault != nil {
+	if err != nil {
 		_ = file.Close()
-		return nil, fault
+		return nil, err
 	}
 	return file, nil
 }
@@ -94,18 +94,18 @@
 
 // Remove takes a file away; a missing one is no fault.
 func (folder Folder) Remove(name string) error {
-	fault := os.Remove(filepath.Join(string(folder), name))
-	if os.IsNotExist(fault) {
+	err := os.Remove(filepath.Join(string(folder), name))
+	if os.IsNotExist(err) {
 		return nil
 	}
-	return fault
+	return err
 }
 
 // SyncFolder makes the names of all files last.
 func (folder Folder) SyncFolder() error {
-	opened, fault := os.Open(string(folder))
-	if fault != nil {
-		return fault
+	opened, err := os.Open(string(folder))
+	if err != nil {
+		return err
 	}
 	defer opened.Close()
 	return opened.Sync()
--- a/control/journal/format_test.go
+++ b/control/journal/format_test.go
@@ -44,9 +44,9 @@
 			ends, records, count = next, records+len(framed), count+1
 		}
 		for _, tail := range [][]byte{nil, make([]byte, len(whole)-cut)} {
-			read, fault := parse(append(whole[:cut:cut], tail...))
-			if fault != nil || read.damage != nil || len(read.records) != records || read.length != int64(ends) || read.frames != uint64(count) {
-				t.Fatalf("cut at %d, %d NULs: %+v %v", cut, len(tail), read, fault)
+			read, err := parse(append(whole[:cut:cut], tail...))
+			if err != nil || read.damage != nil || len(read.records) != records || read.length != int64(ends) || read.frames != uint64(count) {
+				t.Fatalf("cut at %d, %d NULs: %+v %v", cut, len(tail), read, err)
 			}
 		}
 	}
@@ -60,9 +60,9 @@
 	for at := range whole {
 		spoilt := bytes.Clone(whole)
 		spoilt[at] ^= 0x10
-		read, fault := parse(spoilt)
-		if fault != nil || (read.damage != nil) != (at < last) || at >= last && len(read.records) != 3 {
-			t.Fatalf("byte %d: %+v %v", at, read, fault)
+		read, err := parse(spoilt)
+		if err != nil || (read.damage != nil) != (at < last) || at >= last && len(read.records) != 3 {
+			t.Fatalf("byte %d: %+v %v", at, read, err)
 		}
 		if read.damage != nil && (read.damage.Offset > int64(at) || read.damage.Bytes != int64(len(whole)) || read.damage.Reason == "") {
 			t.Fatalf("byte %d: %+v", at, read.damage)
@@ -73,8 +73,8 @@
 	for at := range sealed {
 		spoilt := bytes.Clone(sealed)
 		spoilt[at] ^= 0x10
-		if read, fault := parse(spoilt); fault != nil || read.damage == nil {
-			t.Fatalf("byte %d of what was synced before it had its name: %+v %v", at, read, fault)
+		if read, err := parse(spoilt); err != nil || read.damage == nil {
+			t.Fatalf("byte %d of what was synced before it had its name: %+v %v", at, read, err)
 		}
 	}
 }
@@ -87,8 +87,8 @@
 	torn := frame(7, 2, texts("two", "three", "four"))
 	torn[frameLength+sizeLength] ^= 1
 	for _, tail := range [][]byte{torn, append(torn[:len(torn):len(torn)], stale...)} {
-		if read, fault := parse(append(synced[:len(synced):len(synced)], tail...)); fault != nil || read.damage != nil || read.length != int64(len(synced)) {
-			t.Fatalf("%+v %v", read, fault)
+		if read, err := parse(append(synced[:len(synced):len(synced)], tail...)); err != nil || read.damage != nil || read.length != int64(len(synced)) {
+			t.Fatalf("%+v %v", read, err)
 		}
 	}
 }
@@ -97,15 +97,15 @@
 	newer := head(3, headLength)
 	binary.LittleEndian.PutUint32(newer[8:], version+1)
 	binary.LittleEndian.PutUint32(newer[headLength-4:], crc32.ChecksumIEEE(newer[:headLength-4]))
-	if _, fault := parse(newer); !errors.Is(fault, ErrVersion) {
-		t.Fatal(fault)
+	if _, err := parse(newer); !errors.Is(err, ErrVersion) {
+		t.Fatal(err)
 	}
-	if read, fault := parse([]byte("PK\x03\x04 something else that is long enough")); fault != nil || read.damage == nil {
-		t.Fatalf("%+v %v", read, fault)
+	if read, err := parse([]byte("PK\x03\x04 something else that is long enough")); err != nil || read.damage == nil {
+		t.Fatalf("%+v %v", read, err)
 	}
 	old := append(append(plain("one"), plain("two")...), plain("three")[:9]...)
-	if read, fault := parse(old); fault != nil || !read.plain || len(read.records) != 2 || read.length != 0 {
-		t.Fatalf("%+v %v", read, fault)
+	if read, err := parse(old); err != nil || !read.plain || len(read.records) != 2 || read.length != 0 {
+		t.Fatalf("%+v %v", read, err)
 	}
 }
 
@@ -118,22 +118,22 @@
 	f.Add(append(whole[:headLength:headLength], make([]byte, 64)...))
 	f.Add(plain("one"))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		read, fault := parse(content)
-		if fault != nil || read.damage != nil || read.plain {
+		read, err := parse(content)
+		if err != nil || read.damage != nil || read.plain {
 			return
 		}
 		if read.length > int64(len(content)) {
 			t.Fatalf("%d of %d bytes", read.length, len(content))
 		}
-		again, fault := parse(content[:read.length])
-		if fault != nil || again.damage != nil || again.frames != read.frames || len(again.records) != len(read.records) {
-			t.Fatalf("%+v and %+v, %v", read, again, fault)
+		again, err := parse(content[:read.length])
+		if err != nil || again.damage != nil || again.frames != read.frames || len(again.records) != len(read.records) {
+			t.Fatalf("%+v and %+v, %v", read, again, err)
 		}
 		next := frame(read.generation, read.frames+1, texts("next"))
 		if read.length > 0 {
-			more, fault := parse(append(content[:read.length:read.length], next...))
-			if fault != nil || more.damage != nil || len(more.records) != len(read.records)+1 {
-				t.Fatalf("%+v, %v", more, fault)
+			more, err := parse(append(content[:read.length:read.length], next...))
+			if err != nil || more.damage != nil || len(more.records) != len(read.records)+1 {
+				t.Fatalf("%+v, %v", more, err)
 			}
 		}
 	})
--- a/control/journal/journal.go
+++ b/control/journal/journal.go
@@ -70,15 +70,15 @@
 //
 // Example:
 //
-//	opened, records, fault := journal.Open(journal.Options{Disk: journal.Folder(path), Name: "registers", Whole: whole})
+//	opened, records, err := journal.Open(journal.Options{Disk: journal.Folder(path), Name: "registers", Whole: whole})
 func Open(options Options) (*Journal, [][]byte, error) {
 	if options.Shortest == 0 {
 		options.Shortest = 1 << 20
 	}
 	opened := &Journal{options: options, inbox: make(chan entry, 256), done: make(chan struct{})}
-	records, fault := opened.begin()
-	if fault != nil {
-		return nil, nil, fmt.Errorf("journal: %w", fault)
+	records, err := opened.begin()
+	if err != nil {
+		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	go opened.run()
 	return opened, records, nil
@@ -86,43 +86,43 @@
 
 func (journal *Journal) begin() ([][]byte, error) {
 	disk, name := journal.options.Disk, journal.options.Name
-	content, fault := disk.Read(name)
-	if fault != nil {
-		return nil, fault
+	content, err := disk.Read(name)
+	if err != nil {
+		return nil, err
 	}
-	found, fault := parse(content)
-	if fault != nil {
-		return nil, fault
+	found, err := parse(content)
+	if err != nil {
+		return nil, err
 	}
 	journal.generation = found.generation
-	if fault = disk.Remove(newName(name)); fault != nil {
-		return nil, fault
+	if err = disk.Remove(newName(name)); err != nil {
+		return nil, err
 	}
 	if found.damage != nil {
 		found.damage.File, found.damage.Aside = name, asideName(name)
 		journal.Damage = found.damage
-		if fault = disk.Rename(name, asideName(name)); fault == nil {
-			fault = disk.SyncFolder()
+		if err = disk.Rename(name, asideName(name)); err == nil {
+			err = disk.SyncFolder()
 		}
-		if fault != nil {
-			return nil, fault
+		if err != nil {
+			return nil, err
 		}
 		found = reading{}
 	}
 	if found.length == 0 {
 		return found.records, journal.fill(found.records)
 	}
-	file, fault := disk.Append(name, found.length)
-	if fault != nil {
-		return nil, fault
+	file, err := disk.Append(name, found.length)
+	if err != nil {
+		return nil, err
 	}
 	// What a process before this one wrote need not have been synced yet.
-	if fault = file.Sync(); fault == nil {
-		fault = disk.SyncFolder()
+	if err = file.Sync(); err == nil {
+		err = disk.SyncFolder()
 	}
-	if fault != nil {
+	if err != nil {
 		_ = file.Close()
-		return nil, fault
+		return nil, err
 	}
 	journal.file, journal.frames, journal.length = file, found.frames, found.length
 	journal.rewrite = journal.bounded(journal.options.Shortest)
@@ -134,7 +134,7 @@
 //
 // Example:
 //
-//	if fault := opened.Save(record); fault != nil { refuse() }
+//	if err := opened.Save(record); err != nil { refuse() }
 func (journal *Journal) Save(record []byte) error {
 	if len(record) == 0 || len(record) > recordLimit {
 		return fmt.Errorf("%w: %d bytes", ErrLength, len(record))
@@ -146,8 +146,8 @@
 		return ErrClosed
 	}
 	select {
-	case fault := <-waiting.told:
-		return fault
+	case err := <-waiting.told:
+		return err
 	case <-journal.done:
 		return ErrClosed
 	}
@@ -168,9 +168,9 @@
 			return
 		case first := <-journal.inbox:
 			batch := journal.gather(first)
-			fault := journal.write(batch)
+			err := journal.write(batch)
 			for _, waiting := range batch {
-				waiting.told <- fault
+				waiting.told <- err
 			}
 		}
 	}
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -16,9 +16,9 @@
 func TestDamageBlanksTheDisk(t *testing.T) {
 	simulated := disk.New(disk.Options{Draw: func(int) bool { return false }})
 	open := func() (*journal.Journal, [][]byte) {
-		opened, records, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return nil }})
-		if fault != nil {
-			t.Fatal(fault)
+		opened, records, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return nil }})
+		if err != nil {
+			t.Fatal(err)
 		}
 		return opened, records
 	}
@@ -28,8 +28,8 @@
 			t.Fatalf("%q", records)
 		}
 		for number := range 3 {
-			if fault := opened.Save(record(0, number)); fault != nil {
-				t.Fatal(fault)
+			if err := opened.Save(record(0, number)); err != nil {
+				t.Fatal(err)
 			}
 		}
 		opened.Close()
@@ -66,14 +66,14 @@
 	}})
 	for life, want := range []int{0, 1, 1} {
 		deadly = false
-		opened, records, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j"})
-		if fault != nil || len(records) != want {
-			t.Fatalf("life %d: %q %v", life, records, fault)
+		opened, records, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j"})
+		if err != nil || len(records) != want {
+			t.Fatalf("life %d: %q %v", life, records, err)
 		}
 		if deadly = life == 0; !deadly {
 			simulated.LosePower()
-		} else if fault := opened.Save(record(0, 1)); !errors.Is(fault, disk.ErrDead) {
-			t.Fatal(fault)
+		} else if err := opened.Save(record(0, 1)); !errors.Is(err, disk.ErrDead) {
+			t.Fatal(err)
 		}
 		opened.Close()
 	}
@@ -90,15 +90,15 @@
 		return nil
 	}})
 	state := bytes.Repeat([]byte("s"), 1000)
-	opened, _, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return [][]byte{state} }, Shortest: 4000})
-	if fault != nil {
-		t.Fatal(fault)
+	opened, _, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return [][]byte{state} }, Shortest: 4000})
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer opened.Close()
 	for round := range 60 {
 		refused = []string{"", "", disk.ActWrite, "", disk.ActCreate, disk.ActCreate}[round/2%6]
-		if fault := opened.Save(state); (fault != nil) != (refused == disk.ActWrite) {
-			t.Fatalf("round %d, without %q: %v", round, refused, fault)
+		if err := opened.Save(state); (err != nil) != (refused == disk.ActWrite) {
+			t.Fatalf("round %d, without %q: %v", round, refused, err)
 		}
 	}
 }
@@ -113,9 +113,9 @@
 		}
 		return nil
 	}})
-	opened, _, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j"})
-	if fault != nil {
-		t.Fatal(fault)
+	opened, _, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j"})
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer opened.Close()
 	stalls = true
@@ -123,17 +123,17 @@
 	go func() { told <- opened.Save(record(0, 1)) }()
 	select {
 	case <-reached:
-	case fault := <-told:
-		t.Fatalf("told of a record that no sync covered: %v", fault)
+	case err := <-told:
+		t.Fatalf("told of a record that no sync covered: %v", err)
 	}
 	select {
-	case fault := <-told:
-		t.Fatalf("told while the sync is held up: %v", fault)
+	case err := <-told:
+		t.Fatalf("told while the sync is held up: %v", err)
 	default:
 	}
 	close(over)
-	if fault := <-told; fault != nil {
-		t.Fatal(fault)
+	if err := <-told; err != nil {
+		t.Fatal(err)
 	}
 }
 
@@ -149,19 +149,19 @@
 		return nil
 	}})
 	size := 10
-	opened, _, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Shortest: 1000, Limit: limit,
+	opened, _, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Shortest: 1000, Limit: limit,
 		Whole: func() [][]byte { return [][]byte{make([]byte, size)} }})
-	if fault != nil {
-		t.Fatal(fault)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer opened.Close()
 	refused := false
 	for size < 15_000 {
 		size += 350
-		fault := opened.Save(make([]byte, size))
-		refused = refused || fault != nil
-		if fault != nil && (!errors.Is(fault, journal.ErrRoom) || size < limit-100) {
-			t.Fatalf("%d bytes: %v", size, fault)
+		err := opened.Save(make([]byte, size))
+		refused = refused || err != nil
+		if err != nil && (!errors.Is(err, journal.ErrRoom) || size < limit-100) {
+			t.Fatalf("%d bytes: %v", size, err)
 		}
 	}
 	if !refused {
@@ -173,31 +173,31 @@
 	}{{10, false}, {8_000, false}, {15_000, true}, {10, false}} {
 		size = phase.size
 		for range 300 {
-			if fault = opened.Save(make([]byte, 100)); fault != nil && !phase.fails {
-				t.Fatalf("a state of %d bytes: %v", size, fault)
+			if err = opened.Save(make([]byte, 100)); err != nil && !phase.fails {
+				t.Fatalf("a state of %d bytes: %v", size, err)
 			}
 		}
-		if (fault != nil) != phase.fails {
-			t.Fatalf("a state of %d bytes: %v", size, fault)
+		if (err != nil) != phase.fails {
+			t.Fatalf("a state of %d bytes: %v", size, err)
 		}
 	}
-	if fault := opened.Save(nil); !errors.Is(fault, journal.ErrLength) {
-		t.Fatal(fault)
+	if err := opened.Save(nil); !errors.Is(err, journal.ErrLength) {
+		t.Fatal(err)
 	}
 }
 
 func TestLongFileIsWrittenAnew(t *testing.T) {
 	simulated := disk.New(disk.Options{})
 	state := bytes.Repeat([]byte("s"), 1000)
-	opened, _, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return [][]byte{state} }})
-	if fault != nil {
-		t.Fatal(fault)
+	opened, _, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "j", Whole: func() [][]byte { return [][]byte{state} }})
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer opened.Close()
 	const shortestLong = 1 << 20
 	for range 2*shortestLong/len(state) + 2 {
-		if fault := opened.Save(state); fault != nil {
-			t.Fatal(fault)
+		if err := opened.Save(state); err != nil {
+			t.Fatal(err)
 		}
 		if length := simulated.Bytes("j"); length > shortestLong+int64(4*len(state)) {
 			t.Fatalf("the file has %d bytes", length)
@@ -208,12 +208,12 @@
 func TestFolderKeepsRecords(t *testing.T) {
 	folder := journal.Folder(t.TempDir() + "/new/deep")
 	for round := range 3 {
-		opened, records, fault := journal.Open(journal.Options{Disk: folder, Name: "j", Whole: func() [][]byte { return nil }})
-		if fault != nil || len(records) != round {
-			t.Fatalf("round %d: %d records, %v", round, len(records), fault)
+		opened, records, err := journal.Open(journal.Options{Disk: folder, Name: "j", Whole: func() [][]byte { return nil }})
+		if err != nil || len(records) != round {
+			t.Fatalf("round %d: %d records, %v", round, len(records), err)
 		}
-		if fault := opened.Save([]byte{byte(round), 1}); fault != nil {
-			t.Fatal(fault)
+		if err := opened.Save([]byte{byte(round), 1}); err != nil {
+			t.Fatal(err)
 		}
 		opened.Close()
 	}
--- a/control/journal/model_test.go
+++ b/control/journal/model_test.go
@@ -75,8 +75,8 @@
 	for {
 		machine.voter = &voter{}
 		own := machine.voter
-		opened, records, fault := journal.Open(journal.Options{Disk: machine.disk.Mount(), Name: "j", Whole: own.whole, Shortest: 300, Limit: 64 << 10})
-		if fault != nil {
+		opened, records, err := journal.Open(journal.Options{Disk: machine.disk.Mount(), Name: "j", Whole: own.whole, Shortest: 300, Limit: 64 << 10})
+		if err != nil {
 			machine.until, machine.refuses = -1, 0
 			continue
 		}
@@ -85,8 +85,8 @@
 		}
 		for _, body := range records {
 			key, number := 0, 0
-			if _, fault := fmt.Sscanf(string(body), "%d %d", &key, &number); fault != nil {
-				machine.t.Fatal(fault)
+			if _, err := fmt.Sscanf(string(body), "%d %d", &key, &number); err != nil {
+				machine.t.Fatal(err)
 			}
 			own.numbers[key] = max(own.numbers[key], number)
 		}
@@ -140,8 +140,8 @@
 			}
 			machine.refuses = 0
 			if rapid.Bool().Draw(t, "goes on") {
-				if fault := machine.save(1); fault != nil && !errors.Is(fault, disk.ErrDead) {
-					t.Fatalf("the trouble is over: %v", fault)
+				if err := machine.save(1); err != nil && !errors.Is(err, disk.ErrDead) {
+					t.Fatalf("the trouble is over: %v", err)
 				}
 			}
 			machine.opened.Close()
--- a/control/journal/sizes_test.go
+++ b/control/journal/sizes_test.go
@@ -77,24 +77,24 @@
 	}})
 	open := func() (*register.Acceptor, *journal.Journal) {
 		var voter *register.Acceptor
-		opened, records, fault := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "registers", Limit: 16 << 20, Whole: func() [][]byte { return voter.Whole() }})
-		if fault == nil {
-			voter, fault = register.NewAcceptor("a", records)
+		opened, records, err := journal.Open(journal.Options{Disk: simulated.Mount(), Name: "registers", Limit: 16 << 20, Whole: func() [][]byte { return voter.Whole() }})
+		if err == nil {
+			voter, err = register.NewAcceptor("a", records)
 		}
-		if fault != nil {
-			b.Fatal(fault)
+		if err != nil {
+			b.Fatal(err)
 		}
 		voter.Attach(opened)
 		return voter, opened
 	}
 	voter, opened := open()
-	if fault := voter.Form(register.Voters{Generation: 1, Seats: []register.Seat{{Address: "a"}}}); fault != nil {
-		b.Fatal(fault)
+	if err := voter.Form(register.Voters{Generation: 1, Seats: []register.Seat{{Address: "a"}}}); err != nil {
+		b.Fatal(err)
 	}
 	text := document(source, routes)
-	value, fault := revision.Change{Whole: true, Body: text}.Step(nil)
-	if fault != nil {
-		b.Fatal(fault)
+	value, err := revision.Change{Whole: true, Body: text}.Step(nil)
+	if err != nil {
+		b.Fatal(err)
 	}
 	fence, epoch := register.Fence{Generation: 1, Mark: voter.Voters().Mark()}, ids.Epoch{Number: 1, Owner: "a"}
 	var stepped, saved, worst time.Duration
@@ -103,9 +103,9 @@
 		patch, _ := json.Marshal(map[string]any{"config_version": index + 2, "changes": map[string]any{
 			"routes": []any{route(source, source.IntN(routes), max(2, routes/10))}}})
 		before := processor()
-		next, fault := revision.Change{Match: ids.Serial(index + 1), Body: patch}.Step(value)
-		if fault != nil {
-			b.Fatal(fault)
+		next, err := revision.Change{Match: ids.Serial(index + 1), Body: patch}.Step(value)
+		if err != nil {
+			b.Fatal(err)
 		}
 		value = next
 		between, idle := processor(), busy
--- a/control/journal/write.go
+++ b/control/journal/write.go
@@ -19,29 +19,29 @@
 		size += sizeLength + int64(len(waiting.record))
 	}
 	if journal.file == nil || journal.length+size > journal.rewrite {
-		fault := journal.renew()
-		if fault == nil {
+		err := journal.renew()
+		if err == nil {
 			return nil
 		}
 		if journal.adrift {
-			return fmt.Errorf("journal: %w", fault)
+			return fmt.Errorf("journal: %w", err)
 		}
 		// The old file still has its name, and what was synced is as good as
 		// ever: where there is no room for another it goes on growing.
 		journal.rewrite = journal.bounded(journal.length + journal.options.Shortest)
 		if journal.beyond(journal.length + size) {
-			return fmt.Errorf("journal: %w", fault)
+			return fmt.Errorf("journal: %w", err)
 		}
-		if fault = journal.reopen(); fault != nil {
-			return fmt.Errorf("journal: %w", fault)
+		if err = journal.reopen(); err != nil {
+			return fmt.Errorf("journal: %w", err)
 		}
 	}
 	framed := frame(journal.generation, journal.frames+1, records)
-	if fault := put(journal.file, framed); fault != nil {
+	if err := put(journal.file, framed); err != nil {
 		// What lies behind the synced bytes is not known now: this handle is
 		// never used again.
 		journal.drop()
-		return fmt.Errorf("journal: %w", fault)
+		return fmt.Errorf("journal: %w", err)
 	}
 	journal.frames++
 	journal.length += int64(len(framed))
@@ -53,11 +53,11 @@
 	if journal.file != nil {
 		return nil
 	}
-	file, fault := journal.options.Disk.Append(journal.options.Name, journal.length)
-	if fault == nil {
+	file, err := journal.options.Disk.Append(journal.options.Name, journal.length)
+	if err == nil {
 		journal.file = file
 	}
-	return fault
+	return err
 }
 
 func (journal *Journal) drop() {
@@ -70,12 +70,12 @@
 // renew writes the whole state to a new file, which takes the old one's place.
 // The batch that waits is part of that state: see Options.Whole.
 func (journal *Journal) renew() error {
-	fault := journal.fill(journal.options.Whole())
-	if errors.Is(fault, syscall.ENOSPC) {
+	err := journal.fill(journal.options.Whole())
+	if errors.Is(err, syscall.ENOSPC) {
 		_ = journal.options.Disk.Remove(asideName(journal.options.Name))
 		_ = journal.options.Disk.SyncFolder()
 	}
-	return fault
+	return err
 }
 
 // fill makes a new file of records and gives it the journal's name.
@@ -97,13 +97,13 @@
 	if journal.beyond(length) {
 		return ErrRoom
 	}
-	file, renamed, fault := replace(journal.options.Disk, journal.options.Name, content)
+	file, renamed, err := replace(journal.options.Disk, journal.options.Name, content)
 	if renamed {
 		journal.drop()
-		journal.adrift = fault != nil
+		journal.adrift = err != nil
 	}
-	if fault != nil {
-		return fault
+	if err != nil {
+		return err
 	}
 	journal.file, journal.generation, journal.frames, journal.length = file, generation, frames, length
 	journal.rewrite = journal.bounded(max(journal.options.Shortest, 2*length))
@@ -122,8 +122,8 @@
 func (journal *Journal) beyond(length int64) bool { return journal.bounded(length) < length }
 
 func put(file File, content []byte) error {
-	if _, fault := file.Write(content); fault != nil {
-		return fault
+	if _, err := file.Write(content); err != nil {
+		return err
 	}
 	return file.Sync()
 }
@@ -133,41 +133,41 @@
 //
 // Example:
 //
-//	fault := journal.Replace(disk, "members", body)
+//	err := journal.Replace(disk, "members", body)
 func Replace(disk Disk, name string, content []byte) error {
-	file, _, fault := replace(disk, name, content)
-	if fault == nil {
+	file, _, err := replace(disk, name, content)
+	if err == nil {
 		_ = file.Close()
 	}
-	return fault
+	return err
 }
 
 // replace leaves the file open. Renamed tells that the name may stand for the
 // new file, whatever else failed. The folder is synced after each step: the new
 // name lasts before it takes the old one's place.
-func replace(disk Disk, name string, content []byte) (file File, renamed bool, fault error) {
+func replace(disk Disk, name string, content []byte) (file File, renamed bool, err error) {
 	// The name might still stand for the very file that it once replaced.
-	if fault = disk.Remove(newName(name)); fault != nil {
-		return nil, false, fault
+	if err = disk.Remove(newName(name)); err != nil {
+		return nil, false, err
 	}
-	if file, fault = disk.Create(newName(name)); fault != nil {
-		return nil, false, fault
+	if file, err = disk.Create(newName(name)); err != nil {
+		return nil, false, err
 	}
-	if fault = put(file, content); fault == nil {
-		fault = disk.SyncFolder()
+	if err = put(file, content); err == nil {
+		err = disk.SyncFolder()
 	}
-	if fault == nil {
+	if err == nil {
 		renamed = true
-		if fault = disk.Rename(newName(name), name); fault == nil {
-			fault = disk.SyncFolder()
+		if err = disk.Rename(newName(name), name); err == nil {
+			err = disk.SyncFolder()
 		}
 	}
-	if fault != nil {
+	if err != nil {
 		_ = file.Close()
 		if !renamed {
 			_ = disk.Remove(newName(name))
 		}
-		return nil, renamed, fault
+		return nil, renamed, err
 	}
 	return file, true, nil
 }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -239,9 +239,9 @@
 	}
 	// A hold that ran out in the meantime is a new one: another may have had the
 	// duty in between.
-	epoch, fault := holder.options.Epoch(inner, holder.options.Duty)
-	inner.Log.Info().Str("part", "hold").Str("duty", holder.options.Duty).Int64("epoch", epoch).Err(fault).Msg("granted")
-	if fault != nil || !holder.gain(inner, number, epoch, until) {
+	epoch, err := holder.options.Epoch(inner, holder.options.Duty)
+	inner.Log.Info().Str("part", "hold").Str("duty", holder.options.Duty).Int64("epoch", epoch).Err(err).Msg("granted")
+	if err != nil || !holder.gain(inner, number, epoch, until) {
 		holder.Release(inner)
 		return false
 	}
--- a/control/readindex/gate.go
+++ b/control/readindex/gate.go
@@ -81,9 +81,9 @@
 func (gate *Gate) State() string { return gate.state.Load().(string) }
 
 type answer struct {
-	from  ids.Address
-	told  Told
-	fault error
+	from ids.Address
+	told Told
+	err  error
 }
 
 const (
@@ -137,16 +137,16 @@
 	go func() {
 		short, release := inner.WithLimit(gate.options.Bound)
 		defer release()
-		told, fault := gate.options.Ask(short, address)
+		told, err := gate.options.Ask(short, address)
 		select {
-		case answers <- answer{from: address, told: told, fault: fault}:
+		case answers <- answer{from: address, told: told, err: err}:
 		default:
 		}
 	}()
 }
 
 func (gate *Gate) take(inner scope.Scope, heard answer) {
-	if heard.fault != nil {
+	if heard.err != nil {
 		return
 	}
 	gate.known, gate.target, gate.since = true, max(gate.target, heard.told.Serial), inner.Now()
--- a/control/readindex/reader.go
+++ b/control/readindex/reader.go
@@ -35,7 +35,7 @@
 type shared struct {
 	done   chan struct{}
 	serial ids.Serial
-	fault  error
+	err    error
 }
 
 // NewReader makes a reader; read is one read that a majority confirms.
@@ -52,8 +52,8 @@
 //	reader.Serve(calls)
 func (reader *Reader) Serve(calls *call.Table) {
 	courier.Handle(calls, Message, func(inner scope.Scope, _ Ask) (Told, error) {
-		serial, fault := reader.Newest(inner)
-		return Told{Serial: serial}, fault
+		serial, err := reader.Newest(inner)
+		return Told{Serial: serial}, err
 	})
 }
 
@@ -61,7 +61,7 @@
 //
 // Example:
 //
-//	serial, fault := reader.Newest(call)
+//	serial, err := reader.Newest(call)
 func (reader *Reader) Newest(inner scope.Scope) (ids.Serial, error) {
 	reader.lock.Lock()
 	mine := reader.waiting
@@ -76,7 +76,7 @@
 	reader.lock.Unlock()
 	select {
 	case <-mine.done:
-		return mine.serial, mine.fault
+		return mine.serial, mine.err
 	case <-inner.Done():
 		return 0, inner.Err()
 	}
@@ -92,7 +92,7 @@
 		if turn == nil {
 			return
 		}
-		turn.serial, turn.fault = reader.read(inner)
+		turn.serial, turn.err = reader.read(inner)
 		close(turn.done)
 	}
 }
--- a/control/readindex/readindex_test.go
+++ b/control/readindex/readindex_test.go
@@ -35,8 +35,8 @@
 			go func() {
 				top.Wait(clock.Span(index) * clock.Millisecond)
 				least := newest.Add(1)
-				serial, fault := reader.Newest(top)
-				told <- fault == nil && int64(serial) >= least
+				serial, err := reader.Newest(top)
+				told <- err == nil && int64(serial) >= least
 			}()
 		}
 		for range 300 {
--- a/control/register/acceptor.go
+++ b/control/register/acceptor.go
@@ -41,13 +41,13 @@
 //
 // Example:
 //
-//	voter, fault := register.NewAcceptor(address, records)
+//	voter, err := register.NewAcceptor(address, records)
 func NewAcceptor(address ids.Address, records [][]byte) (*Acceptor, error) {
 	made := &Acceptor{address: address, slots: map[string]Slot{}, kept: map[string]Slot{}}
 	for _, body := range records {
-		kept, fault := courier.Unpack[record](body)
-		if fault != nil {
-			return nil, fault
+		kept, err := courier.Unpack[record](body)
+		if err != nil {
+			return nil, err
 		}
 		if kept.Identity {
 			made.incarnation, made.identified = kept.Incarnation, true
@@ -93,7 +93,7 @@
 //
 // Example:
 //
-//	fault := voter.Identify(incarnation)
+//	err := voter.Identify(incarnation)
 func (acceptor *Acceptor) Identify(incarnation ids.Incarnation) error {
 	acceptor.lock.Lock()
 	acceptor.incarnation, acceptor.identified = incarnation, true
@@ -106,7 +106,7 @@
 //
 // Example:
 //
-//	fault := voter.Form(register.Voters{Generation: 1, Seats: seats})
+//	err := voter.Form(register.Voters{Generation: 1, Seats: seats})
 func (acceptor *Acceptor) Form(voters Voters) error {
 	acceptor.lock.Lock()
 	if len(acceptor.slots) > 0 {
@@ -119,8 +119,8 @@
 	acceptor.seeVoters()
 	store := acceptor.store
 	acceptor.lock.Unlock()
-	if fault := store.Save(pack(record{Identity: true, Incarnation: acceptor.incarnation})); fault != nil {
-		return fault
+	if err := store.Save(pack(record{Identity: true, Incarnation: acceptor.incarnation})); err != nil {
+		return err
 	}
 	return acceptor.keep(CohortKey)
 }
--- a/control/register/ask_test.go
+++ b/control/register/ask_test.go
@@ -85,12 +85,12 @@
 		newcomer.joiner.hear(world.scope)
 		voters := newcomer.acceptor.Voters()
 		own := Seat{Address: rival.address, Incarnation: rival.acceptor.Incarnation(), Learning: true}
-		if _, fault := world.machines[0].keeper.Change(world.scope, CohortKey, world.machines[0].joiner.seating(voters, 3, own)); fault != nil {
-			t.Fatal(fault)
+		if _, err := world.machines[0].keeper.Change(world.scope, CohortKey, world.machines[0].joiner.seating(voters, 3, own)); err != nil {
+			t.Fatal(err)
 		}
 		promised := world.machines[1].acceptor.Slot(CohortKey).Promised
-		if fault := newcomer.joiner.step(world.scope, voters); fault != nil {
-			t.Fatalf("voters that changed are no fault: %v", fault)
+		if err := newcomer.joiner.step(world.scope, voters); err != nil {
+			t.Fatalf("voters that changed are no fault: %v", err)
 		}
 		if now := world.machines[1].acceptor.Slot(CohortKey).Promised; now != promised || newcomer.acceptor.Voters().Generation != 2 {
 			t.Fatalf("the newcomer bid %+v against %+v, voters %+v", now, promised, newcomer.acceptor.Voters())
@@ -187,7 +187,7 @@
 		reach.wait(inner)
 		return HeldTold{}, inner.Err()
 	}
-	told, fault := reach.Reach.Held(inner, address)
+	told, err := reach.Reach.Held(inner, address)
 	told.Away = []ids.Address{reach.one}
-	return told, fault
+	return told, err
 }
--- a/control/register/away.go
+++ b/control/register/away.go
@@ -75,9 +75,9 @@
 		return joiner.doubted(address) || reports[address] >= quorum(len(voters.Seats))
 	}
 	gather(joiner, joiner.present(joiner.peers(voters)), missed, always, func(address ids.Address) (HeldTold, bool) {
-		told, fault := joiner.held(inner, address)
-		joiner.follow(inner, address, voters, told, fault)
-		return told, fault == nil && told.Voting
+		told, err := joiner.held(inner, address)
+		joiner.follow(inner, address, voters, told, err)
+		return told, err == nil && told.Voting
 	}, func(_ ids.Address, told HeldTold) {
 		if told.Mark == voters.Mark() {
 			heard++
@@ -100,8 +100,8 @@
 }
 
 // follow learns the voters from one that knows others than these, and none older.
-func (joiner *Joiner) follow(inner scope.Scope, address ids.Address, voters Voters, told HeldTold, fault error) {
-	if fault == nil && told.Generation >= voters.Generation && told.Mark != voters.Mark() {
+func (joiner *Joiner) follow(inner scope.Scope, address ids.Address, voters Voters, told HeldTold, err error) {
+	if err == nil && told.Generation >= voters.Generation && told.Mark != voters.Mark() {
 		joiner.LearnVoters(inner, address)
 	}
 }
--- a/control/register/commit.go
+++ b/control/register/commit.go
@@ -17,7 +17,7 @@
 	// owned leaves it undone where the key is not owned here already.
 	owned bool
 	value []byte
-	fault error
+	err   error
 	done  chan struct{}
 }
 
@@ -35,7 +35,7 @@
 //
 // Example:
 //
-//	value, fault := keeper.Change(short, "evacuation/hall", step)
+//	value, err := keeper.Change(short, "evacuation/hall", step)
 func (keeper *Keeper) Change(inner scope.Scope, key string, step Step) ([]byte, error) {
 	return keeper.wait(key, &waiting{inner: inner, step: step, done: make(chan struct{})})
 }
@@ -44,7 +44,7 @@
 //
 // Example:
 //
-//	value, fault := keeper.Read(short, "spec")
+//	value, err := keeper.Read(short, "spec")
 func (keeper *Keeper) Read(inner scope.Scope, key string) ([]byte, error) {
 	return keeper.Change(inner, key, func([]byte) ([]byte, error) { return nil, nil })
 }
@@ -54,7 +54,7 @@
 //
 // Example:
 //
-//	fault := keeper.Settle(short, register.CohortKey)
+//	err := keeper.Settle(short, register.CohortKey)
 func (keeper *Keeper) Settle(inner scope.Scope, key string) error {
 	return keeper.alone(inner, key, func(inner scope.Scope, state *owned) error {
 		state.holding = false
@@ -64,8 +64,8 @@
 
 // alone does something with the key that goes together with no change.
 func (keeper *Keeper) alone(inner scope.Scope, key string, act func(scope.Scope, *owned) error) error {
-	_, fault := keeper.wait(key, &waiting{inner: inner, alone: act, done: make(chan struct{})})
-	return fault
+	_, err := keeper.wait(key, &waiting{inner: inner, alone: act, done: make(chan struct{})})
+	return err
 }
 
 // Owns tells whether this keeper believes that it owns the key.
@@ -96,12 +96,12 @@
 	}
 	select {
 	case <-mine.done:
-		return mine.value, mine.fault
+		return mine.value, mine.err
 	default:
 	}
 	select {
 	case <-mine.done:
-		return mine.value, mine.fault
+		return mine.value, mine.err
 	case <-mine.inner.Done():
 		return nil, failure.Of(failure.Unsettled, "%s: no majority answered in time", key)
 	}
@@ -114,15 +114,15 @@
 		if len(together) == 0 {
 			return
 		}
-		fault := keeper.bounded(inner, state, key, together)
-		if fault != nil && !state.holding && !errors.Is(fault, errUnwanted) {
+		err := keeper.bounded(inner, state, key, together)
+		if err != nil && !state.holding && !errors.Is(err, errUnwanted) {
 			// Who took the key since acts on it now: to bid again for those that
 			// wait here would keep the key from both.
 			together = append(together, keeper.drain(state)...)
 		}
 		for _, one := range together {
-			if fault != nil {
-				one.value, one.fault = nil, fault
+			if err != nil {
+				one.value, one.err = nil, err
 			}
 			close(one.done)
 		}
@@ -160,7 +160,7 @@
 		}
 		state.queue = state.queue[1:]
 		if next.inner.Err() != nil {
-			next.fault = failure.Of(failure.Unsettled, "out of time before it was begun")
+			next.err = failure.Of(failure.Unsettled, "out of time before it was begun")
 			close(next.done)
 			continue
 		}
@@ -184,11 +184,11 @@
 	}
 	wanted, release := whileWanted(inner, together)
 	defer release()
-	if fault := keeper.hold(wanted, state, key); fault != nil {
+	if err := keeper.hold(wanted, state, key); err != nil {
 		if wanted.Err() != nil && inner.Err() == nil {
 			return errUnwanted
 		}
-		return fault
+		return err
 	}
 	value, changed := state.current.Value, false
 	for _, one := range together {
@@ -196,7 +196,7 @@
 		if refusal == nil && next != nil {
 			value, changed = next, true
 		}
-		one.value, one.fault = value, refusal
+		one.value, one.err = value, refusal
 	}
 	if changed {
 		return keeper.write(inner, state, key, value)
--- a/control/register/join.go
+++ b/control/register/join.go
@@ -91,8 +91,8 @@
 		if joiner.Acceptor.Voting() {
 			return nil
 		}
-		if fault := joiner.step(inner, voters); fault != nil {
-			return fault
+		if err := joiner.step(inner, voters); err != nil {
+			return err
 		}
 		joiner.each(joiner.present(joiner.peers(voters)), func(address ids.Address) { joiner.LearnVoters(inner, address) })
 	}
@@ -135,16 +135,16 @@
 		}
 		// A voter that missed the change of voters, and promised a taker since,
 		// can't be mended by copies: the key is written again.
-		if fault := joiner.Keeper.Settle(inner, CohortKey); fault != nil {
-			return fault
+		if err := joiner.Keeper.Settle(inner, CohortKey); err != nil {
+			return err
 		}
 		return failure.Of(failure.Unsettled, "too few others to learn from")
 	}
 	if seated == own {
 		own.Learning = false
 	}
-	_, fault := joiner.Keeper.Change(inner, CohortKey, joiner.seating(voters, index, own))
-	return fault
+	_, err := joiner.Keeper.Change(inner, CohortKey, joiner.seating(voters, index, own))
+	return err
 }
 
 // LearnVoters takes the voters that another controller knows.
@@ -155,8 +155,8 @@
 func (joiner *Joiner) LearnVoters(inner scope.Scope, address ids.Address) {
 	short, release := joiner.brief(inner)
 	defer release()
-	told, fault := joiner.Reach.Copy(short, address, CopyAsk{Key: CohortKey})
-	if fault != nil {
+	told, err := joiner.Reach.Copy(short, address, CopyAsk{Key: CohortKey})
+	if err != nil {
 		return
 	}
 	for _, slot := range told.Slots {
--- a/control/register/keep.go
+++ b/control/register/keep.go
@@ -15,8 +15,8 @@
 	}
 	acceptor.lock.Unlock()
 	for _, slot := range ahead {
-		if fault := store.Save(pack(record{Slot: slot})); fault != nil {
-			return fault
+		if err := store.Save(pack(record{Slot: slot})); err != nil {
+			return err
 		}
 		acceptor.lock.Lock()
 		acceptor.kept[slot.Key] = merge(acceptor.kept[slot.Key], slot)
--- a/control/register/keep_test.go
+++ b/control/register/keep_test.go
@@ -18,8 +18,8 @@
 	if len(script.saves) > 0 {
 		next := script.saves[0]
 		script.saves = script.saves[1:]
-		if fault := next(); fault != nil {
-			return fault
+		if err := next(); err != nil {
+			return err
 		}
 	}
 	script.records = append(script.records, record)
@@ -31,21 +31,21 @@
 // again reads the disk as the next life of the program would.
 func (script *script) again(t *testing.T) *Acceptor {
 	t.Helper()
-	voter, fault := NewAcceptor("a", script.records)
-	if fault != nil {
-		t.Fatal(fault)
+	voter, err := NewAcceptor("a", script.records)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return voter
 }
 
 func formed(t *testing.T) (*Acceptor, *script, Voters) {
 	t.Helper()
-	voter, fault := NewAcceptor("a", nil)
+	voter, err := NewAcceptor("a", nil)
 	store := &script{}
 	voter.Attach(store)
 	voters := Voters{Generation: 1, Seats: []Seat{{Address: "a"}, {Address: "b"}, {Address: "c"}}}
-	if fault = errors.Join(fault, voter.Form(voters)); fault != nil {
-		t.Fatal(fault)
+	if err = errors.Join(err, voter.Form(voters)); err != nil {
+		t.Fatal(err)
 	}
 	return voter, store, voters
 }
@@ -59,8 +59,8 @@
 	if voter.Learn(slots) == nil {
 		t.Fatal("learnt though the disk refused")
 	}
-	if fault := voter.Learn(slots); fault != nil {
-		t.Fatal(fault)
+	if err := voter.Learn(slots); err != nil {
+		t.Fatal(err)
 	}
 	if held := store.again(t).Slot("spec").Accepted; string(held.Value) != "v" {
 		t.Fatalf("learnt without an error, but the disk holds %+v", held)
--- a/control/register/learn.go
+++ b/control/register/learn.go
@@ -22,8 +22,8 @@
 	if len(slot.Accepted.Value) == 0 {
 		return Voters{}, false
 	}
-	voters, fault := courier.Unpack[Voters](slot.Accepted.Value)
-	return voters, fault == nil
+	voters, err := courier.Unpack[Voters](slot.Accepted.Value)
+	return voters, err == nil
 }
 
 // fenced tells whether a message may be acted on. The cohort key is open to
@@ -148,7 +148,7 @@
 //
 // Example:
 //
-//	if !voter.Identified() { fault = voter.Identify(incarnation) }
+//	if !voter.Identified() { err = voter.Identify(incarnation) }
 func (acceptor *Acceptor) Identified() bool {
 	acceptor.lock.Lock()
 	defer acceptor.lock.Unlock()
@@ -162,7 +162,7 @@
 //
 // Example:
 //
-//	fault := voter.Learn(all.Slots)
+//	err := voter.Learn(all.Slots)
 func (acceptor *Acceptor) Learn(slots []Slot) error {
 	acceptor.lock.Lock()
 	var keys []string
--- a/control/register/message_test.go
+++ b/control/register/message_test.go
@@ -10,12 +10,12 @@
 
 func travels[Message any](t *testing.T, message Message) {
 	t.Helper()
-	body, fault := courier.Pack(message)
-	if fault != nil {
-		t.Fatal(fault)
+	body, err := courier.Pack(message)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if read, fault := courier.Unpack[Message](body); fault != nil || !reflect.DeepEqual(read, message) {
-		t.Fatalf("%+v came as %+v, %v", message, read, fault)
+	if read, err := courier.Unpack[Message](body); err != nil || !reflect.DeepEqual(read, message) {
+		t.Fatalf("%+v came as %+v, %v", message, read, err)
 	}
 }
 
--- a/control/register/model_test.go
+++ b/control/register/model_test.go
@@ -155,28 +155,28 @@
 	from  ids.Address
 }
 
-func (line line) mend(address ids.Address, verdict Verdict, theirs int64, fault error) {
-	if fault == nil && verdict == Misfenced && address != line.from {
+func (line line) mend(address ids.Address, verdict Verdict, theirs int64, err error) {
+	if err == nil && verdict == Misfenced && address != line.from {
 		line.world.find(line.from).joiner.Mend(line.world.scope, address, theirs)
 	}
 }
 
 func (line line) Promise(_ scope.Scope, address ids.Address, asked PromiseAsk) (PromiseTold, error) {
-	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) PromiseTold { return voter.Promise(asked) })
-	line.mend(address, told.Verdict, told.Generation, fault)
-	return told, fault
+	told, err := carry(line.world, line.from, address, func(voter *Acceptor) PromiseTold { return voter.Promise(asked) })
+	line.mend(address, told.Verdict, told.Generation, err)
+	return told, err
 }
 
 func (line line) Accept(_ scope.Scope, address ids.Address, asked AcceptAsk) (AcceptTold, error) {
-	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Accept(asked) })
-	line.mend(address, told.Verdict, told.Generation, fault)
-	return told, fault
+	told, err := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Accept(asked) })
+	line.mend(address, told.Verdict, told.Generation, err)
+	return told, err
 }
 
 func (line line) Confirm(_ scope.Scope, address ids.Address, asked ConfirmAsk) (AcceptTold, error) {
-	told, fault := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Confirm(asked) })
-	line.mend(address, told.Verdict, told.Generation, fault)
-	return told, fault
+	told, err := carry(line.world, line.from, address, func(voter *Acceptor) AcceptTold { return voter.Confirm(asked) })
+	line.mend(address, told.Verdict, told.Generation, err)
+	return told, err
 }
 
 func (line line) Copy(_ scope.Scope, address ids.Address, asked CopyAsk) (CopyTold, error) {
@@ -188,6 +188,6 @@
 }
 
 func (line line) Learn(_ scope.Scope, address ids.Address, slots []Slot) error {
-	fault, lost := carry(line.world, line.from, address, func(voter *Acceptor) error { return voter.Learn(slots) })
-	return errors.Join(fault, lost)
+	err, lost := carry(line.world, line.from, address, func(voter *Acceptor) error { return voter.Learn(slots) })
+	return errors.Join(err, lost)
 }
--- a/control/register/owned.go
+++ b/control/register/owned.go
@@ -12,7 +12,7 @@
 //
 // Example:
 //
-//	value, fault := keeper.ChangeOwned(short, "evacuation/hall", step)
+//	value, err := keeper.ChangeOwned(short, "evacuation/hall", step)
 func (keeper *Keeper) ChangeOwned(inner scope.Scope, key string, step Step) ([]byte, error) {
 	return keeper.wait(key, &waiting{inner: inner, step: step, owned: true, done: make(chan struct{})})
 }
@@ -25,7 +25,7 @@
 	var rest []*waiting
 	for _, one := range together {
 		if one.owned {
-			one.fault = failure.Of(failure.Unsettled, "%s is not owned here", key)
+			one.err = failure.Of(failure.Unsettled, "%s is not owned here", key)
 		} else {
 			rest = append(rest, one)
 		}
--- a/control/register/owner.go
+++ b/control/register/owner.go
@@ -58,36 +58,36 @@
 	if state.holding && state.voters.Mark() == voters.Mark() {
 		return nil
 	}
-	var fault error
+	var err error
 	for range attempts {
 		state.holding = false
 		state.voters = keeper.options.Voters()
 		state.highest = max(state.highest, keeper.options.Seen(key)) + 1
 		state.epoch = ids.Epoch{Number: state.highest, Owner: keeper.options.Address}
-		fault = keeper.takeOver(inner, state, key)
-		inner.Log.Info().Str("part", "register").Str("key", key).Int64("epoch", state.epoch.Number).Err(fault).Msg("taken over")
-		if fault == nil {
+		err = keeper.takeOver(inner, state, key)
+		inner.Log.Info().Str("part", "register").Str("key", key).Int64("epoch", state.epoch.Number).Err(err).Msg("taken over")
+		if err == nil {
 			return nil
 		}
 		if inner.Err() != nil || state.highest == state.epoch.Number {
-			return fault
+			return err
 		}
 	}
-	return fault
+	return err
 }
 
 // takeOver gains the key under the state's epoch and settles its last write.
 func (keeper *Keeper) takeOver(inner scope.Scope, state *owned, key string) error {
-	newest, fault := keeper.take(inner, state, key)
-	if fault != nil {
-		return fault
+	newest, err := keeper.take(inner, state, key)
+	if err != nil {
+		return err
 	}
 	state.current = newest
 	if newest.Sequence > 0 {
 		// The value found may stand on a minority only: it is written again
 		// under the new epoch before anything is built on it.
-		if fault := keeper.write(inner, state, key, newest.Value); fault != nil {
-			return fault
+		if err := keeper.write(inner, state, key, newest.Value); err != nil {
+			return err
 		}
 	}
 	state.holding = true
@@ -101,19 +101,19 @@
 	if key == CohortKey {
 		// A seat must be filled also while too few disks are there for orders.
 		copies = 0
-		voters, fault := courier.Unpack[Voters](value)
-		if fault != nil {
-			return failure.Of(failure.Internal, "voters: %v", fault)
+		voters, err := courier.Unpack[Voters](value)
+		if err != nil {
+			return failure.Of(failure.Internal, "voters: %v", err)
 		}
 		sets = append(sets, voters.Seats)
 	}
-	fault := keeper.rounds(inner, state, sets, copies, func(message scope.Scope, seat Seat) (Verdict, int64) {
-		told, fault := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: next})
-		return verdictOf(told.Verdict, fault), told.Promised.Number
+	err := keeper.rounds(inner, state, sets, copies, func(message scope.Scope, seat Seat) (Verdict, int64) {
+		told, err := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: next})
+		return verdictOf(told.Verdict, err), told.Promised.Number
 	})
-	if fault != nil {
+	if err != nil {
 		state.holding = false
-		return fault
+		return err
 	}
 	state.current = next
 	keeper.options.Chosen(key, next)
@@ -122,18 +122,18 @@
 
 // confirm asks a majority whether this keeper is still the owner.
 func (keeper *Keeper) confirm(inner scope.Scope, state *owned, key string) error {
-	fault := keeper.rounds(inner, state, [][]Seat{state.voters.Seats}, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
-		told, fault := keeper.options.Line.Confirm(message, seat.Address, ConfirmAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
-		return verdictOf(told.Verdict, fault), told.Promised.Number
+	err := keeper.rounds(inner, state, [][]Seat{state.voters.Seats}, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
+		told, err := keeper.options.Line.Confirm(message, seat.Address, ConfirmAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
+		return verdictOf(told.Verdict, err), told.Promised.Number
 	})
-	if fault != nil {
+	if err != nil {
 		state.holding = false
 	}
-	return fault
+	return err
 }
 
-func verdictOf(verdict Verdict, fault error) Verdict {
-	if fault != nil {
+func verdictOf(verdict Verdict, err error) Verdict {
+	if err != nil {
 		return Broken
 	}
 	return verdict
--- a/control/register/place.go
+++ b/control/register/place.go
@@ -14,8 +14,8 @@
 // replaced is back: this is asked last of all, right before the change is sent.
 func (joiner *Joiner) seating(known Voters, index int, own Seat) Step {
 	return func(current []byte) ([]byte, error) {
-		voters, fault := courier.Unpack[Voters](current)
-		if fault != nil || voters.Mark() != known.Mark() {
+		voters, err := courier.Unpack[Voters](current)
+		if err != nil || voters.Mark() != known.Mark() {
 			return nil, failure.Of(failure.Unsettled, "the voters changed")
 		}
 		if index < len(voters.Seats) {
@@ -125,8 +125,8 @@
 		return index < len(voters.Seats) && voters.Seats[index].Address == address
 	}
 	gather(joiner, joiner.peers(voters), joiner.doubted, always, func(address ids.Address) (HeldTold, bool) {
-		told, fault := joiner.held(inner, address)
-		return told, fault == nil
+		told, err := joiner.held(inner, address)
+		return told, err == nil
 	}, func(address ids.Address, told HeldTold) {
 		seat, _ := voters.seat(address)
 		if !told.Voting || seat.Learning {
@@ -168,9 +168,9 @@
 		if voter.Learning {
 			return HeldTold{}, false
 		}
-		told, fault := joiner.held(inner, address)
-		joiner.follow(inner, address, voters, told, fault)
-		return told, fault == nil && told.Voting && told.Mark == voters.Mark() && told.Incarnation == voter.Incarnation
+		told, err := joiner.held(inner, address)
+		joiner.follow(inner, address, voters, told, err)
+		return told, err == nil && told.Voting && told.Mark == voters.Mark() && told.Incarnation == voter.Incarnation
 	}, func(address ids.Address, told HeldTold) {
 		missing--
 		for _, held := range told.Keys {
@@ -209,8 +209,8 @@
 	}
 	short, release := joiner.brief(inner)
 	defer release()
-	told, fault := joiner.Reach.Copy(short, seen.holder, CopyAsk{Key: key})
-	if fault != nil || len(told.Slots) != 1 || seen.held.accepted().newer(told.Slots[0].Accepted) {
+	told, err := joiner.Reach.Copy(short, seen.holder, CopyAsk{Key: key})
+	if err != nil || len(told.Slots) != 1 || seen.held.accepted().newer(told.Slots[0].Accepted) {
 		return slot, false
 	}
 	slot.Accepted = told.Slots[0].Accepted
--- a/control/register/redundancy.go
+++ b/control/register/redundancy.go
@@ -87,8 +87,8 @@
 	}
 	add(joiner.Address, joiner.Acceptor.Held())
 	gather(joiner, joiner.peers(found.voters), joiner.doubted, always, func(address ids.Address) (HeldTold, bool) {
-		told, fault := joiner.held(inner, address)
-		return told, fault == nil
+		told, err := joiner.held(inner, address)
+		return told, err == nil
 	}, add)
 	for key := range found.newest {
 		found.keys = append(found.keys, key)
--- a/control/register/register_test.go
+++ b/control/register/register_test.go
@@ -21,13 +21,13 @@
 	world.writes++
 	mark := string(rune('A'+world.writes%26)) + string(subject.address) + ";"
 	keeper := subject.keeper
-	value, fault := keeper.Change(world.scope, "spec", func(current []byte) ([]byte, error) {
+	value, err := keeper.Change(world.scope, "spec", func(current []byte) ([]byte, error) {
 		if reads {
 			return nil, nil
 		}
 		return append(append([]byte(nil), current...), mark...), nil
 	})
-	if fault != nil {
+	if err != nil {
 		return false
 	}
 	if !strings.HasPrefix(string(value), before) {
@@ -174,8 +174,8 @@
 		if !world.write(first, false) || !world.write(second, false) {
 			t.Fatal("a calm write failed")
 		}
-		value, fault := first.keeper.Read(world.scope, "spec")
-		if fault == nil && !strings.HasPrefix(string(value), world.acked) {
+		value, err := first.keeper.Read(world.scope, "spec")
+		if err == nil && !strings.HasPrefix(string(value), world.acked) {
 			t.Fatalf("a fenced owner read %q after %q was acknowledged", value, world.acked)
 		}
 		if !world.write(first, false) {
--- a/control/register/repair.go
+++ b/control/register/repair.go
@@ -18,7 +18,7 @@
 //
 // Example:
 //
-//	fault := keeper.Repair(short, "spec", lagging)
+//	err := keeper.Repair(short, "spec", lagging)
 func (keeper *Keeper) Repair(inner scope.Scope, key string, lagging []Seat) error {
 	return keeper.alone(inner, key, func(inner scope.Scope, state *owned) error {
 		if !state.holding {
@@ -37,15 +37,15 @@
 // again sends the last value to each of some voters, which stand for
 // themselves: there is no majority to wait for.
 func (keeper *Keeper) again(inner scope.Scope, state *owned, key string, lagging []Seat) error {
-	var fault error
+	var err error
 	for _, seat := range lagging {
 		one := keeper.rounds(inner, state, [][]Seat{{seat}}, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
-			told, fault := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: state.current})
-			return verdictOf(told.Verdict, fault), told.Promised.Number
+			told, err := keeper.options.Line.Accept(message, seat.Address, AcceptAsk{Fence: state.voters.Fence(seat), Key: key, Accepted: state.current})
+			return verdictOf(told.Verdict, err), told.Promised.Number
 		})
-		fault = errors.Join(fault, one)
+		err = errors.Join(err, one)
 	}
-	return fault
+	return err
 }
 
 // Survey compares what the voters hold and has brought up to date what lags.
@@ -95,7 +95,7 @@
 	}
 	survey.rounds[key]++
 	if keeper.Owns(key) {
-		if fault := keeper.Repair(inner, key, lagging); !errors.Is(fault, ErrNotOwner) {
+		if err := keeper.Repair(inner, key, lagging); !errors.Is(err, ErrNotOwner) {
 			return
 		}
 	}
@@ -127,8 +127,8 @@
 		_, answered := found.told[newest.Owner]
 		return answered
 	}
-	_, fault := survey.Joiner.held(inner, newest.Owner)
-	return fault == nil
+	_, err := survey.Joiner.held(inner, newest.Owner)
+	return err == nil
 }
 
 // Lags tells whether some key lagged in the last round.
@@ -157,7 +157,7 @@
 			continue
 		}
 		lagging := found.behind(held.Key, held)
-		if fault := survey.Joiner.Keeper.Repair(inner, held.Key, lagging); errors.Is(fault, ErrNotOwner) {
+		if err := survey.Joiner.Keeper.Repair(inner, held.Key, lagging); errors.Is(err, ErrNotOwner) {
 			_ = survey.Joiner.Keeper.Settle(inner, held.Key)
 		}
 		// Whether that was enough is looked at anew.
@@ -183,8 +183,8 @@
 	address := peers[survey.turn%len(peers)]
 	short, release := joiner.brief(inner)
 	defer release()
-	told, fault := joiner.Reach.Held(short, address)
-	if fault != nil {
+	told, err := joiner.Reach.Held(short, address)
+	if err != nil {
 		return
 	}
 	for _, held := range told.Keys {
--- a/control/register/replace_test.go
+++ b/control/register/replace_test.go
@@ -109,8 +109,8 @@
 		stuck := world.find("f")
 		voters := world.newest()
 		own := Seat{Address: "f", Incarnation: stuck.acceptor.Incarnation(), Learning: true}
-		if _, fault := stuck.keeper.Change(world.scope, CohortKey, stuck.joiner.seating(voters, 3, own)); fault != nil {
-			t.Fatal(fault)
+		if _, err := stuck.keeper.Change(world.scope, CohortKey, stuck.joiner.seating(voters, 3, own)); err != nil {
+			t.Fatal(err)
 		}
 		for _, other := range world.machines {
 			world.cuts[[2]ids.Address{"f", other.address}] = other != stuck
--- a/control/register/rounds.go
+++ b/control/register/rounds.go
@@ -61,9 +61,9 @@
 		var lock sync.Mutex
 		var newest Accepted
 		sets := [][]Seat{state.voters.Seats}
-		fault := keeper.rounds(inner, state, sets, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
-			told, fault := keeper.options.Line.Promise(message, seat.Address, PromiseAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
-			verdict := verdictOf(told.Verdict, fault)
+		err := keeper.rounds(inner, state, sets, 0, func(message scope.Scope, seat Seat) (Verdict, int64) {
+			told, err := keeper.options.Line.Promise(message, seat.Address, PromiseAsk{Fence: state.voters.Fence(seat), Key: key, Epoch: state.epoch})
+			verdict := verdictOf(told.Verdict, err)
 			lock.Lock()
 			defer lock.Unlock()
 			if verdict == Granted && told.Slot.Accepted.newer(newest) {
@@ -71,8 +71,8 @@
 			}
 			return verdict, told.Slot.Promised.Number
 		})
-		if fault != nil {
-			return Accepted{}, fault
+		if err != nil {
+			return Accepted{}, err
 		}
 		lock.Lock()
 		found := newest
@@ -80,8 +80,8 @@
 		if key != CohortKey {
 			return found, nil
 		}
-		voters, fault := courier.Unpack[Voters](found.Value)
-		if fault != nil || voters.Generation <= state.voters.Generation {
+		voters, err := courier.Unpack[Voters](found.Value)
+		if err != nil || voters.Generation <= state.voters.Generation {
 			return found, nil
 		}
 		state.voters = voters
--- a/control/register/world_test.go
+++ b/control/register/world_test.go
@@ -11,9 +11,9 @@
 
 // start gives a machine a new life on the disk that it has.
 func (world *world) start(subject *machine) {
-	acceptor, fault := NewAcceptor(subject.address, subject.disk.records)
-	if fault != nil {
-		world.t.Fatalf("the records of %s can't be read: %v", subject.address, fault)
+	acceptor, err := NewAcceptor(subject.address, subject.disk.records)
+	if err != nil {
+		world.t.Fatalf("the records of %s can't be read: %v", subject.address, err)
 	}
 	subject.acceptor = acceptor
 	subject.disk.whole, subject.disk.dirty = acceptor.Whole, false
@@ -66,8 +66,8 @@
 		made.formed = index >= 3
 		made.start(subject)
 		if index < 3 {
-			if fault := subject.acceptor.Form(voters); fault != nil {
-				t.Fatal(fault)
+			if err := subject.acceptor.Form(voters); err != nil {
+				t.Fatal(err)
 			}
 		}
 	}
--- a/control/revision/chain_test.go
+++ b/control/revision/chain_test.go
@@ -33,9 +33,9 @@
 
 func (chain *chain) take(change Change) {
 	chain.t.Helper()
-	next, fault := change.After(chain.sealed)(chain.value)
-	if fault != nil || next == nil {
-		chain.t.Fatalf("change %d was not taken: %v", len(chain.taken), fault)
+	next, err := change.After(chain.sealed)(chain.value)
+	if err != nil || next == nil {
+		chain.t.Fatalf("change %d was not taken: %v", len(chain.taken), err)
 	}
 	chain.value, chain.taken = next, append(chain.taken, change)
 }
@@ -49,7 +49,7 @@
 // into the memory as a step does it, without reading the documents.
 func (chain *chain) grow(count int) {
 	chain.t.Helper()
-	kept, fault := Travelling(chain.value)
+	kept, err := Travelling(chain.value)
 	for range count - 2 {
 		change := patchOn(kept.Serial, kept.Serial+1+ids.Serial(len(chain.taken)%5), 0)
 		kept.Serial = change.Serial()
@@ -57,8 +57,8 @@
 		kept.Memory.drop(chain.sealed)
 		chain.taken = append(chain.taken, change)
 	}
-	if chain.value, _ = courier.Pack(kept); fault != nil {
-		chain.t.Fatalf("%v", fault)
+	if chain.value, _ = courier.Pack(kept); err != nil {
+		chain.t.Fatalf("%v", err)
 	}
 	for range min(count, 2) {
 		kept, _ = Travelling(chain.value)
@@ -74,9 +74,9 @@
 		if !due {
 			return
 		}
-		next, fault := page.Step(chain.pages[page.Key()])
-		if fault != nil || next == nil {
-			chain.t.Fatalf("page %d: %v", page.Index, fault)
+		next, err := page.Step(chain.pages[page.Key()])
+		if err != nil || next == nil {
+			chain.t.Fatalf("page %d: %v", page.Index, err)
 		}
 		chain.pages[page.Key()], chain.sealed = next, page.Sealed()
 	}
@@ -85,12 +85,12 @@
 // ask gives what becomes of an order that is sent now: None where it counts as
 // taken before, and nothing may change.
 func (chain *chain) ask(change Change) failure.Kind {
-	next, fault := change.After(chain.sealed)(chain.value)
-	if beyond, found := fault.(*Beyond); found {
-		fault = beyond.Judge(chain.pages[beyond.Key()])
+	next, err := change.After(chain.sealed)(chain.value)
+	if beyond, found := err.(*Beyond); found {
+		err = beyond.Judge(chain.pages[beyond.Key()])
 	}
 	if next != nil {
 		chain.t.Fatalf("an order on version %d was taken anew", change.Match)
 	}
-	return failure.KindOf(fault)
+	return failure.KindOf(err)
 }
--- a/control/revision/check.go
+++ b/control/revision/check.go
@@ -20,13 +20,13 @@
 var schemaText []byte
 
 var compiled = sync.OnceValues(func() (*jsonschema.Schema, error) {
-	document, fault := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
-	if fault != nil {
-		return nil, fault
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return nil, err
 	}
 	compiler := jsonschema.NewCompiler()
-	if fault := compiler.AddResource("spec.json", document); fault != nil {
-		return nil, fault
+	if err := compiler.AddResource("spec.json", document); err != nil {
+		return nil, err
 	}
 	return compiler.Compile("spec.json")
 })
@@ -43,26 +43,26 @@
 //
 // Example:
 //
-//	version, fault := revision.Check(document)
+//	version, err := revision.Check(document)
 func Check(document []byte) (*spec.Spec, error) {
-	loose, fault := jsonschema.UnmarshalJSON(bytes.NewReader(document))
-	if fault != nil {
-		return nil, failure.Of(failure.BadSpec, "not JSON: %v", fault)
+	loose, err := jsonschema.UnmarshalJSON(bytes.NewReader(document))
+	if err != nil {
+		return nil, failure.Of(failure.BadSpec, "not JSON: %v", err)
 	}
-	schema, fault := compiled()
-	if fault != nil {
-		return nil, failure.Of(failure.Internal, "schema: %v", fault)
+	schema, err := compiled()
+	if err != nil {
+		return nil, failure.Of(failure.Internal, "schema: %v", err)
 	}
-	if fault := schema.Validate(loose); fault != nil {
-		return nil, failure.Of(failure.BadSpec, "%v", fault)
+	if err := schema.Validate(loose); err != nil {
+		return nil, failure.Of(failure.BadSpec, "%v", err)
 	}
-	read, fault := spec.Read(document)
-	if fault != nil {
-		return nil, failure.Of(failure.BadSpec, "%v", fault)
+	read, err := spec.Read(document)
+	if err != nil {
+		return nil, failure.Of(failure.BadSpec, "%v", err)
 	}
 	for _, rule := range rules {
-		if fault := rule(read); fault != nil {
-			return nil, fault
+		if err := rule(read); err != nil {
+			return nil, err
 		}
 	}
 	return read, nil
--- a/control/revision/keep.go
+++ b/control/revision/keep.go
@@ -66,7 +66,7 @@
 //
 // Example:
 //
-//	value, fault := keeper.Change(short, spec.Key, change.Step)
+//	value, err := keeper.Change(short, spec.Key, change.Step)
 func (change Change) Step(current []byte) ([]byte, error) { return change.step(current, 0) }
 
 // After is Step where so many of the oldest changes are known to be sealed in
@@ -74,18 +74,18 @@
 //
 // Example:
 //
-//	value, fault := keeper.Change(short, spec.Key, change.After(sealed))
+//	value, err := keeper.Change(short, spec.Key, change.After(sealed))
 func (change Change) After(sealed int64) func([]byte) ([]byte, error) {
 	return func(current []byte) ([]byte, error) { return change.step(current, sealed) }
 }
 
 func (change Change) step(current []byte, sealed int64) ([]byte, error) {
-	kept, fault := ReadKept(current)
-	if fault != nil {
-		return nil, failure.Of(failure.Internal, "kept spec: %v", fault)
+	kept, err := ReadKept(current)
+	if err != nil {
+		return nil, failure.Of(failure.Internal, "kept spec: %v", err)
 	}
-	if change.Body, fault = pack.Unpack(change.Body, change.Packed); fault != nil {
-		return nil, failure.Of(failure.BadRequest, "packed change: %v", fault)
+	if change.Body, err = pack.Unpack(change.Body, change.Packed); err != nil {
+		return nil, failure.Of(failure.BadRequest, "packed change: %v", err)
 	}
 	digest := change.digest()
 	if change.Match != kept.Serial {
@@ -93,15 +93,15 @@
 	}
 	document := change.Body
 	if !change.Whole {
-		patched, fault := Patch(kept.Document, change.Body)
-		if fault != nil {
-			return nil, fault
+		patched, err := Patch(kept.Document, change.Body)
+		if err != nil {
+			return nil, err
 		}
 		document = patched
 	}
-	checked, fault := Check(document)
-	if fault != nil {
-		return nil, fault
+	checked, err := Check(document)
+	if err != nil {
+		return nil, err
 	}
 	if checked.Serial <= kept.Serial {
 		return nil, failure.Of(failure.BadSpec, "config_version: %d is not above %d", checked.Serial, kept.Serial)
@@ -117,22 +117,22 @@
 //
 // Example:
 //
-//	kept, fault := revision.ReadKept(value)
+//	kept, err := revision.ReadKept(value)
 func ReadKept(value []byte) (Kept, error) {
-	kept, fault := Travelling(value)
-	if fault != nil {
-		return Kept{}, fault
+	kept, err := Travelling(value)
+	if err != nil {
+		return Kept{}, err
 	}
-	kept.Document, fault = pack.Unpack(kept.Document, kept.Packed)
+	kept.Document, err = pack.Unpack(kept.Document, kept.Packed)
 	kept.Packed = false
-	return kept, fault
+	return kept, err
 }
 
 // Travelling reads the register's value and leaves its document as it is kept.
 //
 // Example:
 //
-//	kept, fault := revision.Travelling(value)
+//	kept, err := revision.Travelling(value)
 func Travelling(value []byte) (Kept, error) {
 	if len(value) == 0 {
 		return Kept{}, nil
--- a/control/revision/memory_test.go
+++ b/control/revision/memory_test.go
@@ -92,12 +92,12 @@
 	chain.seal()
 	chain.grow(1)
 	page := chain.pages[pageKey(0)]
-	next, fault := Page{Index: pageCount}.Step(page)
-	if fault != nil || next == nil {
-		t.Fatal(fault)
+	next, err := Page{Index: pageCount}.Step(page)
+	if err != nil || next == nil {
+		t.Fatal(err)
 	}
-	if back, fault := (Page{Index: 0}).Step(next); back != nil || fault != nil {
-		t.Fatalf("an older page replaced a newer one: %v", fault)
+	if back, err := (Page{Index: 0}).Step(next); back != nil || err != nil {
+		t.Fatalf("an older page replaced a newer one: %v", err)
 	}
 	for _, value := range [][]byte{nil, next} {
 		chain.pages[pageKey(0)] = value
@@ -120,9 +120,9 @@
 	for range recentMost/pageLength + 3 {
 		chain.grow(pageLength)
 	}
-	kept, fault := Travelling(chain.value)
-	if fault != nil || len(kept.Memory.Recent) > recentMost*(digestLength+1) {
-		t.Fatalf("%d bytes, %v", len(kept.Memory.Recent), fault)
+	kept, err := Travelling(chain.value)
+	if err != nil || len(kept.Memory.Recent) > recentMost*(digestLength+1) {
+		t.Fatalf("%d bytes, %v", len(kept.Memory.Recent), err)
 	}
 	if kind := chain.ask(chain.taken[0]); kind != failure.Forgotten {
 		t.Fatalf("%v", kind)
@@ -141,11 +141,11 @@
 	}
 	old, _ := courier.Pack(Kept{Serial: 7, Document: []byte(good)})
 	for _, value := range [][]byte{old, old[4:], []byte("odd")} {
-		if _, fault := ReadKept(value); fault == nil {
+		if _, err := ReadKept(value); err == nil {
 			t.Fatal("it was read")
 		}
-		if _, fault := (Change{Match: 7, Body: []byte(good)}).Step(value); failure.KindOf(fault) != failure.Internal {
-			t.Fatalf("%v", fault)
+		if _, err := (Change{Match: 7, Body: []byte(good)}).Step(value); failure.KindOf(err) != failure.Internal {
+			t.Fatalf("%v", err)
 		}
 	}
 }
--- a/control/revision/page.go
+++ b/control/revision/page.go
@@ -37,9 +37,9 @@
 // followed by a newer one, stays.
 func (page Page) Step(current []byte) ([]byte, error) {
 	if len(current) > 0 {
-		present, fault := courier.Unpack[Page](current)
-		if fault != nil {
-			return nil, failure.Of(failure.Internal, "kept page: %v", fault)
+		present, err := courier.Unpack[Page](current)
+		if err != nil {
+			return nil, failure.Of(failure.Internal, "kept page: %v", err)
 		}
 		if present.Index >= page.Index {
 			return nil, nil
@@ -69,7 +69,7 @@
 //
 // Example:
 //
-//	value, fault := keeper.Read(short, beyond.Key())
+//	value, err := keeper.Read(short, beyond.Key())
 func (beyond *Beyond) Key() string { return pageKey(beyond.index) }
 
 // Judge looks the order up in the page's value: no error means that it was
@@ -77,14 +77,14 @@
 //
 // Example:
 //
-//	fault := beyond.Judge(value)
+//	err := beyond.Judge(value)
 func (beyond *Beyond) Judge(value []byte) error {
 	if len(value) == 0 {
 		return beyond
 	}
-	page, fault := courier.Unpack[Page](value)
-	if fault != nil {
-		return failure.Of(failure.Internal, "kept page: %v", fault)
+	page, err := courier.Unpack[Page](value)
+	if err != nil {
+		return failure.Of(failure.Internal, "kept page: %v", err)
 	}
 	if page.Index != beyond.index {
 		return beyond
--- a/control/revision/patch.go
+++ b/control/revision/patch.go
@@ -11,21 +11,21 @@
 //
 // Example:
 //
-//	document, fault := revision.Patch(current, change)
+//	document, err := revision.Patch(current, change)
 func Patch(document []byte, change []byte) ([]byte, error) {
 	var asked patch
-	if fault := json.Unmarshal(change, &asked); fault != nil {
-		return nil, failure.Of(failure.BadSpec, "not a change: %v", fault)
+	if err := json.Unmarshal(change, &asked); err != nil {
+		return nil, failure.Of(failure.BadSpec, "not a change: %v", err)
 	}
 	whole := map[string]json.RawMessage{}
 	if len(document) > 0 {
-		if fault := json.Unmarshal(document, &whole); fault != nil {
-			return nil, failure.Of(failure.Internal, "kept document: %v", fault)
+		if err := json.Unmarshal(document, &whole); err != nil {
+			return nil, failure.Of(failure.Internal, "kept document: %v", err)
 		}
 	}
 	for key, names := range asked.Remove {
-		if fault := editList(whole, key, nil, names); fault != nil {
-			return nil, fault
+		if err := editList(whole, key, nil, names); err != nil {
+			return nil, err
 		}
 	}
 	for key, value := range asked.Changes {
@@ -34,8 +34,8 @@
 			whole[key] = value
 			continue
 		}
-		if fault := editList(whole, key, items, nil); fault != nil {
-			return nil, fault
+		if err := editList(whole, key, items, nil); err != nil {
+			return nil, err
 		}
 	}
 	serial, _ := json.Marshal(asked.Serial)
@@ -47,7 +47,7 @@
 func editList(whole map[string]json.RawMessage, key string, items []json.RawMessage, without []string) error {
 	var kept []json.RawMessage
 	if present := whole[key]; len(present) > 0 {
-		if fault := json.Unmarshal(present, &kept); fault != nil {
+		if err := json.Unmarshal(present, &kept); err != nil {
 			return failure.Of(failure.BadSpec, "%s: is no list", key)
 		}
 	}
@@ -55,8 +55,8 @@
 	dropped := map[string]bool{}
 	var added []string
 	for index, item := range items {
-		name, fault := nameOf(item)
-		if fault != nil {
+		name, err := nameOf(item)
+		if err != nil {
 			return failure.Of(failure.BadSpec, "changes.%s[%d].name: missing", key, index)
 		}
 		if _, twice := replaced[name]; twice {
@@ -85,15 +85,15 @@
 			result = append(result, item)
 		}
 	}
-	body, fault := json.Marshal(result)
+	body, err := json.Marshal(result)
 	whole[key] = body
-	return fault
+	return err
 }
 
 func nameOf(item json.RawMessage) (string, error) {
 	var read named
-	if fault := json.Unmarshal(item, &read); fault != nil {
-		return "", fault
+	if err := json.Unmarshal(item, &read); err != nil {
+		return "", err
 	}
 	if read.Name == "" {
 		return "", failure.Of(failure.BadSpec, "name: missing")
--- a/control/revision/revision_test.go
+++ b/control/revision/revision_test.go
@@ -16,9 +16,9 @@
  "services":[{"name":"s"},{"name":"t","cold_per_s":2.5}],"limits":{"max_body_bytes":10}}`
 
 func TestLongestPrefixWins(t *testing.T) {
-	read, fault := Check([]byte(good))
-	if fault != nil {
-		t.Fatal(fault)
+	read, err := Check([]byte(good))
+	if err != nil {
+		t.Fatal(err)
 	}
 	cases := map[[2]string]string{
 		{"shop.example", "/a/x"}: "a", {"SHOP.example:80", "/a/b/x"}: "b", {"shop.example", "/a/bx"}: "a",
@@ -53,18 +53,18 @@
 		if text == good {
 			t.Fatalf("%s: the case changes nothing", example.name)
 		}
-		_, fault := Check([]byte(text))
-		if failure.KindOf(fault) != failure.BadSpec || !strings.Contains(fault.Error(), example.field) {
-			t.Errorf("%s: %v", example.name, fault)
+		_, err := Check([]byte(text))
+		if failure.KindOf(err) != failure.BadSpec || !strings.Contains(err.Error(), example.field) {
+			t.Errorf("%s: %v", example.name, err)
 		}
 	}
 }
 
 func step(t *testing.T, current []byte, change Change, want failure.Kind) []byte {
 	t.Helper()
-	next, fault := change.Step(current)
-	if failure.KindOf(fault) != want {
-		t.Fatalf("%v, not %v", fault, want)
+	next, err := change.Step(current)
+	if failure.KindOf(err) != want {
+		t.Fatalf("%v, not %v", err, want)
 	}
 	return next
 }
@@ -88,9 +88,9 @@
 	if again := step(t, newer, first, failure.None); again != nil {
 		t.Fatal("a late repeat changed the value")
 	}
-	kept, fault := ReadKept(newer)
-	if fault != nil || kept.Serial != 9 {
-		t.Fatalf("%+v, %v", kept.Serial, fault)
+	kept, err := ReadKept(newer)
+	if err != nil || kept.Serial != 9 {
+		t.Fatalf("%+v, %v", kept.Serial, err)
 	}
 	var whole struct {
 		Serial ids.Serial        `json:"config_version"`
@@ -99,8 +99,8 @@
 		Limits map[string]int    `json:"limits"`
 		Rest   []json.RawMessage `json:"services"`
 	}
-	if fault := json.Unmarshal(kept.Document, &whole); fault != nil {
-		t.Fatal(fault)
+	if err := json.Unmarshal(kept.Document, &whole); err != nil {
+		t.Fatal(err)
 	}
 	if whole.Serial != 9 || len(whole.Routes) != 2 || whole.Routes[0].Service != "t" || whole.Routes[1].Name != "c" ||
 		whole.Extra["kept"] != 1 || whole.Limits["max_body_bytes"] != 10 || len(whole.Rest) != 2 {
--- a/control/scaler/plan.go
+++ b/control/scaler/plan.go
@@ -109,5 +109,5 @@
 //
 // Example:
 //
-//	plan, fault := scaler.ReadPlan(item.Body)
+//	plan, err := scaler.ReadPlan(item.Body)
 func ReadPlan(body []byte) (Plan, error) { return courier.Unpack[Plan](body) }
--- a/control/scaler/replicas.go
+++ b/control/scaler/replicas.go
@@ -49,8 +49,8 @@
 	}
 	bounds[0] = -load
 	cost, equal, right := lp.Convert(costs, limits, bounds, nil, nil)
-	_, found, fault := lp.Simplex(cost, equal, right, 1e-9, nil)
-	if fault != nil {
+	_, found, err := lp.Simplex(cost, equal, right, 1e-9, nil)
+	if err != nil {
 		return needed
 	}
 	// Convert splits each variable into a positive and a negative part.
--- a/control/seat/damage_test.go
+++ b/control/seat/damage_test.go
@@ -29,9 +29,9 @@
 		top := scope.New(scope.Options{Clock: machine, Boot: &boot.Boot{}})
 		opened := make(chan *Seat)
 		go func() {
-			own, fault := Open(top, Options{Address: "a", Disk: simulated.Mount(), First: first, Seeds: []ids.Address{"a"}, Limit: clock.Second})
-			if fault != nil {
-				t.Error(fault)
+			own, err := Open(top, Options{Address: "a", Disk: simulated.Mount(), First: first, Seeds: []ids.Address{"a"}, Limit: clock.Second})
+			if err != nil {
+				t.Error(err)
 			}
 			opened <- own
 		}()
@@ -81,17 +81,17 @@
 	opened := make(chan error)
 	go func() {
 		top := scope.New(scope.Options{Clock: machine, Boot: &boot.Boot{}})
-		own, fault := Open(top, Options{Address: "a", Disk: simulated.Mount(), First: true, Seeds: []ids.Address{"a"}, Limit: 10 * clock.Second, Pace: pace})
-		if fault == nil {
+		own, err := Open(top, Options{Address: "a", Disk: simulated.Mount(), First: true, Seeds: []ids.Address{"a"}, Limit: 10 * clock.Second, Pace: pace})
+		if err == nil {
 			own.Close()
 		}
-		opened <- fault
+		opened <- err
 	}()
 	for {
 		select {
-		case fault := <-opened:
-			if late := machine.Now().Since(well); fault != nil || late < 0 || late > pace.Doubt {
-				t.Fatalf("open %v after the disk was well: %v", late, fault)
+		case err := <-opened:
+			if late := machine.Now().Since(well); err != nil || late < 0 || late > pace.Doubt {
+				t.Fatalf("open %v after the disk was well: %v", late, err)
 			}
 			return
 		default:
--- a/control/seat/line.go
+++ b/control/seat/line.go
@@ -36,18 +36,18 @@
 		return own(asked), nil
 	}
 	begin := inner.Now()
-	told, fault := courier.Send[Told](inner, seat.options.Messenger, address, name, asked)
-	if fault == nil {
+	told, err := courier.Send[Told](inner, seat.options.Messenger, address, name, asked)
+	if err == nil {
 		seat.options.Contact.Heard(address, begin)
 	}
 	said, generation := verdict(told)
-	seat.mend(inner, address, said, generation, fault)
-	return told, fault
+	seat.mend(inner, address, said, generation, err)
+	return told, err
 }
 
 // mend repairs whichever side knows only older voters.
-func (seat *Seat) mend(inner scope.Scope, address ids.Address, verdict register.Verdict, theirs int64, fault error) {
-	if fault == nil && verdict == register.Misfenced {
+func (seat *Seat) mend(inner scope.Scope, address ids.Address, verdict register.Verdict, theirs int64, err error) {
+	if err == nil && verdict == register.Misfenced {
 		seat.joiner.Mend(inner, address, theirs)
 	}
 }
@@ -62,14 +62,14 @@
 func (seat *Seat) Held(inner scope.Scope, address ids.Address) (register.HeldTold, error) {
 	own := seat.Acceptor.Held()
 	begin := inner.Now()
-	told, fault := courier.Send[register.HeldTold](inner, seat.options.Messenger, address, "held", register.HeldAsk{Sum: own.Sum()})
-	if fault == nil {
+	told, err := courier.Send[register.HeldTold](inner, seat.options.Messenger, address, "held", register.HeldAsk{Sum: own.Sum()})
+	if err == nil {
 		seat.options.Contact.Heard(address, begin)
 	}
-	if fault == nil && told.Same {
+	if err == nil && told.Same {
 		told.Keys = own.Keys
 	}
-	return told, fault
+	return told, err
 }
 
 // tellHeld answers such a question.
@@ -84,8 +84,8 @@
 
 // Learn brings newer copies to a voter.
 func (seat *Seat) Learn(inner scope.Scope, address ids.Address, slots []register.Slot) error {
-	_, fault := courier.Send[LearnTold](inner, seat.options.Messenger, address, "learn", LearnAsk{Slots: slots})
-	return fault
+	_, err := courier.Send[LearnTold](inner, seat.options.Messenger, address, "learn", LearnAsk{Slots: slots})
+	return err
 }
 
 // isGone tells whether a voter's seat is free: it says that it leaves, or was
--- a/control/seat/missing_test.go
+++ b/control/seat/missing_test.go
@@ -82,12 +82,12 @@
 			seats[index] = learner
 		}
 	}
-	body, fault := courier.Pack(register.Voters{Generation: 2, Seats: seats})
-	if fault != nil {
-		t.Fatal(fault)
+	body, err := courier.Pack(register.Voters{Generation: 2, Seats: seats})
+	if err != nil {
+		t.Fatal(err)
 	}
-	if fault := subject.Acceptor.Learn([]register.Slot{{Key: register.CohortKey, Accepted: register.Accepted{Epoch: ids.Epoch{Number: 5}, Sequence: 1, Value: body}}}); fault != nil {
-		t.Fatal(fault)
+	if err := subject.Acceptor.Learn([]register.Slot{{Key: register.CohortKey, Accepted: register.Accepted{Epoch: ids.Epoch{Number: 5}, Sequence: 1, Value: body}}}); err != nil {
+		t.Fatal(err)
 	}
 	ask()
 	check("learning, lost", true, true)
--- a/control/seat/run.go
+++ b/control/seat/run.go
@@ -71,9 +71,9 @@
 func (seat *Seat) strive(inner scope.Scope) int {
 	short, release := inner.WithLimit(seat.options.Limit)
 	defer release()
-	fault := seat.joiner.Join(short)
-	inner.Log.Info().Str("part", "seat").Err(fault).Msg("asked for a seat")
-	if !errors.Is(fault, register.ErrNoSeat) {
+	err := seat.joiner.Join(short)
+	inner.Log.Info().Str("part", "seat").Err(err).Msg("asked for a seat")
+	if !errors.Is(err, register.ErrNoSeat) {
 		return 0
 	}
 	seat.survey.Follow(short)
--- a/control/seat/seat.go
+++ b/control/seat/seat.go
@@ -77,38 +77,38 @@
 //
 // Example:
 //
-//	own, fault := seat.Open(top, seat.Options{Address: address, Disk: journal.Folder(path)})
+//	own, err := seat.Open(top, seat.Options{Address: address, Disk: journal.Folder(path)})
 func Open(top scope.Scope, options Options) (*Seat, error) {
 	damaged := false
 	options.Pace = options.Pace.or(cmp.Or(options.Patience, options.Limit))
 	for {
 		made := &Seat{options: options, now: top.Now, unknown: map[ids.Address]clock.Instant{}}
-		opened, records, fault := journal.Open(journal.Options{
+		opened, records, err := journal.Open(journal.Options{
 			Disk: options.Disk, Name: "registers", Limit: limit(top.Boot),
 			Whole: func() [][]byte { return made.Acceptor.Whole() },
 		})
-		if errors.Is(fault, journal.ErrVersion) {
-			return nil, fault
+		if errors.Is(err, journal.ErrVersion) {
+			return nil, err
 		}
-		if fault == nil {
+		if err == nil {
 			made.opened, damaged = opened, damaged || opened.Damage != nil
 			warn(top, opened.Damage)
-			if made.Acceptor, fault = register.NewAcceptor(options.Address, records); fault != nil {
+			if made.Acceptor, err = register.NewAcceptor(options.Address, records); err != nil {
 				opened.Close()
-				return nil, fault
+				return nil, err
 			}
 			made.Acceptor.Attach(opened)
 			made.Granter = lease.NewGranter(top.Clock, options.HoldSpan, func() (bool, int64) {
 				return made.Voting(), made.Acceptor.Voters().Mark()
 			})
-			if fault = made.begin(damaged); fault == nil {
+			if err = made.begin(damaged); err == nil {
 				return made, nil
 			}
 			opened.Close()
 		}
-		top.Log.Warn().Str("part", "seat").Err(fault).Msg("the disk refuses the journal")
+		top.Log.Warn().Str("part", "seat").Err(err).Msg("the disk refuses the journal")
 		if !top.Wait(options.Pace.Doubt) {
-			return nil, fault
+			return nil, err
 		}
 	}
 }
@@ -182,8 +182,8 @@
 		return seat.tellHeld(asked), nil
 	})
 	courier.Handle(calls, "learn", func(_ scope.Scope, asked LearnAsk) (LearnTold, error) {
-		fault := seat.Acceptor.Learn(asked.Slots)
-		return LearnTold{Taken: fault == nil}, fault
+		err := seat.Acceptor.Learn(asked.Slots)
+		return LearnTold{Taken: err == nil}, err
 	})
 	courier.Handle(calls, "hold", func(_ scope.Scope, asked lease.Ask) (lease.Told, error) {
 		told := seat.Granter.Grant(asked)
@@ -238,12 +238,12 @@
 	message, release := inner.Detached().WithLimit(seat.options.HoldSpan / 3)
 	defer release()
 	begin := message.Now()
-	told, fault := courier.Send[lease.Told](message, seat.options.Messenger, address, "hold", asked)
-	if fault == nil {
+	told, err := courier.Send[lease.Told](message, seat.options.Messenger, address, "hold", asked)
+	if err == nil {
 		seat.options.Contact.Heard(address, begin)
 	}
 	if told.Misfenced {
-		seat.mend(message, address, register.Misfenced, told.Generation, fault)
+		seat.mend(message, address, register.Misfenced, told.Generation, err)
 	}
-	return fault == nil && told.Granted
+	return err == nil && told.Granted
 }
--- a/control/seat/seat_test.go
+++ b/control/seat/seat_test.go
@@ -48,13 +48,13 @@
 				known.Merge([]cohort.Member{{Address: other, Role: "fleet-controller", Incarnation: 1, Core: true}})
 			}
 		}
-		opened, fault := Open(made.top, Options{
+		opened, err := Open(made.top, Options{
 			Address: address, Disk: journal.Folder(t.TempDir()), First: index < 3, Seeds: addresses[:3], Table: known,
 			Messenger: courier.New(call.Dialing{Limit: clock.Second, Silence: clock.Second}),
 			Patience:  clock.Second, Limit: 100 * clock.Second, HoldSpan: clock.Second, Seats: 3,
 		})
-		if fault != nil {
-			t.Fatal(fault)
+		if err != nil {
+			t.Fatal(err)
 		}
 		t.Cleanup(opened.Close)
 		opened.Serve(tables[index])
@@ -71,8 +71,8 @@
 func (site *site) change(index int, value string) {
 	site.t.Helper()
 	step := func([]byte) ([]byte, error) { return []byte(value), nil }
-	if _, fault := site.keeps[index].Change(site.top, "spec", step); fault != nil {
-		site.t.Fatal(fault)
+	if _, err := site.keeps[index].Change(site.top, "spec", step); err != nil {
+		site.t.Fatal(err)
 	}
 }
 
--- a/control/spec/spec.go
+++ b/control/spec/spec.go
@@ -127,11 +127,11 @@
 //
 // Example:
 //
-//	version, fault := spec.Read(item.Body)
+//	version, err := spec.Read(item.Body)
 func Read(document []byte) (*Spec, error) {
 	read := &Spec{}
-	if fault := json.Unmarshal(document, read); fault != nil {
-		return nil, fault
+	if err := json.Unmarshal(document, read); err != nil {
+		return nil, err
 	}
 	read.hosts = map[string][]*Route{}
 	for index := range read.Routes {
--- a/control/spread/news.go
+++ b/control/spread/news.go
@@ -87,8 +87,8 @@
 		return false
 	}
 	plain := item
-	body, fault := pack.Unpack(item.Body, item.Packed)
-	if fault != nil {
+	body, err := pack.Unpack(item.Body, item.Packed)
+	if err != nil {
 		return false
 	}
 	plain.Body, plain.Packed = body, false
--- a/control/spread/push.go
+++ b/control/spread/push.go
@@ -152,9 +152,9 @@
 	for _, taker := range piece.takers[:min(mostTakers, len(piece.takers))] {
 		short, release := inner.WithLimit(spreader.Every)
 		asked := PushAsk{From: spreader.Table.Self().Address, Items: items, Duty: piece.duty(taker)}
-		fault := spreader.send(short, taker, asked)
+		err := spreader.send(short, taker, asked)
 		release()
-		if fault == nil {
+		if err == nil {
 			spreader.Counts.Pushed.Add(1)
 			return
 		}
@@ -180,6 +180,6 @@
 	if spreader.Carry != nil {
 		return spreader.Carry(inner, taker, asked)
 	}
-	_, fault := courier.Send[PushTold](inner, spreader.Messenger, taker, "push", asked)
-	return fault
+	_, err := courier.Send[PushTold](inner, spreader.Messenger, taker, "push", asked)
+	return err
 }
--- a/control/zoneview/sizes.go
+++ b/control/zoneview/sizes.go
@@ -78,7 +78,7 @@
 	if len(item.Key) <= len(SizePrefix) || item.Key[:len(SizePrefix)] != SizePrefix {
 		return
 	}
-	if size, fault := courier.Unpack[cohort.Size](item.Body); fault == nil {
+	if size, err := courier.Unpack[cohort.Size](item.Body); err == nil {
 		watcher.Learn([]cohort.Size{size})
 	}
 }
--- a/control/zoneview/zoneview.go
+++ b/control/zoneview/zoneview.go
@@ -106,10 +106,10 @@
 // publish makes an item where the newest of its key says something else. Two
 // relays that both believe to be the first write under serials that differ.
 func publish[Message any](watcher *Watcher, prefix string, message Message) {
-	body, fault := courier.Pack(message)
+	body, err := courier.Pack(message)
 	self := watcher.Table.Self()
 	known, found := watcher.News.Get(prefix + string(self.Zone))
-	if fault != nil || (found && slices.Equal(known.Body, body)) {
+	if err != nil || (found && slices.Equal(known.Body, body)) {
 		return
 	}
 	watcher.News.Put(spread.Item{Key: prefix + string(self.Zone), Serial: spread.NextSerial(known.Serial, self.Address), Body: body})
@@ -132,8 +132,8 @@
 	}
 	own := watcher.Table.Self().Zone
 	for _, item := range watcher.News.Under(FrontsPrefix) {
-		fronts, fault := courier.Unpack[Fronts](item.Body)
-		if fault != nil || fronts.Zone == own {
+		fronts, err := courier.Unpack[Fronts](item.Body)
+		if err != nil || fronts.Zone == own {
 			continue
 		}
 		if answers[fronts.Zone] {
--- a/control/zoneview/zoneview_test.go
+++ b/control/zoneview/zoneview_test.go
@@ -69,9 +69,9 @@
 		watcher.Table.Judge(watcher.Table.Relays("east", 1)[0].Address, cohort.Suspect)
 	}
 	watcher.Look()
-	fronts, fault := courier.Unpack[Fronts](watcher.News.Under(FrontsPrefix)[0].Body)
-	if fault != nil || slices.Contains(fronts.Able, "fk:1") || slices.Contains(fronts.Able, "fm:1") {
-		t.Fatalf("%+v %v", fronts, fault)
+	fronts, err := courier.Unpack[Fronts](watcher.News.Under(FrontsPrefix)[0].Body)
+	if err != nil || slices.Contains(fronts.Able, "fk:1") || slices.Contains(fronts.Able, "fm:1") {
+		t.Fatalf("%+v %v", fronts, err)
 	}
 }
 
@@ -117,9 +117,9 @@
 	machine.Move(clock.Second)
 	watcher.Table.Elect(2, 0)
 	watcher.Look()
-	size, fault := courier.Unpack[cohort.Size](watcher.News.Under(SizePrefix)[0].Body)
-	if fault != nil || size.Routers != 9 {
-		t.Fatalf("%+v %v", size, fault)
+	size, err := courier.Unpack[cohort.Size](watcher.News.Under(SizePrefix)[0].Body)
+	if err != nil || size.Routers != 9 {
+		t.Fatalf("%+v %v", size, err)
 	}
 	machine.Move(2 * 60 * 60 * clock.Second)
 	watcher.Look()
--- a/data/admit/gate.go
+++ b/data/admit/gate.go
@@ -89,7 +89,7 @@
 //	asking.Counted("1460,80")
 func (asking *Asking) Counted(text string) {
 	prompt, _, _ := strings.Cut(text, ",")
-	if tokens, fault := strconv.ParseFloat(strings.TrimSpace(prompt), 64); fault == nil && tokens > 0 && tokens < 1e9 {
+	if tokens, err := strconv.ParseFloat(strings.TrimSpace(prompt), 64); err == nil && tokens > 0 && tokens < 1e9 {
 		asking.Length = tokens
 	}
 }
--- a/data/metrics/told.go
+++ b/data/metrics/told.go
@@ -20,8 +20,8 @@
 	}
 	figures := [3]float64{}
 	for index, part := range parts {
-		figure, fault := strconv.ParseFloat(strings.TrimSpace(part), 64)
-		if fault != nil {
+		figure, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
+		if err != nil {
 			return
 		}
 		figures[index] = figure
--- a/data/script/script.go
+++ b/data/script/script.go
@@ -46,16 +46,16 @@
 //	runner := script.Start(t, script.Plain(200, "seal", "body"))
 func Start(t testing.TB, steps ...Step) *Runner {
 	t.Helper()
-	listener, fault := net.Listen("tcp", "127.0.0.1:0")
-	if fault != nil {
-		t.Fatal(fault)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	made := &Runner{Address: ids.Address(listener.Addr().String()), steps: steps}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
-			link, fault := listener.Accept()
-			if fault != nil {
+			link, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go made.serve(link)
@@ -93,12 +93,12 @@
 	runner.lock.Unlock()
 	reader := bufio.NewReader(link)
 	for {
-		request, fault := http.ReadRequest(reader)
-		if fault != nil {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
 			return
 		}
-		body, fault := io.ReadAll(request.Body)
-		if fault != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
 		seen := Seen{
--- a/replay/player.go
+++ b/replay/player.go
@@ -57,17 +57,17 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			status, first, fault := send(inner, record, options)
+			status, first, err := send(inner, record, options)
 			lock.Lock()
 			defer lock.Unlock()
-			count(found, record.group(), status, first, fault)
+			count(found, record.group(), status, first, err)
 		}()
 	}
 	running.Wait()
 	return sorted(found)
 }
 
-func count(found map[string]*Outcome, route string, status int, first clock.Span, fault error) {
+func count(found map[string]*Outcome, route string, status int, first clock.Span, err error) {
 	outcome := found[route]
 	if outcome == nil {
 		outcome = &Outcome{Route: route, Statuses: map[string]int{}}
@@ -78,7 +78,7 @@
 		outcome.Statuses[fmt.Sprint(status)]++
 		outcome.firsts = append(outcome.firsts, float64(first)/float64(clock.Millisecond))
 	}
-	if fault != nil {
+	if err != nil {
 		outcome.Broken++
 	}
 }
@@ -88,9 +88,9 @@
 	short, release := inner.WithLimit(options.Limit)
 	defer release()
 	router := options.Routers[rand.IntN(len(options.Routers))]
-	request, fault := http.NewRequestWithContext(short, record.Method, "http://"+string(router)+"/", strings.NewReader(record.Body))
-	if fault != nil {
-		return 0, 0, fault
+	request, err := http.NewRequestWithContext(short, record.Method, "http://"+string(router)+"/", strings.NewReader(record.Body))
+	if err != nil {
+		return 0, 0, err
 	}
 	request.URL = &url.URL{Scheme: "http", Host: string(router), Opaque: record.Path}
 	request.Host = record.Host
@@ -102,14 +102,14 @@
 	request.Header.Set("Onyxwell-Attempt-Id", fmt.Sprintf("%016x", rand.Uint64()))
 	request.Header.Set("Onyxwell-Time-Left-Ms", fmt.Sprint(options.Limit.Milliseconds()))
 	begin := inner.Now()
-	response, fault := options.Client.Do(request)
-	if fault != nil {
-		return 0, 0, fault
+	response, err := options.Client.Do(request)
+	if err != nil {
+		return 0, 0, err
 	}
 	defer response.Body.Close()
 	first := inner.Now().Since(begin)
-	_, fault = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, first, fault
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, first, err
 }
 
 func sorted(found map[string]*Outcome) []Outcome {
--- a/replay/record.go
+++ b/replay/record.go
@@ -50,7 +50,7 @@
 //
 // Example:
 //
-//	records, fault := replay.Read(file)
+//	records, err := replay.Read(file)
 func Read(source io.Reader) ([]Record, error) {
 	lines := bufio.NewScanner(source)
 	lines.Buffer(make([]byte, 64<<10), lineLimit)
@@ -62,17 +62,17 @@
 		if text == "" {
 			continue
 		}
-		record, fault := parse(text)
-		if fault != nil {
-			return nil, fmt.Errorf("line %d: %w", number, fault)
+		record, err := parse(text)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", number, err)
 		}
 		if len(records) > 0 && record.AtMS < records[len(records)-1].AtMS {
 			return nil, fmt.Errorf("line %d: at_ms goes back", number)
 		}
 		records = append(records, record)
 	}
-	if fault := lines.Err(); fault != nil {
-		return nil, fmt.Errorf("line %d: %w", number+1, fault)
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("line %d: %w", number+1, err)
 	}
 	return records, nil
 }
@@ -81,8 +81,8 @@
 	decoder := json.NewDecoder(strings.NewReader(text))
 	decoder.DisallowUnknownFields()
 	var record Record
-	if fault := decoder.Decode(&record); fault != nil {
-		return record, fault
+	if err := decoder.Decode(&record); err != nil {
+		return record, err
 	}
 	if decoder.More() {
 		return record, fmt.Errorf("more than one record")
--- a/simulation/disk/disk.go
+++ b/simulation/disk/disk.go
@@ -82,7 +82,7 @@
 //
 // Example:
 //
-//	opened, records, fault := journal.Open(journal.Options{Disk: machine.Mount(), Name: "registers", Whole: whole})
+//	opened, records, err := journal.Open(journal.Options{Disk: machine.Mount(), Name: "registers", Whole: whole})
 func (disk *Disk) Mount() journal.Disk {
 	disk.lock.Lock()
 	defer disk.lock.Unlock()
@@ -169,18 +169,18 @@
 
 // act waits for the disk and locks it; the caller unlocks it where the act may
 // take effect. Partly tells that it failed but may have taken effect.
-func (disk *Disk) act(life int64, act string, bytes int) (partly bool, fault error) {
-	fault = disk.options.Pause(act, bytes)
+func (disk *Disk) act(life int64, act string, bytes int) (partly bool, err error) {
+	err = disk.options.Pause(act, bytes)
 	disk.lock.Lock()
 	if disk.life != life {
 		disk.lock.Unlock()
 		return false, ErrDead
 	}
-	if fault != nil && (act != ActWrite && act != ActSync || disk.options.Draw(2)) {
+	if err != nil && (act != ActWrite && act != ActSync || disk.options.Draw(2)) {
 		disk.lock.Unlock()
-		return false, fmt.Errorf("disk: %w", fault)
+		return false, fmt.Errorf("disk: %w", err)
 	}
-	return fault != nil, fault
+	return err != nil, err
 }
 
 // pick draws a number from 0 up to, not including, the bound.
--- a/simulation/disk/disk_test.go
+++ b/simulation/disk/disk_test.go
@@ -17,9 +17,9 @@
 	return func(odds int) bool { return rapid.IntRange(1, odds).Draw(t, "odds") == 1 }
 }
 
-func must[Result any](result Result, fault error) Result {
-	if fault != nil {
-		panic(fault)
+func must[Result any](result Result, err error) Result {
+	if err != nil {
+		panic(err)
 	}
 	return result
 }
@@ -33,17 +33,17 @@
 		process := machine.Mount()
 		kept := must(process.Create("kept"))
 		must(kept.Write([]byte("synced")))
-		if fault := errors.Join(kept.Sync(), process.SyncFolder()); fault != nil {
-			t.Fatal(fault)
+		if err := errors.Join(kept.Sync(), process.SyncFolder()); err != nil {
+			t.Fatal(err)
 		}
 		must(kept.Write([]byte("-one")))
 		must(kept.Write([]byte("-two")))
 		loose := must(process.Create("loose"))
-		if fault := errors.Join(loose.Sync(), process.Rename("kept", "moved")); fault != nil {
-			t.Fatal(fault)
+		if err := errors.Join(loose.Sync(), process.Rename("kept", "moved")); err != nil {
+			t.Fatal(err)
 		}
 		machine.LosePower()
-		if _, fault := kept.Write([]byte("x")); !errors.Is(fault, ErrDead) || !errors.Is(kept.Sync(), ErrDead) || !errors.Is(process.SyncFolder(), ErrDead) {
+		if _, err := kept.Write([]byte("x")); !errors.Is(err, ErrDead) || !errors.Is(kept.Sync(), ErrDead) || !errors.Is(process.SyncFolder(), ErrDead) {
 			t.Fatal("a dead process still writes")
 		}
 		after := machine.Mount()
@@ -70,12 +70,12 @@
 	process := machine.Mount()
 	opened := must(process.Create("a"))
 	must(opened.Write([]byte("12345678")))
-	if _, fault := opened.Write([]byte("9")); !errors.Is(fault, ErrFull) {
-		t.Fatal(fault)
+	if _, err := opened.Write([]byte("9")); !errors.Is(err, ErrFull) {
+		t.Fatal(err)
 	}
 	machine.Kill()
-	if _, fault := process.Read("a"); !errors.Is(fault, ErrDead) {
-		t.Fatal(fault)
+	if _, err := process.Read("a"); !errors.Is(err, ErrDead) {
+		t.Fatal(err)
 	}
 	if body := must(machine.Mount().Read("a")); string(body) != "12345678" || machine.Bytes("a") != 8 || machine.Written() != 8 {
 		t.Fatalf("%q", body)
@@ -97,7 +97,7 @@
 	process := machine.Mount()
 	must(process.Create("a"))
 	for act, do := range map[string]func() error{
-		ActCreate: func() error { _, fault := process.Create("b"); return fault },
+		ActCreate: func() error { _, err := process.Create("b"); return err },
 		ActRename: func() error { return process.Rename("a", "b") },
 		ActRemove: func() error { return process.Remove("a") },
 		ActFolder: func() error { return process.SyncFolder() },
@@ -108,11 +108,11 @@
 		}
 	}
 	refusing = ""
-	if fault := process.Remove("a"); fault != nil {
-		t.Fatal(fault)
+	if err := process.Remove("a"); err != nil {
+		t.Fatal(err)
 	}
-	if _, fault := process.Append("a", 0); !errors.Is(fault, ErrMissing) {
-		t.Fatal(fault)
+	if _, err := process.Append("a", 0); !errors.Is(err, ErrMissing) {
+		t.Fatal(err)
 	}
 	if machine.Spoil("a") != -1 {
 		t.Fatal("a missing file was spoilt")
--- a/simulation/disk/mount.go
+++ b/simulation/disk/mount.go
@@ -15,8 +15,8 @@
 
 // Read gives a whole file; a missing one is empty.
 func (mount *mount) Read(name string) ([]byte, error) {
-	if _, fault := mount.disk.act(mount.life, ActRead, int(mount.disk.Bytes(name))); fault != nil {
-		return nil, fault
+	if _, err := mount.disk.act(mount.life, ActRead, int(mount.disk.Bytes(name))); err != nil {
+		return nil, err
 	}
 	defer mount.disk.lock.Unlock()
 	if found := mount.disk.names[name]; found != nil {
@@ -28,8 +28,8 @@
 // Create opens an empty file.
 func (mount *mount) Create(name string) (journal.File, error) {
 	disk := mount.disk
-	if _, fault := disk.act(mount.life, ActCreate, 0); fault != nil {
-		return nil, fault
+	if _, err := disk.act(mount.life, ActCreate, 0); err != nil {
+		return nil, err
 	}
 	defer disk.lock.Unlock()
 	found := disk.names[name]
@@ -45,8 +45,8 @@
 // Append opens a file and cuts it to the length.
 func (mount *mount) Append(name string, length int64) (journal.File, error) {
 	disk := mount.disk
-	if _, fault := disk.act(mount.life, ActAppend, 0); fault != nil {
-		return nil, fault
+	if _, err := disk.act(mount.life, ActAppend, 0); err != nil {
+		return nil, err
 	}
 	defer disk.lock.Unlock()
 	found := disk.names[name]
@@ -62,8 +62,8 @@
 // Rename gives a file another name.
 func (mount *mount) Rename(from string, to string) error {
 	disk := mount.disk
-	if _, fault := disk.act(mount.life, ActRename, 0); fault != nil {
-		return fault
+	if _, err := disk.act(mount.life, ActRename, 0); err != nil {
+		return err
 	}
 	defer disk.lock.Unlock()
 	found := disk.names[from]
@@ -78,8 +78,8 @@
 // Remove takes a file away; a missing one is no fault.
 func (mount *mount) Remove(name string) error {
 	disk := mount.disk
-	if _, fault := disk.act(mount.life, ActRemove, 0); fault != nil {
-		return fault
+	if _, err := disk.act(mount.life, ActRemove, 0); err != nil {
+		return err
 	}
 	defer disk.lock.Unlock()
 	if disk.names[name] != nil {
@@ -91,8 +91,8 @@
 // SyncFolder makes all names last.
 func (mount *mount) SyncFolder() error {
 	disk := mount.disk
-	if _, fault := disk.act(mount.life, ActFolder, 0); fault != nil {
-		return fault
+	if _, err := disk.act(mount.life, ActFolder, 0); err != nil {
+		return err
 	}
 	defer disk.lock.Unlock()
 	for _, step := range disk.loose {
@@ -112,9 +112,9 @@
 // Write adds bytes after those that were written through this file.
 func (file *file) Write(written []byte) (int, error) {
 	disk := file.mount.disk
-	partly, fault := disk.act(file.mount.life, ActWrite, len(written))
-	if fault != nil && !partly {
-		return 0, fault
+	partly, err := disk.act(file.mount.life, ActWrite, len(written))
+	if err != nil && !partly {
+		return 0, err
 	}
 	defer disk.lock.Unlock()
 	if partly {
@@ -126,22 +126,22 @@
 	file.content.do(change{offset: file.offset, bytes: bytes.Clone(written)})
 	file.offset += int64(len(written))
 	disk.written += int64(len(written))
-	return len(written), fault
+	return len(written), err
 }
 
 // Sync makes all bytes of the file last.
 func (file *file) Sync() error {
 	disk := file.mount.disk
-	partly, fault := disk.act(file.mount.life, ActSync, 0)
-	if fault != nil && !partly {
-		return fault
+	partly, err := disk.act(file.mount.life, ActSync, 0)
+	if err != nil && !partly {
+		return err
 	}
 	defer disk.lock.Unlock()
 	for _, change := range file.content.loose {
 		file.content.synced = change.in(file.content.synced)
 	}
 	file.content.loose = nil
-	return fault
+	return err
 }
 
 // Close ends the use of the file and syncs nothing.
--- a/simulation/document.go
+++ b/simulation/document.go
@@ -38,8 +38,8 @@
 	}
 	for _, route := range seen.Routes {
 		if route.Name == mark {
-			order, fault := strconv.Atoi(strings.Trim(route.Prefix, "/o"))
-			return seen.Version, order, fault == nil
+			order, err := strconv.Atoi(strings.Trim(route.Prefix, "/o"))
+			return seen.Version, order, err == nil
 		}
 	}
 	return seen.Version, 0, false
--- a/simulation/lasting.go
+++ b/simulation/lasting.go
@@ -29,9 +29,9 @@
 
 // losesDisk notes that the disk is lost.
 func (machine *Machine) losesDisk() {
-	voters, fault := courier.Unpack[register.Voters](machine.lasting.slots[register.CohortKey].Accepted.Value)
+	voters, err := courier.Unpack[register.Voters](machine.lasting.slots[register.CohortKey].Accepted.Value)
 	machine.lasting.slots = nil
-	if seat, found := seatOf(voters, machine); fault == nil && found {
+	if seat, found := seatOf(voters, machine); err == nil && found {
 		machine.lasting.lost, machine.lasting.identity = true, seat.Incarnation
 	}
 }
--- a/simulation/machine.go
+++ b/simulation/machine.go
@@ -99,15 +99,15 @@
 		run = born.carry
 	}
 	go func() {
-		fault := run(top)
-		machine.world.after(0, func() { machine.ended(born, fault) })
+		err := run(top)
+		machine.world.after(0, func() { machine.ended(born, err) })
 	}()
 }
 
 func (life *life) controller(top scope.Scope) error {
-	made, fault := controller.New(top, controller.Options{Network: life, Disk: life.mount(top)})
-	if fault != nil {
-		return fault
+	made, err := controller.New(top, controller.Options{Network: life, Disk: life.mount(top)})
+	if err != nil {
+		return err
 	}
 	life.machine.world.after(0, func() {
 		if !life.over() {
@@ -119,11 +119,11 @@
 }
 
 // ended starts a process again that ended by itself.
-func (machine *Machine) ended(was *life, fault error) {
+func (machine *Machine) ended(was *life, err error) {
 	if machine.life != was {
 		return
 	}
-	machine.world.note("ended", machine, "fault", fmt.Sprint(fault))
+	machine.world.note("ended", machine, "fault", fmt.Sprint(err))
 	machine.die()
 	machine.timer(500*clock.Millisecond, func() { machine.start(false) })
 }
--- a/simulation/main_test.go
+++ b/simulation/main_test.go
@@ -25,9 +25,9 @@
 		return false
 	}
 	t.Parallel()
-	said, fault := exec.Command("go", "test", "-race=false", "-count=1", "-run", "^"+t.Name()+"$", ".").CombinedOutput()
-	if fault != nil {
-		t.Errorf("%v\n%s", fault, said)
+	said, err := exec.Command("go", "test", "-race=false", "-count=1", "-run", "^"+t.Name()+"$", ".").CombinedOutput()
+	if err != nil {
+		t.Errorf("%v\n%s", err, said)
 	}
 	return true
 }
--- a/simulation/network.go
+++ b/simulation/network.go
@@ -43,7 +43,7 @@
 	status int
 	header http.Header
 	body   []byte
-	fault  error
+	err    error
 }
 
 // Serve keeps a handler at an address until the scope ends.
@@ -101,13 +101,13 @@
 		dead = sender.dead
 	}
 	if forged, done := world.tamper(sent); done {
-		return forged.response(request), forged.fault
+		return forged.response(request), forged.err
 	}
 	world.after(world.latency(from, sent.to), func() { world.arrive(sent) })
 	select {
 	case got := <-sent.answer:
-		if got.fault != nil {
-			return nil, got.fault
+		if got.err != nil {
+			return nil, got.err
 		}
 		return got.response(request), nil
 	case <-request.Context().Done():
@@ -122,7 +122,7 @@
 }
 
 func (got answered) response(request *http.Request) *http.Response {
-	if got.fault != nil {
+	if got.err != nil {
 		return nil
 	}
 	return &http.Response{
@@ -156,7 +156,7 @@
 		handler = here.handlers[sent.to]
 	}
 	if handler == nil {
-		world.back(target, sent, answered{fault: errReset})
+		world.back(target, sent, answered{err: errReset})
 		return
 	}
 	if sent.given && world.once("given "+sent.path, 2) {
@@ -177,7 +177,7 @@
 		end()
 		got := answered{status: written.status(), header: written.header, body: written.body}
 		if here.over() {
-			got = answered{fault: errReset}
+			got = answered{err: errReset}
 		}
 		world.quietly(0, func() { world.back(target, sent, got) })
 	}()
--- a/simulation/operator.go
+++ b/simulation/operator.go
@@ -70,8 +70,8 @@
 			request.Header.Set("If-Match", strconv.FormatInt(asked.match, 10))
 		}
 		begin := world.now()
-		response, fault := world.carry(nil, operators, request, nil)
-		if fault != nil {
+		response, err := world.carry(nil, operators, request, nil)
+		if err != nil {
 			end()
 			return 0, nil
 		}
--- a/simulation/operators.go
+++ b/simulation/operators.go
@@ -185,12 +185,12 @@
 	inner := scope.New(scope.Options{Clock: steady{machine: target}})
 	limited, release := inner.WithLimit(clock.Second)
 	defer release()
-	value, fault := target.life.control.Read(limited, evacuation.Key(zone))
+	value, err := target.life.control.Read(limited, evacuation.Key(zone))
 	did.end = world.now()
-	if fault == nil {
-		kept, fault := evacuation.Read(value)
-		if fault != nil {
-			world.violate("the value of %s can't be read: %v", zone, fault)
+	if err == nil {
+		kept, err := evacuation.Read(value)
+		if err != nil {
+			world.violate("the value of %s can't be read: %v", zone, err)
 		}
 		did.empty, did.outcome = kept.Empty, taken
 	}
--- a/simulation/plant.go
+++ b/simulation/plant.go
@@ -38,7 +38,7 @@
 
 // twist lets a planted fault change an answer.
 func (world *World) twist(target *Machine, sent *message, got answered) answered {
-	if world.options.plant.Answer == nil || got.fault != nil {
+	if world.options.plant.Answer == nil || got.err != nil {
 		return got
 	}
 	return world.options.plant.Answer(world, target, sent, got)
--- a/simulation/planted_test.go
+++ b/simulation/planted_test.go
@@ -62,13 +62,13 @@
 
 func only(names ...string) []string { return names }
 
-func (fault planted) options(seed uint64) Options {
-	options := Options{Site: Sites["three"], Seed: seed, Point: fault.point, Only: fault.only, Length: clock.Span(fault.length) * clock.Second, Operators: 2, script: fault.script}
-	if fault.site != "" {
-		options.Site = Sites[fault.site]
+func (err planted) options(seed uint64) Options {
+	options := Options{Site: Sites["three"], Seed: seed, Point: err.point, Only: err.only, Length: clock.Span(err.length) * clock.Second, Operators: 2, script: err.script}
+	if err.site != "" {
+		options.Site = Sites[err.site]
 	}
-	if fault.hands > 0 {
-		options.Operators = fault.hands
+	if err.hands > 0 {
+		options.Operators = err.hands
 	}
 	return options
 }
@@ -80,21 +80,21 @@
 		return
 	}
 	clean := map[string]bool{}
-	for _, fault := range faults {
-		t.Run(strings.ReplaceAll(fault.name, " ", "-"), func(t *testing.T) {
-			seeds, found := fault.seeds, 0
+	for _, err := range faults {
+		t.Run(strings.ReplaceAll(err.name, " ", "-"), func(t *testing.T) {
+			seeds, found := err.seeds, 0
 			if *plantedSeeds > 0 {
 				seeds = *plantedSeeds
 			}
-			for seed := fault.first; seed < fault.first+uint64(seeds) && (found == 0 || *plantedAll); seed++ {
-				options := fault.options(seed)
+			for seed := err.first; seed < err.first+uint64(seeds) && (found == 0 || *plantedAll); seed++ {
+				options := err.options(seed)
 				if name := fmt.Sprint(options); !clean[name] {
 					clean[name] = true
 					for _, text := range Run(t, options).Broken {
 						t.Errorf("without the fault, seed %d: %s", seed, text)
 					}
 				}
-				options.plant = fault.plant()
+				options.plant = err.plant()
 				if result := Run(t, options); len(result.Broken) > 0 {
 					found++
 					t.Logf("seed %d: %.200s", seed, result.Broken[0])
@@ -102,7 +102,7 @@
 			}
 			t.Logf("found by %d of %d", found, seeds)
 			if found == 0 {
-				t.Errorf("not found in %d seeds from %d", seeds, fault.first)
+				t.Errorf("not found in %d seeds from %d", seeds, err.first)
 			}
 		})
 	}
--- a/simulation/plants_disks_test.go
+++ b/simulation/plants_disks_test.go
@@ -55,19 +55,19 @@
 // rewrite has a disk hold something else than it does.
 func rewrite(life *life, change func(was *register.Acceptor) (ids.Incarnation, []register.Slot)) {
 	disk := life.machine.disk.Mount()
-	opened, records, fault := journal.Open(journal.Options{Disk: disk, Name: "registers", Whole: func() [][]byte { return nil }})
-	if fault != nil {
+	opened, records, err := journal.Open(journal.Options{Disk: disk, Name: "registers", Whole: func() [][]byte { return nil }})
+	if err != nil {
 		return
 	}
 	opened.Close()
-	was, fault := register.NewAcceptor("", records)
-	if fault != nil || (len(records) > 0 && !was.Identified()) {
+	was, err := register.NewAcceptor("", records)
+	if err != nil || (len(records) > 0 && !was.Identified()) {
 		return
 	}
 	_ = disk.Remove("registers")
 	made, _ := register.NewAcceptor("", nil)
-	opened, _, fault = journal.Open(journal.Options{Disk: disk, Name: "registers", Whole: made.Whole})
-	if fault != nil {
+	opened, _, err = journal.Open(journal.Options{Disk: disk, Name: "registers", Whole: made.Whole})
+	if err != nil {
 		return
 	}
 	defer opened.Close()
@@ -159,11 +159,11 @@
 
 func (unsynced) Sync() error { return nil }
 
-func (disk meddled) file(file journal.File, fault error) (journal.File, error) {
-	if fault == nil && disk.noSync {
+func (disk meddled) file(file journal.File, err error) (journal.File, error) {
+	if err == nil && disk.noSync {
 		file = unsynced{file}
 	}
-	return file, fault
+	return file, err
 }
 
 func (disk meddled) Create(name string) (journal.File, error) {
@@ -185,15 +185,15 @@
 type readTorn struct{ journal.Disk }
 
 func (torn readTorn) Read(name string) ([]byte, error) {
-	content, fault := torn.Disk.Read(name)
-	if fault != nil || name != "registers" {
-		return content, fault
+	content, err := torn.Disk.Read(name)
+	if err != nil || name != "registers" {
+		return content, err
 	}
 	trial := disk.New(disk.Options{}).Mount()
 	file, _ := trial.Create(name)
 	_, _ = file.Write(content)
-	opened, _, fault := journal.Open(journal.Options{Disk: trial, Name: name, Whole: func() [][]byte { return nil }})
-	if fault != nil {
+	opened, _, err := journal.Open(journal.Options{Disk: trial, Name: name, Whole: func() [][]byte { return nil }})
+	if err != nil {
 		return content, nil
 	}
 	opened.Close()
--- a/simulation/plants_test.go
+++ b/simulation/plants_test.go
@@ -19,9 +19,9 @@
 
 // reread changes a message on its way.
 func reread[Asked any](sent *message, change func(*Asked)) {
-	asked, fault := courier.Unpack[Asked](sent.body[markLength:])
-	if fault != nil {
-		panic(fault)
+	asked, err := courier.Unpack[Asked](sent.body[markLength:])
+	if err != nil {
+		panic(err)
 	}
 	change(&asked)
 	body, _ := courier.Pack(asked)
@@ -30,8 +30,8 @@
 
 // retell changes an answer on its way back.
 func retell[Told any](got answered, change func(*Told)) answered {
-	told, fault := courier.Unpack[Told](got.body)
-	if got.status != http.StatusOK || fault != nil {
+	told, err := courier.Unpack[Told](got.body)
+	if got.status != http.StatusOK || err != nil {
 		return got
 	}
 	change(&told)
--- a/simulation/router.go
+++ b/simulation/router.go
@@ -38,10 +38,10 @@
 		made.frame.Absorb(item)
 		world.rises(life, made, before, item)
 	}
-	var fault error
-	made.common, fault = daemon.New(top, daemon.Options{Role: daemon.Carrier, Fresh: absorb, Network: life})
-	if fault != nil {
-		return fault
+	var err error
+	made.common, err = daemon.New(top, daemon.Options{Role: daemon.Carrier, Fresh: absorb, Network: life})
+	if err != nil {
+		return err
 	}
 	made.gate = made.common.ReadIndex(made.frame.Ready(), made.serial)
 	made.common.Once("readindex", made.gate.Run)
--- a/simulation/sending.go
+++ b/simulation/sending.go
@@ -40,7 +40,7 @@
 // told notes a controller's answer to a sending, also one that gets lost.
 func (sent *message) told(got answered, now clock.Span) {
 	one, found := sent.sending()
-	if outcome, clear := ending[got.status]; clear && found && got.fault == nil {
+	if outcome, clear := ending[got.status]; clear && found && got.err == nil {
 		one.settle(outcome, now)
 	}
 }
