A daemon that starts takes the news from the nearest that has it

Change: what a daemon that knows nothing asks first are digests and members; the news itself it takes from a controller or relay of its zone, or of its region. Where these know nothing either, as after a loss of power, the zone's first relay takes it from far away at once, the others after three exchanges.

--- a/control/spread/exchange.go
+++ b/control/spread/exchange.go
@@ -66,9 +66,13 @@
 	// Carry sends a push to a daemon; by default the messenger does. Tests carry
 	// it without a network.
 	Carry func(inner scope.Scope, taker ids.Address, asked PushAsk) error
+	// Compare sends a question to a daemon; by default the messenger does.
+	Compare func(inner scope.Scope, address ids.Address, asked ExchangeAsk) (ExchangeTold, error)
 	// Spawn runs what goes on beside; tests run it in place.
 	Spawn func(act func())
 	fresh atomic.Pointer[[]ids.Address]
+	// emptyTries counts the exchanges that were left to those nearby in vain.
+	emptyTries atomic.Int64
 	// Counts are what was pushed, for the operator.
 	Counts Counts
 }
@@ -80,18 +84,7 @@
 //	spreader.Serve(calls)
 func (spreader *Spreader) Serve(calls *call.Table) {
 	courier.Handle(calls, "exchange", func(_ scope.Scope, asked ExchangeAsk) (ExchangeTold, error) {
-		spreader.Table.Merge([]cohort.Member{asked.From})
-		told := ExchangeTold{From: spreader.Table.Self(), Sums: spreader.Table.Sums()}
-		shared := spreader.shared(asked.From)
-		if asked.Listed {
-			told.Items, told.Wanted = spreader.News.Compare(asked.Marks, shared)
-		} else {
-			told.Differs = asked.Digest != spreader.News.Digest(shared)
-		}
-		if spreader.Table.Differs(asked.From.Zone, asked.Sums) {
-			told.Members = spreader.Table.Told(asked.From.Zone)
-		}
-		return told, nil
+		return spreader.compared(asked), nil
 	})
 	courier.Handle(calls, "give", func(_ scope.Scope, asked GiveAsk) (GiveTold, error) {
 		spreader.Table.Merge(asked.Members)
@@ -102,6 +95,22 @@
 	})
 }
 
+// compared answers a question of another daemon.
+func (spreader *Spreader) compared(asked ExchangeAsk) ExchangeTold {
+	spreader.Table.Merge([]cohort.Member{asked.From})
+	told := ExchangeTold{From: spreader.Table.Self(), Sums: spreader.Table.Sums()}
+	shared := spreader.shared(asked.From)
+	if asked.Listed {
+		told.Items, told.Wanted = spreader.News.Compare(asked.Marks, shared)
+	} else {
+		told.Differs = asked.Digest != spreader.News.Digest(shared)
+	}
+	if spreader.Table.Differs(asked.From.Zone, asked.Sums) {
+		told.Members = spreader.Table.Told(asked.From.Zone)
+	}
+	return told
+}
+
 // shared describes whoever would hold just what this daemon and the other both
 // should: of the backbone if both are, of a zone if it is the same.
 func (spreader *Spreader) shared(other cohort.Member) cohort.Member {
@@ -144,8 +153,11 @@
 func (spreader *Spreader) Exchange(inner scope.Scope, address ids.Address) {
 	short, release := inner.WithLimit(spreader.Limit)
 	defer release()
-	told, err := spreader.ask(short, address, spreader.News.Empty())
+	told, err := spreader.ask(short, address, false)
 	if err == nil && told.Differs {
+		if spreader.fromNearer(inner, address, told) {
+			return
+		}
 		told, err = spreader.ask(short, address, true)
 	}
 	if err != nil {
@@ -177,6 +189,9 @@
 	} else {
 		asked.Digest = spreader.News.Digest(shared)
 	}
+	if spreader.Compare != nil {
+		return spreader.Compare(inner, address, asked)
+	}
 	return courier.Send[ExchangeTold](inner, spreader.Messenger, address, "exchange", asked)
 }
 
--- /dev/null
+++ b/control/spread/nearer.go
@@ -0,0 +1,63 @@
+package spread
+
+import (
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/control/cohort"
+)
+
+// fromNearerTries is how often a daemon that knows nothing asks those nearby alone,
+// before it takes all news from far away.
+const fromNearerTries = 3
+
+// fromNearer has a daemon that knows nothing take the news, which may be long, from
+// a daemon that is nearer than the one that it asked first, mostly a seed. It tells
+// whether that was done, or is to be tried again: the mates may know nothing yet
+// either, and the first relay of a zone is the one to bring it there.
+func (spreader *Spreader) fromNearer(inner scope.Scope, asked ids.Address, told ExchangeTold) bool {
+	if !spreader.News.Empty() {
+		return false
+	}
+	spreader.Table.Merge(append(told.Members, told.From))
+	nearer, found := spreader.nearer(asked)
+	if !found {
+		return false
+	}
+	spreader.Exchange(inner, nearer)
+	if !spreader.News.Empty() {
+		return true
+	}
+	self := spreader.Table.Self()
+	first := spreader.Table.Relays(self.Zone, 1)
+	brings := len(first) > 0 && first[0].Address == self.Address
+	return !brings && spreader.emptyTries.Add(1) <= fromNearerTries
+}
+
+// nearer gives a relay or controller that is nearer than a daemon: of the own zone,
+// or of the own region where the other is of neither.
+func (spreader *Spreader) nearer(than ids.Address) (ids.Address, bool) {
+	other, _ := spreader.Table.Find(than)
+	best, found := cohort.Member{}, false
+	for _, member := range spreader.Table.Members() {
+		usable := member.State == cohort.Alive && member.Backbone() && member.Address != spreader.Table.Self().Address
+		if !usable || spreader.distance(member) >= spreader.distance(other) {
+			continue
+		}
+		if !found || spreader.distance(member) < spreader.distance(best) {
+			best, found = member, true
+		}
+	}
+	return best.Address, found
+}
+
+// distance is 0 in the own zone, 1 in the own region, 2 elsewhere.
+func (spreader *Spreader) distance(member cohort.Member) int {
+	self := spreader.Table.Self()
+	switch {
+	case member.Zone == self.Zone:
+		return 0
+	case member.Region == self.Region:
+		return 1
+	}
+	return 2
+}
