Rare first parts belong to an eighth of the runners; a list is read at once after a start

Change: a first part that is a small share of the work (below 1/64, learnt by each router from its own requests) belongs to an eighth of the runners, by rendezvous, and the last part picks among these; where they are much fuller than the others, all may be chosen. A whole reading that runs out of time goes on by zone; lists read by zone are read at the full pace. A daemon that starts without news looks for the list at once. Tests of the packages pass.

--- a/control/discovery/fallback.go
+++ b/control/discovery/fallback.go
@@ -20,7 +20,8 @@
 // because the zone is cut off from the holder of the duty, or because all daemons
 // were down. The zone's first relay reads at once and tells its zone; the second
 // waits for it, and all others wait for both, and then for a random while that
-// keeps them under the platform's rate together.
+// keeps them under the platform's rate together. After a start without any news
+// nobody can be waited for long, and the random while is all there is.
 type Fallback struct {
 	Platform *Platform
 	View     *View
@@ -44,7 +45,7 @@
 //
 //	fallback.Run(top)
 func (f *Fallback) Run(inner scope.Scope) {
-	for inner.Wait(f.Every / looksAtView) {
+	for inner.Wait(f.pause()) {
 		if !f.due(inner.Now()) || !inner.Wait(f.turn(inner)) || f.View.Fresh() {
 			continue
 		}
@@ -52,9 +53,24 @@
 	}
 }
 
-// hurryPart is the part, one in so many, of the time between two readings that a
-// daemon which starts anew waits for others to tell it the list.
-const hurryPart = 4
+const (
+	// hurryPart is the part, one in so many, of the time between two readings that
+	// passes before a daemon which starts anew thinks of reading the list itself.
+	hurryPart = 16
+	// hurryTurn is the part that one which is no relay waits for others then.
+	hurryTurn = 8
+)
+
+// hurries tells whether this daemon starts anew and has no list yet.
+func (f *Fallback) hurries() bool { return f.Hurry && !f.View.Whole() }
+
+// pause is the time until the next look at the list.
+func (f *Fallback) pause() clock.Span {
+	if f.hurries() {
+		return f.Every / hurryPart
+	}
+	return f.Every / looksAtView
+}
 
 // due tells whether the list is missing or too old.
 func (f *Fallback) due(now clock.Instant) bool {
@@ -62,7 +78,7 @@
 		return false
 	}
 	patience := f.View.options.Patience
-	if f.Hurry && !f.View.Whole() {
+	if f.hurries() {
 		patience = f.Every / hurryPart
 	}
 	return now.Since(f.View.Confirmed()) >= patience
@@ -80,6 +96,9 @@
 		}
 	}
 	crowd := boot.Seconds(ratePart * float64(max(1, f.Routers())) / max(1, inner.Boot.Platform.RatePerS))
+	if f.hurries() {
+		return f.Every/hurryTurn + chance.Part(crowd)
+	}
 	return relaysFirst*f.Every + chance.Part(crowd)
 }
 
--- a/control/discovery/platform.go
+++ b/control/discovery/platform.go
@@ -109,11 +109,16 @@
 		return p.readApart(inner)
 	}
 	begin := inner.Now()
-	short, release := inner.WithLimit(2 * p.Every)
+	short, release := inner.WithLimit(p.Every)
 	defer release()
 	list, pages, err := p.chain(short, "")
 	p.Calls = pages
-	p.apart = pages >= fewestPages && inner.Now().Since(begin) > p.Every/2
+	if pages >= fewestPages && inner.Now().Since(begin) > p.Every/2 {
+		p.apart = true
+	}
+	if err != nil && p.apart {
+		return p.readApart(inner)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +131,13 @@
 	return byZone(list.Runners, p.zones()), nil
 }
 
+// ByZone tells whether the list is so long that it is read by zone.
+//
+// Example:
+//
+//	if platform.ByZone() { readOften() }
+func (p *Platform) ByZone() bool { return p.apart }
+
 // zones are those of the settings and those in which runners were seen.
 func (p *Platform) zones() []ids.Zone {
 	zones := append([]ids.Zone(nil), p.Zones...)
--- a/control/discovery/reader.go
+++ b/control/discovery/reader.go
@@ -33,8 +33,8 @@
 	Held func(now clock.Instant) (int64, bool)
 	// Resign gives the duty back; it may be left out.
 	Resign func(inner scope.Scope)
-	// Every is the time between two readings; while nothing changes it is twice as
-	// long.
+	// Every is the time from one reading to the next; for a list that is read as a
+	// whole it is twice as long while nothing changes.
 	Every clock.Span
 	// Beat is how often it is told that nothing changed, so that all know that the
 	// list is fresh.
@@ -62,16 +62,22 @@
 //
 //	reader.Run(top)
 func (r *Reader) Run(inner scope.Scope) {
-	for inner.Wait(r.pause(inner)) {
+	for spent := clock.Span(0); inner.Wait(max(r.pause(inner)-spent, r.Every/restPart)); {
+		begin := inner.Now()
 		r.Read(inner)
+		spent = inner.Now().Since(begin)
 	}
 }
 
-// pause is the time between two readings: longer where nothing changes, and where
-// the pages of one are so many that the platform's rate would be passed.
+// restPart is the part, one in so many, of the time for a reading that there is at
+// least between two.
+const restPart = 4
+
+// pause is the time from one reading to the next: longer where nothing changes, and
+// where the pages of one are so many that the platform's rate would be passed.
 func (r *Reader) pause(inner scope.Scope) clock.Span {
 	every := r.Every
-	if r.quiet >= quietReadings {
+	if r.quiet >= quietReadings && !r.Platform.ByZone() {
 		every *= quietFactor
 	}
 	rate := inner.Boot.Platform.RatePerS
--- a/control/discovery/reader_test.go
+++ b/control/discovery/reader_test.go
@@ -141,6 +141,13 @@
 	if pause := reader.pause(top); pause != 2*clock.Second {
 		t.Fatalf("100 calls at 100 a second: a pause of %v", pause)
 	}
+	for range quietReadings {
+		reader.Read(top)
+	}
+	reader.Platform.Calls = 6
+	if pause := reader.pause(top); pause != clock.Second {
+		t.Fatalf("a long list is read each %v while nothing changes", pause)
+	}
 	played.down = true
 	reader.Read(top)
 	if _, again := partOf(t, reader.News, "a"); again != serial {
@@ -148,6 +155,21 @@
 	}
 }
 
+// TestListTooLongForOneReadingIsReadAtOnce has the whole reading run out of time:
+// the same reading goes on by zone.
+func TestListTooLongForOneReadingIsReadAtOnce(t *testing.T) {
+	reader, played, top, machine := newReader(t)
+	long := standing
+	defer func() { standing = long }()
+	standing = []string{"a", "a", "a", "b", "b", "b", "c"}
+	played.slow = 150 * clock.Millisecond
+	begin := machine.Now()
+	reader.Read(top)
+	if list, _ := partOf(t, reader.News, "a"); len(list.Runners) != 3 || !reader.Platform.ByZone() {
+		t.Fatalf("after %v: %+v", machine.Now().Since(begin), list)
+	}
+}
+
 func TestOnlyWhatChangedIsNews(t *testing.T) {
 	reader, played, top, machine := newReader(t)
 	beat := func() ids.Serial { item, _ := reader.News.Get(BeatKey); return item.Serial }
--- a/control/discovery/view_test.go
+++ b/control/discovery/view_test.go
@@ -153,7 +153,7 @@
 		table := cohort.NewTable(machine, self)
 		table.Merge(others)
 		view := NewView(ViewOptions{Clock: machine, Patience: patience})
-		return &Fallback{Table: table, View: view, Every: clock.Second, Routers: func() int { return 50 }, Hurry: true}
+		return &Fallback{Table: table, View: view, Every: clock.Second, Routers: func() int { return 50 }}
 	}
 	core, first, second := member("1:1", true), member("2:1", false), member("3:1", false)
 	if wait := made(core, first, second).turn(top); wait != 0 {
@@ -170,7 +170,13 @@
 	if wait := made(first).turn(top); wait < 2*clock.Second {
 		t.Errorf("a router that knows nobody waits %v", wait)
 	}
-	fallback := made(core)
+	fallback := made(first)
+	fallback.Hurry = true
+	if wait := fallback.turn(top); wait < clock.Second/hurryTurn || wait > clock.Second/hurryTurn+clock.Second {
+		t.Errorf("after all were down a router waits %v", wait)
+	}
+	fallback = made(core)
+	fallback.Hurry = true
 	if fallback.due(machine.Now()) {
 		t.Error("a start is no time to ask at once")
 	}
--- a/data/admit/admit_test.go
+++ b/data/admit/admit_test.go
@@ -22,11 +22,14 @@
 	return found
 }
 
+// pick is the runner for a prompt of one shared part.
+func pick(found []candidate, key string) candidate { return keyed(&Decision{}, found, key) }
+
 func TestSharesFollowTheWeights(t *testing.T) {
 	found := some(1, 2, 5)
 	counts := map[ids.RunnerID]int{}
 	for key := range 8000 {
-		counts[rendezvous(found, fmt.Sprint("part", key)).runner.ID]++
+		counts[pick(found, fmt.Sprint("part", key)).runner.ID]++
 	}
 	for id, want := range map[ids.RunnerID]int{"i0": 1000, "i1": 2000, "i2": 5000} {
 		if got := counts[id]; got < want*9/10 || got > want*11/10 {
@@ -40,8 +43,8 @@
 	moved := 0
 	for key := range 1000 {
 		name := fmt.Sprint("part", key)
-		first := rendezvous(before, name).runner.ID
-		if first != "i3" && rendezvous(after, name).runner.ID != first {
+		first := pick(before, name).runner.ID
+		if first != "i3" && pick(after, name).runner.ID != first {
 			moved++
 		}
 	}
@@ -52,13 +55,13 @@
 
 func TestFullRunnerIsPassedOver(t *testing.T) {
 	found := some(1, 1, 1)
-	home := rendezvous(found, "part")
+	home := pick(found, "part")
 	for index := range found {
 		if found[index].runner.ID == home.runner.ID {
 			found[index].load = 2
 		}
 	}
-	if rendezvous(found, "part").runner.ID == home.runner.ID {
+	if pick(found, "part").runner.ID == home.runner.ID {
 		t.Fatal("a full runner still gets the request")
 	}
 }
--- a/data/admit/choose.go
+++ b/data/admit/choose.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"hash/fnv"
 	"math"
 
 	"onyxwell/base/clock"
@@ -36,14 +35,14 @@
 		decision.crowded = true
 		return nil, 0
 	}
-	key, keyed := affinity(decision.asking.Parts)
-	keyed = keyed && decision.asking.Route.Sticky
-	if !keyed || !travels(decision.asking) {
+	key, shared := affinity(decision.asking.Parts)
+	shared = shared && decision.asking.Route.Sticky
+	if !shared || !travels(decision.asking) {
 		found = gate.region(seen, decision, found)
 	}
 	found = gate.group(seen, decision, found)
-	if keyed {
-		return rendezvous(found, key).runner, 0
+	if shared {
+		return keyed(decision, found, key).runner, 0
 	}
 	return gate.lighterOfTwo(found).runner, 0
 }
@@ -169,64 +168,6 @@
 	return found
 }
 
-// worthMoving is how many tokens must be spared for each byte moved before a
-// request goes to another region for the parts that were read there.
-const worthMoving = 0.3
-
-// travels tells whether a prompt shares so much that it is cheaper to move the
-// request to where its parts were read than to read them in every region.
-func travels(asking Asking) bool { return asking.Shared >= worthMoving*float64(asking.Bytes) }
-
-// affinity is the key that keeps like prompts together: the last shared part
-// stands for all before it.
-func affinity(parts []string) (string, bool) {
-	if len(parts) < 2 {
-		return "", false
-	}
-	return parts[len(parts)-2], true
-}
-
-// rendezvous picks by weighted rendezvous hashing, so that shares follow the
-// weights and a part stays where it was read; a runner that is much fuller
-// than the others is passed over for the next in the order.
-func rendezvous(found []candidate, key string) candidate {
-	mean := 0.0
-	for _, able := range found {
-		mean += able.load / float64(len(found))
-	}
-	bound := 1.25*mean + 0.06
-	best, bestScore := -1, 0.0
-	least := 0
-	for index, able := range found {
-		if able.load < found[least].load {
-			least = index
-		}
-		score := -able.weight / math.Log(fraction(key, string(able.runner.ID)))
-		if able.load <= bound && (best < 0 || score > bestScore) {
-			best, bestScore = index, score
-		}
-	}
-	if best < 0 {
-		best = least
-	}
-	return found[best]
-}
-
-// fraction hashes a key and a runner to a number between 0 and 1.
-func fraction(key string, runner string) float64 {
-	digest := fnv.New64a()
-	_, _ = digest.Write([]byte(key))
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.Write([]byte(runner))
-	mixed := digest.Sum64()
-	mixed ^= mixed >> 33
-	mixed *= 0xff51afd7ed558ccd
-	mixed ^= mixed >> 33
-	mixed *= 0xc4ceb9fe1a85ec53
-	mixed ^= mixed >> 33
-	return (float64(mixed>>11) + 0.5) / (1 << 53)
-}
-
 // lighterOfTwo draws two by weight and takes the one with less load.
 func (gate *Gate) lighterOfTwo(found []candidate) candidate {
 	first, second := gate.draw(found), gate.draw(found)
--- a/data/admit/decision.go
+++ b/data/admit/decision.go
@@ -41,6 +41,8 @@
 	garbled bool
 	crowded bool
 	left    LeftOut
+	// rareFirst says that the first shared part belongs to some runners only.
+	rareFirst bool
 }
 
 // Service is the service that the request goes to.
--- a/data/admit/gate.go
+++ b/data/admit/gate.go
@@ -38,7 +38,10 @@
 }
 
 // Gate makes decisions.
-type Gate struct{ options Options }
+type Gate struct {
+	options Options
+	firsts  firsts
+}
 
 // NewGate makes a gate.
 //
@@ -113,6 +116,7 @@
 func (gate *Gate) Begin(asking Asking) *Decision {
 	decision := &Decision{gate: gate, asking: asking, tried: map[ids.RunnerID]bool{}}
 	decision.service = gate.service(asking.Route)
+	decision.rareFirst = gate.rareFirst(asking)
 	gate.options.Board.Asked(decision.service, homesKey(asking.Route))
 	gate.options.Budget.Request(decision.service, gate.options.Scope.Now())
 	return decision
