News from nearby has a short time, and any of those nearby may be asked

Cause, by reading: a daemon that starts asked one nearby after the seed, always the same one and for as long as any exchange may take, though that one may be down as well; and while it lacked the list it asked relays alone. Change: a quarter of the exchange's pace for the answer, one of those nearby by chance; every second exchange of a daemon that lacks the list goes to a relay. go test ./control/spread passes.

--- a/control/spread/nearer.go
+++ b/control/spread/nearer.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"onyxwell/base/chance"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
 	"onyxwell/control/cohort"
@@ -10,6 +11,10 @@
 // before it takes all news from far away.
 const fromNearerTries = 3
 
+// nearerPart is the part, one in so many, of the time between two exchanges that one
+// nearby has for its answer: it may be down as well.
+const nearerPart = 4
+
 // fromNearer has a daemon that knows nothing take the news, which may be long, from
 // a daemon that is nearer than the one that it asked first, mostly a seed. It tells
 // whether that was done, or is to be tried again: the mates may know nothing yet
@@ -23,7 +28,9 @@
 	if !found {
 		return false
 	}
-	spreader.Exchange(inner, nearer)
+	short, release := inner.WithLimit(spreader.Every / nearerPart)
+	spreader.Exchange(short, nearer)
+	release()
 	if !spreader.News.Empty() {
 		return true
 	}
@@ -37,17 +44,23 @@
 // or of the own region where the other is of neither.
 func (spreader *Spreader) nearer(than ids.Address) (ids.Address, bool) {
 	other, _ := spreader.Table.Find(than)
-	best, found := cohort.Member{}, false
+	var best []cohort.Member
 	for _, member := range spreader.Table.Members() {
 		usable := member.State == cohort.Alive && member.Backbone() && member.Address != spreader.Table.Self().Address
 		if !usable || spreader.distance(member) >= spreader.distance(other) {
 			continue
 		}
-		if !found || spreader.distance(member) < spreader.distance(best) {
-			best, found = member, true
+		if len(best) > 0 && spreader.distance(member) < spreader.distance(best[0]) {
+			best = nil
+		}
+		if len(best) == 0 || spreader.distance(member) == spreader.distance(best[0]) {
+			best = append(best, member)
 		}
 	}
-	return best.Address, found
+	if len(best) == 0 {
+		return "", false
+	}
+	return best[chance.Below(len(best))].Address, true
 }
 
 // distance is 0 in the own zone, 1 in the own region, 2 elsewhere.
--- a/control/spread/partner.go
+++ b/control/spread/partner.go
@@ -35,6 +35,7 @@
 // Odds of whom a daemon exchanges with: one exchange of so many.
 const (
 	oddsGone         = 16
+	oddsRelay        = 2
 	oddsSeed         = 32
 	oddsFarBackbone  = 4
 	oddsFarOtherwise = 16
@@ -46,7 +47,7 @@
 // goes on where there are no relays.
 func (spreader *Spreader) partner() (ids.Address, bool) {
 	near, far, gone := spreader.others()
-	if spreader.lacks() {
+	if spreader.lacks() && chance.Below(oddsRelay) == 0 {
 		if relay, found := spreader.relay(); found {
 			return relay, true
 		}
