--- a/data/router/lost_test.go
+++ b/data/router/lost_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"onyxwell/base/call"
@@ -25,9 +26,10 @@
 }
 
 func TestLostZoneIsLeftAloneUntilARunnerAnswers(t *testing.T) {
-	down := true
+	var down atomic.Bool
+	down.Store(true)
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		if down {
+		if down.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		writer.Header().Set("Onyxwell-Cold-Ms", "500")
@@ -54,7 +56,7 @@
 	if test(); !r.lost.has("s") || r.lost.has("n") {
 		t.Fatal("not the lost zone is left alone")
 	}
-	down = false
+	down.Store(false)
 	if test(); !r.lost.has("s") {
 		t.Fatal("tested again at once")
 	}
@@ -72,7 +74,7 @@
 	}
 	tell(r, 2)
 	test()
-	down = true
+	down.Store(true)
 	tell(r, 3, "s")
 	if test(); !r.lost.has("s") {
 		t.Fatal("a second loss does not count")
