--- a/control/daemon/list.go
+++ b/control/daemon/list.go
@@ -1,9 +1,6 @@
 package daemon
 
 import (
-	"maps"
-	"slices"
-
 	"onyxwell/base/call"
 	"onyxwell/base/scope"
 	"onyxwell/control/discovery"
@@ -21,15 +18,11 @@
 //	view := daemon.NewView(top)
 func NewView(top scope.Scope) *discovery.View {
 	return discovery.NewView(discovery.ViewOptions{
-		Clock: top.Clock, Zones: slices.Sorted(maps.Keys(top.Boot.Zones)),
+		Clock: top.Clock, Zones: top.Boot.ZoneNames(),
 		Patience: patienceInReadings * PaceOf(top.Boot).Census,
 	})
 }
 
-// platformConnections is how many connections to the platform are kept: as many
-// as zones are read at the same time.
-const platformConnections = 8
-
 // Platform makes a reader of the platform's list, with connections of its own.
 //
 // Example:
@@ -39,9 +32,9 @@
 	settings, pace := daemon.Scope.Boot, PaceOf(daemon.Scope.Boot)
 	return &discovery.Platform{
 		Client: daemon.Network.Client(call.Pooling{
-			Dialing: call.Dialing{Limit: pace.Connect, Silence: pace.Silence}, Idle: 4 * pace.Silence, PerHost: platformConnections,
+			Dialing: call.Dialing{Limit: pace.Connect, Silence: pace.Silence}, Idle: 4 * pace.Silence, PerHost: discovery.ReadersAtOnce,
 		}),
-		Address: settings.Platform.Address, Zones: slices.Sorted(maps.Keys(settings.Zones)), Every: pace.Census,
+		Address: settings.Platform.Address, Zones: settings.ZoneNames(), Every: pace.Census,
 	}
 }
 
--- a/control/discovery/platform.go
+++ b/control/discovery/platform.go
@@ -72,8 +72,8 @@
 const (
 	// pageLimit ends a list whose pages never end.
 	pageLimit = 200
-	// readersAtOnce is how many zones are read at the same time.
-	readersAtOnce = 8
+	// ReadersAtOnce is how many zones are read at the same time.
+	ReadersAtOnce = 8
 	// fewestPages is how many pages a list must have for it to be read by zone:
 	// a short one is read with fewer calls as a whole.
 	fewestPages = 4
@@ -116,10 +116,10 @@
 	if pages >= fewestPages && inner.Now().Since(begin) > p.Every/2 {
 		p.apart = true
 	}
-	if err != nil && p.apart {
-		return p.readApart(inner)
-	}
 	if err != nil {
+		if p.apart {
+			return p.readApart(inner)
+		}
 		return nil, err
 	}
 	if p.found == nil {
@@ -162,7 +162,7 @@
 	var group sync.WaitGroup
 	var failed error
 	parts, calls := map[ids.Zone]List{}, 0
-	places := make(chan struct{}, readersAtOnce)
+	places := make(chan struct{}, ReadersAtOnce)
 	for _, zone := range p.zones() {
 		places <- struct{}{}
 		group.Add(1)
--- a/control/spread/push.go
+++ b/control/spread/push.go
@@ -138,12 +138,14 @@
 }
 
 // narrowings are tried in this order; the last fits every key.
-var narrowings = []*narrowing{
-	{BackbonePrefix, func(_ *Spreader, duty Duty) Duty { duty.Backbone = true; return duty }},
-	{ZonePrefix, ownZoneOnly},
-	{LocalPrefix, ownZoneOnly},
-	{LostPrefix, ownZoneOnly},
-	{"", func(_ *Spreader, duty Duty) Duty { return duty }},
+var narrowings = allNarrowings()
+
+func allNarrowings() []*narrowing {
+	all := []*narrowing{{BackbonePrefix, func(_ *Spreader, duty Duty) Duty { duty.Backbone = true; return duty }}}
+	for _, prefix := range zonePrefixes {
+		all = append(all, &narrowing{prefix, ownZoneOnly})
+	}
+	return append(all, &narrowing{"", func(_ *Spreader, duty Duty) Duty { return duty }})
 }
 
 // handOver sends one part to the first taker that answers soon; where none does,
--- a/data/admit/affinity.go
+++ b/data/admit/affinity.go
@@ -1,10 +1,13 @@
 package admit
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
 	"sync"
+
+	"onyxwell/base/ids"
 )
 
 // worthMoving is how many tokens must be spared for each byte moved before a
@@ -38,7 +41,7 @@
 	if chosen, fits := rendezvous(found, key, bound); fits {
 		return chosen
 	}
-	return slices.MinFunc(found, func(left, right candidate) int { return compare(left.load, right.load) })
+	return slices.MinFunc(found, func(left, right candidate) int { return cmp.Compare(left.load, right.load) })
 }
 
 // rareFirst tells whether the first of several shared parts is a rare one.
@@ -72,13 +75,13 @@
 	if count >= len(found) {
 		return found
 	}
-	scores := make(map[string]float64, len(found))
+	scores := make(map[ids.RunnerID]float64, len(found))
 	for _, able := range found {
-		scores[string(able.runner.ID)] = score(able, first)
+		scores[able.runner.ID] = score(able, first)
 	}
 	ordered := slices.Clone(found)
 	slices.SortFunc(ordered, func(left, right candidate) int {
-		return compare(scores[string(right.runner.ID)], scores[string(left.runner.ID)])
+		return cmp.Compare(scores[right.runner.ID], scores[left.runner.ID])
 	})
 	return ordered[:count]
 }
@@ -107,16 +110,6 @@
 	return -able.weight / math.Log(fraction(key, string(able.runner.ID)))
 }
 
-func compare(left float64, right float64) int {
-	switch {
-	case left < right:
-		return -1
-	case left > right:
-		return 1
-	}
-	return 0
-}
-
 // fraction hashes a key and a runner to a number between 0 and 1.
 func fraction(key string, runner string) float64 {
 	digest := fnv.New64a()
