--- a/control/courier/tally.go
+++ b/control/courier/tally.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 )
 
@@ -40,30 +39,13 @@
 	t.volumes[name] = Volume{Messages: sum.Messages + 1, Asked: sum.Asked + int64(asked), Told: sum.Told + int64(told)}
 }
 
-// Names gives the names of all messages that were counted, sorted.
+// Volumes gives what was counted, by the messages' names.
 //
 // Example:
 //
-//	for _, name := range tally.Names() { show(name, tally.Of(name)) }
-func (t *Tally) Names() []string {
-	if t == nil {
-		return nil
-	}
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	return slices.Sorted(maps.Keys(t.volumes))
-}
-
-// Of gives what the messages of a name came to.
-//
-// Example:
-//
-//	volume := tally.Of("exchange")
-func (t *Tally) Of(name string) Volume {
-	if t == nil {
-		return Volume{}
-	}
+//	for name, volume := range tally.Volumes() { ... }
+func (t *Tally) Volumes() map[string]Volume {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	return t.volumes[name]
+	return maps.Clone(t.volumes)
 }
--- a/control/daemon/figures.go
+++ b/control/daemon/figures.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/phuslu/log"
@@ -18,9 +20,9 @@
 // logVolumes logs what was sent to other daemons, by message, since the start.
 func (daemon *Daemon) logVolumes(inner scope.Scope) error {
 	for inner.Wait(volumesEvery) {
-		tally := daemon.Messenger.Tally
-		for _, name := range tally.Names() {
-			volume := tally.Of(name)
+		volumes := daemon.Messenger.Tally.Volumes()
+		for _, name := range slices.Sorted(maps.Keys(volumes)) {
+			volume := volumes[name]
 			inner.Log.Debug().Str("part", "volumes").Str("message", name).Int64("messages", volume.Messages).
 				Int64("asked_bytes", volume.Asked).Int64("told_bytes", volume.Told).Msg("sent since the start")
 		}
--- a/control/daemon/sums.go
+++ b/control/daemon/sums.go
@@ -7,7 +7,6 @@
 	"onyxwell/control/courier"
 	"onyxwell/control/eject"
 	"onyxwell/control/scaler"
-	"onyxwell/control/spread"
 )
 
 const (
@@ -49,10 +48,8 @@
 	if !changed {
 		return
 	}
-	key := eject.Key(daemon.Table.Self().Zone)
-	known, _ := daemon.News.Get(key)
 	if body, err := courier.Pack(rests); err == nil {
-		daemon.News.Put(spread.Item{Key: key, Serial: spread.NextSerial(known.Serial, daemon.Address), Body: body})
+		daemon.News.Write(eject.Key(daemon.Table.Self().Zone), daemon.Address, body)
 	}
 }
 
--- a/control/discovery/fallback.go
+++ b/control/discovery/fallback.go
@@ -119,9 +119,7 @@
 		list.Runners = append(list.Runners, parts[zone].Runners...)
 	}
 	self := f.Table.Self()
-	key := LocalKey(self.Zone)
-	known, _ := f.News.Get(key)
 	if body, err := courier.Pack(list); err == nil {
-		f.News.Put(spread.Item{Key: key, Serial: spread.NextSerial(known.Serial, self.Address), Body: body})
+		f.News.Write(LocalKey(self.Zone), self.Address, body)
 	}
 }
--- a/control/spread/serial.go
+++ b/control/spread/serial.go
@@ -6,6 +6,17 @@
 	"onyxwell/base/ids"
 )
 
+// Write makes an item of a key that more than one daemon may write, above the one
+// that is known.
+//
+// Example:
+//
+//	news.Write("size/kelvin-hall", address, body)
+func (news *News) Write(key string, writer ids.Address, body []byte) bool {
+	known, _ := news.Get(key)
+	return news.Put(Item{Key: key, Serial: NextSerial(known.Serial, writer), Body: body})
+}
+
 // writerBits is how much of a serial tells writers apart.
 const writerBits = 16
 
--- a/control/zoneview/lost.go
+++ b/control/zoneview/lost.go
@@ -31,14 +31,7 @@
 // lost gives the zones of whose backbone nobody answers, though somebody did in
 // this daemon's life. A zone whose daemons all left in order is not lost.
 func (watcher *Watcher) lost() Lost {
-	alive, silent := map[ids.Zone]bool{}, map[ids.Zone]bool{}
-	for _, member := range watcher.Table.Members() {
-		if !member.Backbone() {
-			continue
-		}
-		alive[member.Zone] = alive[member.Zone] || member.State == cohort.Alive
-		silent[member.Zone] = silent[member.Zone] || member.State == cohort.Suspect || member.State == cohort.Removed
-	}
+	alive, silent := watcher.backbones()
 	watcher.lock.Lock()
 	defer watcher.lock.Unlock()
 	if watcher.answered == nil {
@@ -55,3 +48,16 @@
 	slices.Sort(found.Zones)
 	return found
 }
+
+// backbones tells of each zone whether anybody of its backbone answers, and whether
+// anybody of it does not.
+func (watcher *Watcher) backbones() (answers map[ids.Zone]bool, silent map[ids.Zone]bool) {
+	answers, silent = map[ids.Zone]bool{}, map[ids.Zone]bool{}
+	for _, member := range watcher.Table.Members() {
+		if member.Backbone() {
+			answers[member.Zone] = answers[member.Zone] || member.State == cohort.Alive
+			silent[member.Zone] = silent[member.Zone] || member.State == cohort.Suspect || member.State == cohort.Removed
+		}
+	}
+	return answers, silent
+}
--- a/control/zoneview/zoneview.go
+++ b/control/zoneview/zoneview.go
@@ -108,11 +108,12 @@
 func publish[Message any](watcher *Watcher, prefix string, message Message) {
 	body, err := courier.Pack(message)
 	self := watcher.Table.Self()
-	known, found := watcher.News.Get(prefix + string(self.Zone))
+	key := prefix + string(self.Zone)
+	known, found := watcher.News.Get(key)
 	if err != nil || (found && slices.Equal(known.Body, body)) {
 		return
 	}
-	watcher.News.Put(spread.Item{Key: prefix + string(self.Zone), Serial: spread.NextSerial(known.Serial, self.Address), Body: body})
+	watcher.News.Write(key, self.Address, body)
 }
 
 // Elsewhere gives the fronts of the other zones from which some daemon of the
@@ -123,13 +124,7 @@
 //
 //	reached, cut := watcher.Elsewhere()
 func (watcher *Watcher) Elsewhere() (reached []Fronts, cut []ids.Zone) {
-	answers, silent := map[ids.Zone]bool{}, map[ids.Zone]bool{}
-	for _, member := range watcher.Table.Members() {
-		if member.Backbone() {
-			answers[member.Zone] = answers[member.Zone] || member.State == cohort.Alive
-			silent[member.Zone] = silent[member.Zone] || member.State == cohort.Suspect || member.State == cohort.Removed
-		}
-	}
+	answers, silent := watcher.backbones()
 	own := watcher.Table.Self().Zone
 	for _, item := range watcher.News.Under(FrontsPrefix) {
 		fronts, err := courier.Unpack[Fronts](item.Body)
--- a/data/router/doubt.go
+++ b/data/router/doubt.go
@@ -68,6 +68,13 @@
 	return nil
 }
 
+// ask asks a runner of a configured service whether it is well.
+func (r *Router) ask(inner scope.Scope, client *http.Client, seen *snapshot.Snapshot, runner *snapshot.Runner) (condition, error) {
+	short, release := inner.WithLimit(r.pace.Connect)
+	defer release()
+	return call.Ask[condition](short, client, runner.Address, health{path: seen.Spec.Service(runner.Service).HealthPath})
+}
+
 func (r *Router) test(inner scope.Scope, client *http.Client, id ids.RunnerID) {
 	seen := r.frame.Now()
 	runner := seen.Find(id)
@@ -75,10 +82,7 @@
 		r.board.Drop(id)
 		return
 	}
-	path := seen.Spec.Service(runner.Service).HealthPath
-	short, release := inner.WithLimit(r.pace.Connect)
-	defer release()
-	told, err := call.Ask[condition](short, client, runner.Address, health{path: path})
+	told, err := r.ask(inner, client, seen, runner)
 	if err != nil || (told.id != "" && told.id != id) {
 		return
 	}
--- a/data/router/lost.go
+++ b/data/router/lost.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 
-	"onyxwell/base/call"
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/scope"
@@ -126,9 +125,7 @@
 	if seen.Spec == nil || seen.Spec.Service(runner.Service) == nil {
 		return
 	}
-	short, release := inner.WithLimit(r.pace.Connect)
-	defer release()
-	told, err := call.Ask[condition](short, client, runner.Address, health{path: seen.Spec.Service(runner.Service).HealthPath})
+	told, err := r.ask(inner, client, seen, runner)
 	if err != nil || told.ill {
 		return
 	}
