--- a/base/httpcall/mux.go
+++ b/base/httpcall/mux.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/errkind"
 	"onyxwell/base/memquota"
@@ -63,8 +65,11 @@
 	// and several muxes may share it.
 	Bodies *memquota.Quota
 	// Metrics count the calls; nil counts nothing.
-	Metrics  *telemetry.Metrics
+	Metrics *telemetry.Metrics
+	// Log is told of calls without a handler. It may be nil.
+	Log      *log.Logger
 	handlers map[string]handler
+	unknown  unknownCalls
 }
 
 // NewMux returns a mux without handlers; see Mux for the arguments.
@@ -107,6 +112,7 @@
 	path := req.URL.Path
 	serve, tail := m.find(req.Method, path)
 	if serve == nil {
+		m.reportUnknown(req)
 		m.reject(req, errkind.Errorf(errkind.UnknownCall, "%s %s", req.Method, path)).Send(writer)
 		return
 	}
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -101,10 +101,10 @@
 	c.addListener("directory", mux)
 }
 
-// newMux makes a mux that shares the daemon's metrics and its quota for bodies.
+// newMux makes a mux that shares the daemon's metrics, log and quota for bodies.
 func (c *Controller) newMux(bodyLimit int64) *httpcall.Mux {
 	mux := httpcall.NewMux(c.clock, bodyLimit)
-	mux.Metrics, mux.Bodies = c.daemon.Metrics, c.daemon.BodyQuota
+	mux.Metrics, mux.Bodies, mux.Log = c.daemon.Metrics, c.daemon.BodyQuota, c.log
 	return mux
 }
 
