Failing test: counters on both sides of a partition

The simulation gets applications that stand in zones, add to counters, send adds again, and read totals, with the bounds that each total must lie within.

--- a/simulation/client.go
+++ b/simulation/client.go
@@ -106,6 +106,22 @@
 	return resp.StatusCode, resp.Header.Get("Location"), body
 }
 
+// callFrom makes a call from a host and waits attemptTimeout for the answer; status 0
+// says that there was none.
+func (c *Cluster) callFrom(from string, url string, method string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := c.after(attemptTimeout, cancel)
+	defer c.cancel(timer)
+	req, _ := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	resp, err := c.roundTrip(nil, from, req, nil)
+	if err != nil {
+		return 0, nil
+	}
+	answer, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer
+}
+
 // sleep blocks the caller, which must not run in an event, until d has passed.
 func (c *Cluster) sleep(d time.Duration) {
 	done := make(chan struct{})
--- a/simulation/cluster.go
+++ b/simulation/cluster.go
@@ -43,6 +43,8 @@
 	Duration time.Duration
 	// Clients is how many issue commands, each up to maxInFlight at a time.
 	Clients int
+	// Applications is how many add to counters and read them, each in a zone of its own.
+	Applications int
 	// NoFaults has the injector inject nothing.
 	NoFaults bool
 	// HighLoad has the clients issue commands at eight times their rate
@@ -115,6 +117,7 @@
 	configDocument func(version int64, commandID int) []byte
 	// admitted are the requests of quotaTenant that routers admitted, in order.
 	admitted []admittedRequests
+	counters counterLog
 	clientState
 }
 
--- a/simulation/injector.go
+++ b/simulation/injector.go
@@ -63,6 +63,7 @@
 		machine.activeFaults++
 		machine.lastFaultChange = c.now()
 	}
+	c.noteFaultBegin()
 	end := fault.inject(c, target)
 	duration := min(c.drawBetween("span "+name, fault.minDuration, fault.maxDuration), max(0, c.options.Duration-c.now()))
 	c.after(duration, func() {
@@ -74,6 +75,7 @@
 			machine.activeFaults--
 			machine.lastFaultChange = c.now()
 		}
+		c.noteFaultEnd()
 	})
 }
 
--- a/simulation/machine.go
+++ b/simulation/machine.go
@@ -70,6 +70,7 @@
 // shutDown ends the process as SIGTERM does: it runs on until it has stopped.
 func (m *Machine) shutDown() {
 	if m.process != nil {
+		m.process.stopping = true
 		m.process.cancel()
 	}
 }
--- a/simulation/process.go
+++ b/simulation/process.go
@@ -27,6 +27,9 @@
 	cancel   context.CancelFunc
 	handlers map[ids.Address]http.Handler
 	sockets  map[ids.Address]*socket
+	// startedAt is when it started, stopping says that it was told to shut down.
+	startedAt time.Duration
+	stopping  bool
 	// controller or router is set once the daemon is assembled.
 	controller *controller.Controller
 	router     *router
@@ -55,9 +58,10 @@
 	started := &process{
 		machine: m, number: m.starts, dead: make(chan struct{}), cancel: cancel,
 		handlers: map[ids.Address]http.Handler{}, sockets: map[ids.Address]*socket{},
-		ackedVersionAtStart: m.cluster.knownVersion(),
+		ackedVersionAtStart: m.cluster.knownVersion(), startedAt: m.cluster.now(),
 	}
 	m.process = started
+	m.cluster.noteStart()
 	nodeSettings := m.cluster.nodeSettings(m, first)
 	started.clock = machineClock{machine: m, offset: m.cluster.drawBetween("boot "+m.name, time.Second, 1000*time.Second) - m.cluster.now()}
 	env := scope.New(scope.Options{Clock: started.clock, Settings: nodeSettings, Log: m.cluster.processLogger(m)}).WithContext(ctx)
--- a/simulation/run.go
+++ b/simulation/run.go
@@ -99,6 +99,7 @@
 	for number := range max(1, c.options.Clients) {
 		go c.runClient(fmt.Sprint("operator ", number))
 	}
+	c.startApplications(c.options.Applications)
 	c.runUntil(faultStart)
 	go c.injectFaults()
 	c.startDrill()
@@ -126,6 +127,7 @@
 	if c.hasViolation() {
 		return
 	}
+	c.checkCounters()
 	c.checkFinalState()
 }
 
@@ -178,7 +180,13 @@
 			}
 		}
 	}()
-	deadline := c.now() + clientTimeout
+	c.runWhileOpen(done, clientTimeout, "the last orders got no answer in calm")
+}
+
+// runWhileOpen runs until done is closed; it reports a violation where that takes longer
+// than the timeout.
+func (c *Cluster) runWhileOpen(done <-chan struct{}, timeout time.Duration, violation string) {
+	deadline := c.now() + timeout
 	for c.now() < deadline && !c.hasViolation() {
 		c.runUntil(c.now() + recoveryPoll)
 		select {
@@ -188,6 +196,6 @@
 		}
 	}
 	if !c.hasViolation() {
-		c.reportViolation("the last orders got no answer in calm")
+		c.reportViolation("%s", violation)
 	}
 }
