Ask seeds until each has answered

Cause: daemons that start together soon know some others, and asked a seed in one exchange of 32 from then on. Groups that knew only each other stood for many seconds: in the simulation of six controllers two groups of three after 7 s, which the counters' exchange showed. Until each seed has answered once, every second exchange of the first 16 asks one, and every eighth after that.

--- a/control/gossip/exchange.go
+++ b/control/gossip/exchange.go
@@ -13,6 +13,7 @@
 func (g *Gossiper) Exchange(ctx context.Context, address ids.Address) {
 	short, cancel := g.Clock.WithTimeout(ctx, g.Timeout)
 	defer cancel()
+	g.exchanges.Add(1)
 	resp, err := g.requestExchange(short, address, false)
 	if err == nil && resp.Differs {
 		if g.fetchFromNearer(ctx, address, resp) {
@@ -23,6 +24,7 @@
 	if err != nil {
 		return
 	}
+	g.noteAnswer(address)
 	g.Table.Merge(append(resp.Members, resp.From))
 	g.receiveAll(resp.Items)
 	if give := g.wanted(resp); len(give.Items)+len(give.Members) > 0 {
--- a/control/gossip/gossiper.go
+++ b/control/gossip/gossiper.go
@@ -46,6 +46,11 @@
 	inline bool
 
 	reloadedSeeds atomic.Pointer[[]ids.Address]
+	// exchanges counts those that were begun.
+	exchanges atomic.Int64
+	// mu guards answered: the seeds that have answered an exchange.
+	mu       sync.Mutex
+	answered map[ids.Address]bool
 	// emptyExchanges counts the exchanges that were left to nearer daemons in vain.
 	emptyExchanges atomic.Int64
 }
--- a/control/gossip/partner.go
+++ b/control/gossip/partner.go
@@ -39,6 +39,12 @@
 	oddsSeed         = 32
 	oddsFarBackbone  = 4
 	oddsFarOtherwise = 16
+	// oddsJoining is that of a seed that has not answered since the start, for the first
+	// joiningExchanges, and while nobody of another zone is known; oddsUnanswered is
+	// that of one after them.
+	oddsJoining      = 2
+	oddsUnanswered   = 8
+	joiningExchanges = 16
 )
 
 // choosePartner picks the partner of an exchange, mostly of the same zone. While
@@ -55,7 +61,7 @@
 	if len(removed) > 0 && random.IntN(oddsRemoved) == 0 {
 		return removed[random.IntN(len(removed))].Address, true
 	}
-	if seeds := g.seeds(); len(seeds) > 0 && (len(local)+len(remote) == 0 || random.IntN(oddsSeed) == 0) {
+	if seeds, odds := g.seedsToAsk(len(local), len(remote)); len(seeds) > 0 && random.IntN(odds) == 0 {
 		return seeds[random.IntN(len(seeds))], true
 	}
 	odds := oddsFarOtherwise
@@ -72,6 +78,53 @@
 	return candidates[random.IntN(len(candidates))].Address, true
 }
 
+// seedsToAsk returns the seeds to choose from and the odds that the partner is one, by
+// how many members of the own zone and of others are known. Daemons that start together
+// soon know some others, which may know no more than they do: until each seed has
+// answered once there may be several groups of which none knows the others.
+func (g *Gossiper) seedsToAsk(local int, remote int) ([]ids.Address, int) {
+	seeds := g.seeds()
+	if local+remote == 0 {
+		return seeds, 1
+	}
+	unanswered := g.unansweredSeeds(seeds)
+	switch {
+	case len(unanswered) == 0:
+		return seeds, oddsSeed
+	case g.exchanges.Load() < joiningExchanges || (remote == 0 && len(g.Zones) > 1):
+		return unanswered, oddsJoining
+	}
+	return unanswered, oddsUnanswered
+}
+
+// unansweredSeeds returns the seeds, but for this daemon, that have not answered an
+// exchange since it started.
+func (g *Gossiper) unansweredSeeds(seeds []ids.Address) []ids.Address {
+	self := g.Table.Self().Address
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var unanswered []ids.Address
+	for _, seed := range seeds {
+		if seed != self && !g.answered[seed] {
+			unanswered = append(unanswered, seed)
+		}
+	}
+	return unanswered
+}
+
+// noteAnswer records that a seed has answered an exchange.
+func (g *Gossiper) noteAnswer(address ids.Address) {
+	if !slices.Contains(g.seeds(), address) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answered == nil {
+		g.answered = map[ids.Address]bool{}
+	}
+	g.answered[address] = true
+}
+
 // chooseRelay picks one of the other daemons that relay for the own zone.
 func (g *Gossiper) chooseRelay() (ids.Address, bool) {
 	self := g.Table.Self()
--- /dev/null
+++ b/control/gossip/partner_test.go
@@ -0,0 +1,60 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/random"
+	"onyxwell/control/membership"
+)
+
+// TestChoosePartner_joinsThroughSeeds has a controller know some others and no seed, as
+// where many start together: it asked a seed in one exchange of 32, and several groups of
+// which none knew the others stood for many seconds. Until each seed has answered it must
+// be asked often, also where the group is one of several zones.
+func TestChoosePartner_joinsThroughSeeds(t *testing.T) {
+	draws := rand.New(rand.NewPCG(1, 2))
+	random.SetSource(draws.Int64N)
+	defer random.SetSource(nil)
+	router := membership.Member{Address: "router", Zone: "a", Incarnation: 1}
+	far := membership.Member{Address: "far", Zone: "b", Incarnation: 1, ServesControl: true}
+	for _, test := range []struct {
+		name      string
+		known     []membership.Member
+		answered  []ids.Address
+		exchanges int64
+		// Of 100 exchanges so many go to a seed.
+		min, max int
+	}{
+		{name: "island of a zone", known: []membership.Member{router}, min: 30, max: 70},
+		{name: "island of a zone, long after the start", known: []membership.Member{router}, exchanges: 100, min: 30, max: 70},
+		{name: "island of two zones", known: []membership.Member{router, far}, min: 30, max: 70},
+		{name: "one seed has answered", known: []membership.Member{router, far}, answered: []ids.Address{"one"}, min: 30, max: 70},
+		{name: "a seed is gone", known: []membership.Member{router, far}, answered: []ids.Address{"one"}, exchanges: 100, min: 5, max: 25},
+		{name: "all seeds have answered", known: []membership.Member{router, far}, answered: []ids.Address{"one", "two"}, min: 1, max: 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := membership.NewTable(clock.NewFake(), membership.Member{Address: "own", Zone: "a", ServesControl: true})
+			table.Merge(test.known)
+			g := &Gossiper{
+				Table: table, Store: NewStore(func(Item) {}), Seeds: []ids.Address{"one", "two", "own"},
+				Zones: map[ids.Zone]ids.Region{"a": "r", "b": "r"},
+			}
+			g.exchanges.Store(test.exchanges)
+			for _, seed := range test.answered {
+				g.noteAnswer(seed)
+			}
+			toSeed := 0
+			for range 100 {
+				if partner, ok := g.choosePartner(); ok && (partner == "one" || partner == "two") {
+					toSeed++
+				}
+			}
+			if toSeed < test.min || toSeed > test.max {
+				t.Errorf("%d exchanges of 100 go to a seed, not %d to %d", toSeed, test.min, test.max)
+			}
+		})
+	}
+}
