Counters that go on while the deployment is partitioned

Cause: no program served POST and GET /tallies/ID; every call was answered 404. Change: package counter keeps a convergent set of adds at every controller, on its disk: an ID counts once, two amounts under one ID converge to the lower. An add is acknowledged once tolerate.machines+1 disks have synced it, or all that can be reached; a peer is silent after two exchanges without an answer, about 0.6 s, and nothing waits for it then. A controller that starts catches up with whom it reaches before it answers; one that leaves hands over. What may count is answered 200 or 504, never 503. The number of IDs is bounded by disk and memory: figures, a log line at three quarters, 503 counters-full at nine tenths.

--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -75,6 +75,10 @@
 	UnknownKey
 	// QuotaExceeded is a request beyond its tenant's quota.
 	QuotaExceeded
+	// AddUndecided is an add to a counter that may count, though that is not safe yet.
+	AddUndecided
+	// CountersFull is an add beyond the IDs that the counters can remember.
+	CountersFull
 	// kindCount is the number of kinds.
 	kindCount
 )
@@ -119,6 +123,8 @@
 	OutOfMemory:          {Status: 503, Name: "no-memory", Text: "the bodies at hand take all the memory that they may", NotRun: true, CloseConnection: true},
 	UnknownKey:           {Status: 401, Name: "unknown-key", Text: "no tenant holds the key of the request", NotRun: true},
 	QuotaExceeded:        {Status: 429, Name: "over-quota", Text: "the tenant's quota is used up", NotRun: true},
+	AddUndecided:         {Status: 504, Name: "undecided", Text: "the add may count; send it again"},
+	CountersFull:         {Status: 503, Name: "counters-full", Text: "the counters remember all the IDs that they can", NotRun: true},
 	EarlyRequest:         {Status: 503, Name: "sent-ahead", Text: "the request came before the answer to the one before it", NotRun: true, CloseConnection: true},
 }
 
--- a/base/errkind/errkind_test.go
+++ b/base/errkind/errkind_test.go
@@ -40,6 +40,8 @@
 		{OutOfMemory, "no-memory", 503},
 		{UnknownKey, "unknown-key", 401},
 		{QuotaExceeded, "over-quota", 429},
+		{AddUndecided, "undecided", 504},
+		{CountersFull, "counters-full", 503},
 	}
 	if len(wire) != int(kindCount) {
 		t.Fatalf("%d kinds are listed of %d", len(wire), kindCount)
--- a/base/settings/settings.go
+++ b/base/settings/settings.go
@@ -204,6 +204,10 @@
 	// RecoveryS is the time in which service is back after all processes were
 	// lost. A region whose routers are unreachable for that long counts as lost.
 	RecoveryS float64 `toml:"recovery_s"`
+	// MergeMS is the time in which, after a partition, every controller knows all adds to
+	// counters. The intervals of their exchange are fractions of it. Default
+	// ApplyWithinMS.
+	MergeMS float64 `toml:"merge_ms"`
 	// StepMS is by how much a router may delay a piece of a stream. Unused.
 	StepMS float64 `toml:"step_ms"`
 	// TTLMaxS bounds the time for which clients may cache the directory's answer;
--- a/base/settings/validate.go
+++ b/base/settings/validate.go
@@ -33,6 +33,7 @@
 	{func(s *Settings) bool { return s.Bounds.RetryWindowS > 0 }, "bounds.retry_window_s wants a number above 0"},
 	{func(s *Settings) bool { return s.Bounds.QuotaWindowS > 0 || !slices.Contains(s.Rules, "quota") }, "bounds.quota_window_s wants a number above 0 where rules_in_force has quota"},
 	{func(s *Settings) bool { return s.Bounds.QuotaExcess >= 0 && s.Bounds.QuotaSlack >= 0 }, "bounds.quota_excess and bounds.quota_slack want numbers of 0 or more"},
+	{func(s *Settings) bool { return s.Bounds.MergeMS >= 0 }, "bounds.merge_ms wants a number of 0 or more"},
 	{func(s *Settings) bool { return s.Bounds.GraceS > 0 }, "bounds.grace_s wants a number above 0"},
 	{func(s *Settings) bool { return s.Bounds.ApplyWithinMS > 0 }, "bounds.apply_within_ms wants a number above 0"},
 	{func(s *Settings) bool { return s.Platform.RatePerS > 0 }, "cloud_api.rate_per_s wants a number above 0"},
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -14,6 +14,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/scope"
 	"onyxwell/base/settings"
+	"onyxwell/control/counter"
 	"onyxwell/control/daemon"
 	"onyxwell/control/discovery"
 	"onyxwell/control/gossip"
@@ -56,6 +57,7 @@
 
 	daemon     *daemon.Daemon
 	voter      *voter.Voter
+	counters   *counter.Service
 	proposer   *register.Proposer
 	commands   *command.Dispatcher
 	quorum     *quorum.Tracker
@@ -86,6 +88,10 @@
 	if err := c.openVoter(env, disk); err != nil {
 		return nil, err
 	}
+	if err := c.openCounters(env, disk); err != nil {
+		c.voter.Close()
+		return nil, err
+	}
 	c.addCommands()
 	c.addServices()
 	c.daemon.Metrics.GaugeFunc("losses_survived", "Further voters that may be lost with every acknowledged command kept and the next one possible; below 0 none is possible now, 0 also where this controller does not vote.", nil,
@@ -99,6 +105,7 @@
 // settings arrive on reloads. An error is that of the supervisor.
 func (c *Controller) Run(ctx context.Context, reloads <-chan *settings.Settings) error {
 	defer c.voter.Close()
+	defer c.counters.Close()
 	services, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
@@ -121,12 +128,18 @@
 // message to voters that may be unreachable, and the command timeout bounds all.
 func (c *Controller) shutDown(ctx context.Context) {
 	c.voter.Leave()
+	counters := make(chan struct{})
+	go func() {
+		defer close(counters)
+		c.counters.HandOver(ctx)
+	}()
 	c.daemon.Leave(ctx)
 	for _, holder := range c.leases {
 		go holder.Resign(ctx)
 	}
 	clock.Wait(ctx, c.clock, c.timing.CommandTimeout)
 	c.voter.HandOff(ctx)
+	<-counters
 }
 
 // restoreMembership loads the members known before the restart and keeps the
@@ -169,6 +182,22 @@
 	return nil
 }
 
+// openCounters opens the disk's replica of the counters.
+func (c *Controller) openCounters(ctx context.Context, disk wal.FS) error {
+	var err error
+	c.counters, err = counter.Open(ctx, counter.Options{
+		Clock: c.clock, Log: c.log, Settings: c.settings,
+		Address: c.daemon.Address, Disk: disk, Membership: c.daemon.Membership, Transport: c.daemon.Transport,
+		Seeds:          c.settings.SeedAddresses(),
+		RequiredCopies: voter.RequiredCopies(c.settings), Timing: counter.TimingOf(c.settings), Metrics: c.daemon.Metrics,
+	})
+	if err != nil {
+		return err
+	}
+	c.counters.RegisterHandlers(c.daemon.Calls)
+	return nil
+}
+
 // addCommands builds the proposer on the voter, the dispatcher on the proposer,
 // and registers what they answer to other daemons.
 func (c *Controller) addCommands() {
--- a/control/controller/inspect.go
+++ b/control/controller/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"onyxwell/control/counter"
 	"onyxwell/control/state/command"
 	"onyxwell/control/state/register"
 )
@@ -29,6 +30,9 @@
 	return c.voter.Acceptor.Fetch(register.FetchRequest{}).Slots
 }
 
+// Counters gives the status of this controller's replica of the counters.
+func (c *Controller) Counters() counter.Status { return c.counters.Status() }
+
 // Read reads a key linearizably, as an operator's read does: the value is
 // confirmed by a majority of the voters.
 func (c *Controller) Read(ctx context.Context, key string) ([]byte, error) {
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -35,6 +35,7 @@
 	c.daemon.AddService("quorum", func(ctx context.Context) error { c.quorum.Run(ctx); return nil })
 	c.daemon.AddService("voter", func(ctx context.Context) error { c.voter.Run(ctx, c.timing.GossipInterval); return nil })
 	c.daemon.AddService("sweep", func(ctx context.Context) error { c.commands.Run(ctx, c.timing.SweepInterval); return nil })
+	c.daemon.AddService("counters", func(ctx context.Context) error { c.counters.Run(ctx); return nil })
 	c.addSingleton(discoveryLease, c.newPublisher)
 	c.addSingleton(planningLease, c.newAutoscaler)
 	c.addSingleton(quotaLease, c.newQuotaIssuer)
@@ -84,6 +85,7 @@
 	mux := c.newMux(c.settings.Limits.MemoryMB << 20 / adminBodyDivisor)
 	admin.Serve(mux, admin.Options{Log: c.log, Dispatcher: c.commands, Zones: c.settings.Zones, Metrics: c.daemon.Metrics})
 	admin.ServeHeadroom(mux, c.daemon.Updates)
+	admin.ServeCounters(mux, c.counters)
 	c.serveStatus(mux)
 	c.addListener("control", mux)
 }
--- /dev/null
+++ b/control/counter/status.go
@@ -0,0 +1,78 @@
+package counter
+
+import (
+	"slices"
+
+	"onyxwell/base/ids"
+)
+
+// Status is what GET /status tells of the counters. The JSON names are the operators'.
+type Status struct {
+	// Ready says that this controller has caught up since its start.
+	Ready bool `json:"ready"`
+	// Records is how many IDs are remembered, Capacity how many can be.
+	Records  int `json:"records"`
+	Capacity int `json:"capacity"`
+	// Conflicts counts the IDs that came with two amounts; the lower one counts.
+	Conflicts int `json:"conflicts"`
+	// Peers are the other controllers that can be reached, Silent those that can't.
+	Peers  []ids.Address `json:"peers"`
+	Silent []ids.Address `json:"silent"`
+	// Lacking is how many records held here the peers are not known to hold, added up.
+	Lacking int64 `json:"lacking"`
+}
+
+// Status returns the present status.
+func (s *Service) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := Status{
+		Ready: s.ready, Records: s.state.Len(), Capacity: s.capacity, Conflicts: s.state.conflicts,
+		Peers: []ids.Address{}, Silent: []ids.Address{}, Lacking: s.lacking(),
+	}
+	for address, other := range s.peers {
+		if other.silent() {
+			status.Silent = append(status.Silent, address)
+		} else {
+			status.Peers = append(status.Peers, address)
+		}
+	}
+	slices.Sort(status.Peers)
+	slices.Sort(status.Silent)
+	return status
+}
+
+// lacking adds up how many records each peer lacks. The caller holds mu.
+func (s *Service) lacking() int64 {
+	lacking := int64(0)
+	for _, other := range s.peers {
+		for _, origin := range s.state.origins {
+			lacking += max(0, int64(len(origin.records))-other.held[origin.origin])
+		}
+	}
+	return lacking
+}
+
+// addMetrics registers the figures of the counters.
+func (s *Service) addMetrics() {
+	metrics := s.options.Metrics
+	for outcome, count := range map[string]func() int64{
+		"acknowledged": s.outcomes.acknowledged.Load, "refused": s.outcomes.refused.Load, "undecided": s.outcomes.undecided.Load,
+	} {
+		metrics.CounterFunc("counter_adds_total", "Adds to counters by how they were answered; of an undecided one it is open whether it counts.",
+			map[string]string{"outcome": outcome}, func() float64 { return float64(count()) })
+	}
+	gauge := func(name string, help string, read func(Status) float64) {
+		metrics.GaugeFunc(name, help, nil, func() float64 { return read(s.Status()) })
+	}
+	gauge("counter_records", "IDs that the counters remember.", func(status Status) float64 { return float64(status.Records) })
+	gauge("counter_capacity", "IDs that they can remember; beyond nine tenths of it adds are refused.", func(status Status) float64 { return float64(status.Capacity) })
+	gauge("counter_peers_silent", "Other controllers that do not answer exchanges of counter records.", func(status Status) float64 { return float64(len(status.Silent)) })
+	gauge("counter_records_lacking", "Records held here that other controllers are not known to hold, added up.", func(status Status) float64 { return float64(status.Lacking) })
+	gauge("counter_conflicts", "Records whose ID came with another amount as well.", func(status Status) float64 { return float64(status.Conflicts) })
+	metrics.CounterFunc("counter_commits_failed_total", "Commits of counter records that the disk failed.", nil, func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.journal.failures)
+	})
+}
--- a/simulation/counters.go
+++ b/simulation/counters.go
@@ -193,11 +193,21 @@
 	}
 	bounds := c.boundsOf(counter, func(add *counterAdd) bool { return known[add] })
 	if *answer.Total < bounds.low || *answer.Total > bounds.high {
+		c.traceCounters()
 		c.reportViolation("%s reads %d for %s, not %d to %d (calm: %v)", target.name, *answer.Total, counter, bounds.low, bounds.high, calm)
 	}
 	return true
 }
 
+// traceCounters writes what each controller says of its counters to the trace.
+func (c *Cluster) traceCounters() {
+	for _, machine := range c.controllers() {
+		if machine.process != nil && machine.process.controller != nil {
+			c.trace("counters", machine, "status", machine.process.controller.Counters())
+		}
+	}
+}
+
 // callControl calls a controller from a host and waits attemptTimeout for the answer;
 // status 0 says that there was none.
 func (c *Cluster) callControl(from string, target *Machine, method string, path string, body []byte) (int, []byte) {
--- a/simulation/counters_test.go
+++ b/simulation/counters_test.go
@@ -13,6 +13,7 @@
 // handler. Each side must go on, and after the cut all totals must be whole.
 func TestCounters_serveBothSidesOfPartition(t *testing.T) {
 	result := Run(t, Options{Site: Sites["six"], Seed: 33, Duration: 30 * time.Second, scenario: func(cluster *Cluster) {
+		cluster.executeChange(cluster.changeCommand(0, 1, false))
 		cluster.startApplications(len(cluster.options.Site.Locations))
 		cluster.sleep(6 * time.Second)
 		cluster.noteFaultBegin()
