Tests of the counters: merge, disk, copies, calls, and planted faults

The simulation draws cuts between regions, one-way loss, halves and long cuts for runs with applications, checks that a controller which starts has what all had before, and finds six planted faults.

--- a/cmd/simulate/main.go
+++ b/cmd/simulate/main.go
@@ -30,6 +30,7 @@
 	Quiet     bool          `help:"Inject no faults."`
 	Hurry     bool          `help:"Have the clients issue commands eight times as fast."`
 	Operators int           `help:"How many clients issue commands; each has up to eight in flight." default:"2"`
+	Callers   int           `help:"How many applications call counters, each in a zone of its own; 0 takes the faults of cuts between regions out." default:"3"`
 	Drill     string        `hidden:""`
 	Service   string        `hidden:""`
 }
@@ -79,9 +80,11 @@
 		return simulation.Options{}, errors.New("--length wants 10s to 1h")
 	case r.Operators < 1 || r.Operators > 16:
 		return simulation.Options{}, errors.New("--operators wants 1 to 16")
+	case r.Callers < 0 || r.Callers > 32:
+		return simulation.Options{}, errors.New("--callers wants 0 to 32")
 	}
 	return simulation.Options{
-		Site: site, Point: r.Point, OnlyFaults: r.Trouble, Duration: r.Length, Clients: r.Operators,
+		Site: site, Point: r.Point, OnlyFaults: r.Trouble, Duration: r.Length, Clients: r.Operators, Applications: r.Callers,
 		NoFaults: r.Quiet, HighLoad: r.Hurry, Drill: r.Drill, OwnerFault: r.Service,
 	}, nil
 }
--- /dev/null
+++ b/control/counter/service_test.go
@@ -0,0 +1,302 @@
+package counter
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/errkind"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+	"onyxwell/base/scope"
+	"onyxwell/base/settings"
+	"onyxwell/control/membership"
+	"onyxwell/control/transport"
+	"onyxwell/simulation/simdisk"
+)
+
+// replica is a service whose loops do not run: the test commits and exchanges.
+type replica struct {
+	*Service
+	t     *testing.T
+	clock *clock.Fake
+	disk  *simdisk.Disk
+	// diskError is what each write fails with.
+	diskError error
+}
+
+// newReplica returns a service behind a server, on a clock that may be shared.
+func newReplica(t *testing.T, source *clock.Fake, requiredCopies int) *replica {
+	t.Helper()
+	r := &replica{t: t, clock: source}
+	r.disk = simdisk.New(simdisk.Options{Delay: func(string, int) error { return r.diskError }})
+	mux := httpcall.NewMux(source, 1<<20)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	address := ids.Address(strings.TrimPrefix(server.URL, "http://"))
+	node := &settings.Settings{Limits: settings.Limits{MemoryMB: 184, DiskMB: 64}}
+	node.Bounds.MergeMS, node.Bounds.GraceS = 3000, 8
+	timing := TimingOf(node)
+	// The network is real here: only the fake clock ends what waits.
+	service, err := Open(context.Background(), Options{
+		Clock: source, Log: scope.New(scope.Options{}).Log, Settings: node, Address: address, Disk: r.disk.Mount(),
+		Membership:     membership.NewTable(source, membership.Member{Address: address, ServesControl: true}),
+		Transport:      transport.NewClient(httpcall.Dialer{Timeout: time.Minute, UserTimeout: time.Minute}),
+		RequiredCopies: requiredCopies, Timing: timing,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(service.Close)
+	service.RegisterHandlers(mux)
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	// Loops of peers end at once.
+	service.running, service.startedAt = stopped, source.Now()
+	r.Service = service
+	return r
+}
+
+// know makes others peers.
+func (r *replica) know(others ...*replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range others {
+		r.addPeer(r.running, other.options.Address, r.clock.Now())
+	}
+}
+
+// exchangeWith has one exchange with another, which commits what it is sent.
+func (r *replica) exchangeWith(other *replica) bool {
+	r.t.Helper()
+	r.mu.Lock()
+	known := r.peers[other.options.Address]
+	r.mu.Unlock()
+	req, _ := r.nextExchange(known, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go other.commitWhenWoken(ctx)
+	return r.exchange(context.Background(), known, req)
+}
+
+func (r *replica) commitWhenWoken(ctx context.Context) { r.journal.run(ctx) }
+
+// fail has the other be silent.
+func (r *replica) fail(other *replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range maxFailures {
+		r.peers[other.options.Address].failed(r.clock.Now())
+	}
+	r.evaluate()
+}
+
+// startAdd begins an add; its error comes on the channel.
+func (r *replica) startAdd(id string) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- r.Add(context.Background(), "a", id, 5) }()
+	return done
+}
+
+// commitNext waits until an add waits, and commits it.
+func (r *replica) commitNext() {
+	<-r.journal.wake
+	r.journal.commit()
+}
+
+func (r *replica) setReady() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ready = true
+}
+
+// waitForWaiter waits until an add waits for copies.
+func (r *replica) waitForWaiter() {
+	for {
+		r.mu.Lock()
+		waiting := len(r.waiters)
+		r.mu.Unlock()
+		if waiting > 0 {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+// TestAdd_waitsForCopies has an add wait until two others hold it.
+func TestAdd_waitsForCopies(t *testing.T) {
+	source := clock.NewFake()
+	a, b, c := newReplica(t, source, 3), newReplica(t, source, 3), newReplica(t, source, 3)
+	a.know(b, c)
+	for _, other := range []*replica{b, c} {
+		a.exchangeWith(other)
+	}
+	done := a.startAdd("x")
+	a.commitNext()
+	a.waitForWaiter()
+	a.exchangeWith(b)
+	select {
+	case err := <-done:
+		t.Fatalf("answered with two copies of three: %v", err)
+	default:
+	}
+	a.exchangeWith(c)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if got := c.state.Total("a").Int64(); got != 5 {
+		t.Errorf("the third has %d", got)
+	}
+}
+
+// TestAdd_goesOnWithoutSilentPeers has an add be acknowledged once its last peer that
+// lacks it is silent, and the next one at once.
+func TestAdd_goesOnWithoutSilentPeers(t *testing.T) {
+	source := clock.NewFake()
+	a, b := newReplica(t, source, 3), newReplica(t, source, 3)
+	a.know(b)
+	a.exchangeWith(b)
+	done := a.startAdd("x")
+	a.commitNext()
+	a.waitForWaiter()
+	a.fail(b)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	done = a.startAdd("y")
+	a.commitNext()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAdd_undecidedOnceItMayCount has the disk fail, and the copies not come in time: the
+// answer must not promise that nothing was done.
+func TestAdd_undecidedOnceItMayCount(t *testing.T) {
+	source := clock.NewFake()
+	a, b := newReplica(t, source, 2), newReplica(t, source, 2)
+	a.setReady()
+	a.diskError = errors.New("failed")
+	done := a.startAdd("x")
+	a.commitNext()
+	if err := <-done; errkind.KindOf(err) != errkind.AddUndecided || errkind.KindOf(err).Response().Status != 504 {
+		t.Errorf("the disk failed: %v", err)
+	}
+	a.diskError = nil
+	a.know(b)
+	done = a.startAdd("y")
+	a.commitNext()
+	a.waitForWaiter()
+	source.Advance(a.options.Timing.AddTimeout)
+	if err := <-done; errkind.KindOf(err) != errkind.AddUndecided {
+		t.Errorf("no copy in time: %v", err)
+	}
+}
+
+// TestAdd_refusedBeforeAnything has the reasons for which nothing is done.
+func TestAdd_refusedBeforeAnything(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*replica)
+		kind    errkind.Kind
+	}{
+		"catching up": {func(r *replica) { r.ready = false }, errkind.NotReady},
+		"leaving":     {func(r *replica) { r.leaving = true }, errkind.Draining},
+		"full":        {func(r *replica) { r.capacity = 0 }, errkind.CountersFull},
+		"a stalled disk": {func(r *replica) {
+			r.journal.busySince = r.clock.Now()
+			r.clock.Advance(2 * r.options.Timing.StallAfter)
+		}, errkind.NotReady},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplica(t, clock.NewFake(), 1)
+			r.ready = true
+			test.prepare(r)
+			err := r.Add(context.Background(), "a", "x", 1)
+			if kind := errkind.KindOf(err); kind != test.kind || kind.Response().Status != 503 {
+				t.Errorf("%v", err)
+			}
+			if len(r.journal.adds) > 0 {
+				t.Error("the add waits for a commit")
+			}
+		})
+	}
+}
+
+// TestService_catchesUpBeforeItAnswers has a controller with an empty disk read nothing
+// until it holds what others held, and where none answers after a bounded time.
+func TestService_catchesUpBeforeItAnswers(t *testing.T) {
+	source := clock.NewFake()
+	old, empty := newReplica(t, source, 1), newReplica(t, source, 1)
+	old.setReady()
+	done := old.startAdd("x")
+	old.commitNext()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	empty.know(old)
+	old.know(empty)
+	source.Advance(time.Minute)
+	empty.exchangeWith(old)
+	if total, err := empty.Total("a"); errkind.KindOf(err) != errkind.NotReady {
+		t.Fatalf("%v, %v before it has caught up", total, err)
+	}
+	// The first tells what the other lacks, the second is a tick after that.
+	old.exchangeWith(empty)
+	old.exchangeWith(empty)
+	if total, err := empty.Total("a"); err != nil || total.Int64() != 5 {
+		t.Errorf("%v, %v", total, err)
+	}
+	alone := newReplica(t, source, 1)
+	alone.know(old)
+	alone.fail(old)
+	if _, err := alone.Total("a"); err == nil {
+		t.Error("answers at once though others may be found")
+	}
+	source.Advance(alone.options.Timing.CatchUpTimeout)
+	alone.fail(old)
+	if total, err := alone.Total("a"); err != nil || total.Sign() != 0 {
+		t.Errorf("alone: %v, %v", total, err)
+	}
+}
+
+// TestHandOver_waitsForOthers has a controller that leaves hold what nobody else does.
+func TestHandOver_waitsForOthers(t *testing.T) {
+	source := clock.NewFake()
+	a, b := newReplica(t, source, 1), newReplica(t, source, 1)
+	a.setReady()
+	done := a.startAdd("x")
+	a.commitNext()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if a.handedOver() {
+		t.Error("handed over to nobody")
+	}
+	a.know(b)
+	a.exchangeWith(b)
+	if a.handedOver() {
+		t.Error("handed over to a controller without the record")
+	}
+	a.exchangeWith(b)
+	if !a.handedOver() {
+		t.Error("not handed over though the other holds all")
+	}
+}
+
+// TestCapacity bounds the IDs by the disk and by the memory.
+func TestCapacity(t *testing.T) {
+	for _, test := range []struct {
+		diskMB, memoryMB int64
+		want             int
+	}{{64, 184, 174762}, {6400, 184, 215332}, {0, 184, 215332}, {1, 184, 2730}} {
+		node := &settings.Settings{Limits: settings.Limits{MemoryMB: test.memoryMB, DiskMB: test.diskMB}}
+		if got := Capacity(node); got != test.want {
+			t.Errorf("%d MB of disk, %d MB of memory: %d", test.diskMB, test.memoryMB, got)
+		}
+	}
+}
--- /dev/null
+++ b/control/counter/state_test.go
@@ -0,0 +1,106 @@
+package counter
+
+import (
+	"fmt"
+	"math"
+	"math/big"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// drawBatches draws the records of some origins, whose IDs overlap and come with several
+// amounts.
+func drawBatches(t *rapid.T) []Batch {
+	var batches []Batch
+	for origin := int64(1); origin <= 3; origin++ {
+		builder := batchBuilder{batch: Batch{Origin: origin, First: 1}}
+		for range rapid.IntRange(0, 12).Draw(t, "records") {
+			counter := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "counter")
+			id := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id"))
+			builder.add(KeyOf(counter, id), counter, rapid.Int64Range(-3, 3).Draw(t, "amount"))
+		}
+		batches = append(batches, builder.batch)
+	}
+	return batches
+}
+
+// totalsOf sums the lowest amount of each key.
+func totalsOf(batches []Batch) map[string]int64 {
+	lowest, counters := map[Key]int64{}, map[Key]string{}
+	for _, batch := range batches {
+		for index := range batch.Len() {
+			key, amount := batch.key(index), batch.Amounts[index]
+			if known, ok := lowest[key]; !ok || amount < known {
+				lowest[key] = amount
+			}
+			counters[key] = batch.Names[batch.Counters[index]]
+		}
+	}
+	totals := map[string]int64{}
+	for key, amount := range lowest {
+		totals[counters[key]] += amount
+	}
+	return totals
+}
+
+// TestState_mergeConverges applies the same records in two orders, in pieces that overlap
+// and repeat: both states are the same, and each ID counts once.
+func TestState_mergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batches := drawBatches(t)
+		whole := NewState()
+		for _, batch := range batches {
+			whole.Apply(batch)
+		}
+		pieces := NewState()
+		for !vectorOf(pieces.Vector()).covers(vectorOf(whole.Vector())) {
+			origin := rapid.Int64Range(1, 3).Draw(t, "origin")
+			skip := rapid.Int64Range(0, 12).Draw(t, "skip")
+			pieces.Apply(whole.Batch(origin, skip, rapid.IntRange(1, 5).Draw(t, "limit")))
+		}
+		want := totalsOf(batches)
+		for _, counter := range []string{"a", "b", "unknown"} {
+			if got := whole.Total(counter); got.Cmp(big.NewInt(want[counter])) != 0 || pieces.Total(counter).Cmp(got) != 0 {
+				t.Fatalf("%s: %v whole, %v in pieces, not %d", counter, got, pieces.Total(counter), want[counter])
+			}
+		}
+		if !slices.Equal(whole.Vector(), pieces.Vector()) || whole.Len() != pieces.Len() {
+			t.Fatalf("%v, %v", whole.Vector(), pieces.Vector())
+		}
+	})
+}
+
+// TestState_totalsExceed64Bits adds the largest amounts.
+func TestState_totalsExceed64Bits(t *testing.T) {
+	state, builder := NewState(), batchBuilder{batch: Batch{Origin: 1, First: 1}}
+	for id := range 4 {
+		builder.add(KeyOf("a", fmt.Sprint(id)), "a", math.MaxInt64)
+	}
+	state.Apply(builder.batch)
+	if got := state.Total("a").String(); got != "36893488147419103228" {
+		t.Errorf("the total is %s", got)
+	}
+}
+
+// TestBatch_validate has columns that don't fit each other.
+func TestBatch_validate(t *testing.T) {
+	valid := Batch{Origin: 1, First: 1, Names: []string{"a"}, Keys: make([]byte, 2*keySize), Counters: []int64{0, 0}, Amounts: []int64{1, 2}}
+	if err := valid.validate(); err != nil {
+		t.Error(err)
+	}
+	for name, spoil := range map[string]func(*Batch){
+		"no first":         func(b *Batch) { b.First = 0 },
+		"a short key":      func(b *Batch) { b.Keys = b.Keys[1:] },
+		"a counter less":   func(b *Batch) { b.Counters = b.Counters[1:] },
+		"unknown counter":  func(b *Batch) { b.Counters = []int64{0, 1} },
+		"negative counter": func(b *Batch) { b.Counters = []int64{-1, 0} },
+	} {
+		spoilt := valid
+		spoil(&spoilt)
+		if spoilt.validate() == nil {
+			t.Errorf("%s is valid", name)
+		}
+	}
+}
--- a/control/counter/status.go
+++ b/control/counter/status.go
@@ -8,6 +8,8 @@
 
 // Status is what GET /status tells of the counters. The JSON names are the operators'.
 type Status struct {
+	// Origin is the random number of this controller's disk.
+	Origin int64 `json:"origin"`
 	// Ready says that this controller has caught up since its start.
 	Ready bool `json:"ready"`
 	// Records is how many IDs are remembered, Capacity how many can be.
@@ -27,7 +29,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	status := Status{
-		Ready: s.ready, Records: s.state.Len(), Capacity: s.capacity, Conflicts: s.state.conflicts,
+		Origin: s.journal.origin, Ready: s.ready, Records: s.state.Len(), Capacity: s.capacity, Conflicts: s.state.conflicts,
 		Peers: []ids.Address{}, Silent: []ids.Address{}, Lacking: s.lacking(),
 	}
 	for address, other := range s.peers {
--- a/simulation/bugs_disks_test.go
+++ b/simulation/bugs_disks_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"sync"
 
 	"onyxwell/base/ids"
@@ -153,6 +154,8 @@
 type syncSkippingFS struct {
 	wal.FS
 	noSync, noFolder bool
+	// onlyFile restricts noSync to one file; "" is all.
+	onlyFile string
 }
 
 // unsyncedFile is a file whose syncs do nothing.
@@ -160,19 +163,21 @@
 
 func (unsyncedFile) Sync() error { return nil }
 
-func (s syncSkippingFS) file(file wal.File, err error) (wal.File, error) {
-	if err == nil && s.noSync {
+func (s syncSkippingFS) file(name string, file wal.File, err error) (wal.File, error) {
+	if err == nil && s.noSync && strings.HasPrefix(name, s.onlyFile) {
 		file = unsyncedFile{file}
 	}
 	return file, err
 }
 
 func (s syncSkippingFS) Create(name string) (wal.File, error) {
-	return s.file(s.FS.Create(name))
+	file, err := s.FS.Create(name)
+	return s.file(name, file, err)
 }
 
 func (s syncSkippingFS) Append(name string, length int64) (wal.File, error) {
-	return s.file(s.FS.Append(name, length))
+	file, err := s.FS.Append(name, length)
+	return s.file(name, file, err)
 }
 
 func (s syncSkippingFS) SyncDir() error {
--- a/simulation/bugs_test.go
+++ b/simulation/bugs_test.go
@@ -25,8 +25,9 @@
 	seedCount int
 	// seconds is Options.Duration.
 	seconds int
-	// clients defaults to 2.
-	clients int
+	// clients defaults to 2, applications to none.
+	clients      int
+	applications int
 	// scenario brings about what the faults do in few of many seeds.
 	scenario func(cluster *Cluster)
 }
@@ -51,12 +52,18 @@
 	{name: "a blank disk's vote counted", point: 3, newBug: countBlankVotes, scenario: blankDiskBesideStaleReplica, seconds: 16, firstSeed: 1, seedCount: 6},
 	{name: "a wiped disk votes at once", point: 3, newBug: keepIdentity, onlyFaults: only("wipe"), seconds: 14, seedCount: 3},
 	{name: "nothing learnt", point: 3, newBug: learnVotersOnly, scenario: newVoterBesideStaleReplica, seconds: 14, seedCount: 3},
-	{name: "learnt from one", point: 3, newBug: learnFromLeastComplete, scenario: newVoterBesideStaleReplica, seconds: 14, seedCount: 6},
+	{name: "learnt from one", point: 3, newBug: learnFromLeastComplete, scenario: newVoterBesideStaleReplica, seconds: 14, seedCount: 10},
 	{name: "no seat filled again", point: 3, newBug: rejectVoterChanges, onlyFaults: only("wipe"), seconds: 14, seedCount: 3},
 	{name: "no sync", point: 4, newBug: noSync, onlyFaults: only("outage", "power"), seconds: 14, seedCount: 3},
 	{name: "no folder sync", point: 4, newBug: noFolderSync, onlyFaults: only("outage", "power"), seconds: 14, seedCount: 3},
 	{name: "forgotten at start", point: 4, newBug: forgetAtStart, onlyFaults: only("kill"), seconds: 14, seedCount: 3},
 	{name: "damage taken for a torn tail", point: 4, newBug: treatDamageAsTorn, onlyFaults: only("spoil"), clients: 3, seconds: 24, seedCount: 4},
+	{name: "adds acknowledged before the sync", newBug: unsyncedCounters, onlyFaults: only("outage", "power"), applications: 3, seconds: 16, seedCount: 4},
+	{name: "counted at each replica", newBug: countPerReplica, onlyFaults: only("cut"), applications: 3, seconds: 14, seedCount: 3},
+	{name: "refused after a write", newBug: refuseAfterWrite, onlyFaults: only("cut"), applications: 3, seconds: 16, seedCount: 8},
+	{name: "answers before it has caught up", newBug: answerWhileCatchingUp, onlyFaults: only("wipe"), applications: 3, seconds: 30, seedCount: 6},
+	{name: "adds acknowledged without copies", newBug: ackWithoutCopies, onlyFaults: only("wipe"), applications: 3, seconds: 16, seedCount: 4},
+	{name: "no records through third ones", newBug: dropRelayed, onlyFaults: only("wipe"), applications: 3, seconds: 30, seedCount: 4},
 	{name: "no repair", point: 4, newBug: noRepair, onlyFaults: only("kill"), clients: 1, seconds: 16, firstSeed: 3, seedCount: 20},
 }
 
@@ -69,6 +76,7 @@
 	if b.site != "" {
 		options.Site = Sites[b.site]
 	}
+	options.Applications = b.applications
 	if b.clients > 0 {
 		options.Clients = b.clients
 	}
--- a/simulation/counters.go
+++ b/simulation/counters.go
@@ -169,7 +169,8 @@
 
 // readCounter reads a total at a controller and checks it: nothing that this process has
 // acknowledged may be missing, after mergeTimeout without trouble nothing that any has,
-// and it may not be more than what was sent. It reports whether there was an answer.
+// nor ever what all had before the last trouble, unless it could not catch up; and it may
+// not be more than what was sent. It reports whether there was an answer.
 func (c *Cluster) readCounter(from string, target *Machine, counter string) bool {
 	if target.process == nil {
 		return false
@@ -177,8 +178,12 @@
 	start, process, calm := c.now(), target.process.number, c.calm()
 	known := map[*counterAdd]bool{}
 	c.mu.Lock()
+	settled := c.counters.settledAt - mergeTimeout
+	if !c.couldCatchUpLocked(target) {
+		settled = 0
+	}
 	for _, add := range c.counters.adds {
-		known[add] = add.ackedBy(target, process) || (calm && add.ackedBefore(start-mergeTimeout))
+		known[add] = add.ackedBy(target, process) || add.ackedBefore(settled) || (calm && add.ackedBefore(start-mergeTimeout))
 	}
 	c.mu.Unlock()
 	status, body := c.callControl(from, target, http.MethodGet, "/tallies/"+counter, nil)
@@ -208,6 +213,16 @@
 	}
 }
 
+// couldCatchUpLocked reports whether a controller has reached another since it started.
+// The caller holds mu.
+func (c *Cluster) couldCatchUpLocked(target *Machine) bool {
+	started := target.process.startedAt
+	return c.counters.lastRecovery <= started && slices.ContainsFunc(c.machines, func(other *Machine) bool {
+		return other != target && !other.isRouter && !other.removed && other.running() && other.process.startedAt < started &&
+			!c.links[[2]string{target.name, other.name}].isCut() && !c.links[[2]string{other.name, target.name}].isCut()
+	})
+}
+
 // callControl calls a controller from a host and waits attemptTimeout for the answer;
 // status 0 says that there was none.
 func (c *Cluster) callControl(from string, target *Machine, method string, path string, body []byte) (int, []byte) {
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -14,6 +14,9 @@
 	// are injected only while no more than Site.MaxLosses are lost.
 	countsAsLoss bool
 	wholeRegion  bool
+	// forCounters says that it is drawn only where applications call: the seeds of other
+	// runs play what they always have.
+	forCounters bool
 	// The fault lasts for a drawn time between the two.
 	minDuration time.Duration
 	maxDuration time.Duration
@@ -45,6 +48,10 @@
 	"lost":    {points: []int{2}, minDuration: 4 * time.Second, maxDuration: 20 * time.Second, inject: loseReplies},
 	"storm":   {points: []int{2, 4}, minDuration: 3 * time.Second, maxDuration: 15 * time.Second, inject: raiseLoad},
 	"reseed":  {points: []int{1, 3}, minDuration: time.Second, maxDuration: 2 * time.Second, inject: changeSeeds},
+	"exile":   {forCounters: true, countsAsLoss: true, wholeRegion: true, minDuration: 12 * time.Second, maxDuration: 30 * time.Second, inject: isolateRegion},
+	"bridge":  {forCounters: true, minDuration: 2 * time.Second, maxDuration: 25 * time.Second, inject: cutRegions(true)},
+	"mute":    {forCounters: true, minDuration: 2 * time.Second, maxDuration: 25 * time.Second, inject: cutRegions(false)},
+	"halves":  {forCounters: true, minDuration: 2 * time.Second, maxDuration: 15 * time.Second, inject: cutInHalves},
 	"routers": {points: []int{1}, minDuration: 500 * time.Millisecond, maxDuration: 2 * time.Second, inject: restartRouters},
 }
 
@@ -95,6 +102,54 @@
 	return func() { eachLink(cluster.healLink) }
 }
 
+// cutRegions cuts a machine's region off from one other, or has it send there in vain.
+// Both reach the rest.
+func cutRegions(bothWays bool) func(*Cluster, *Machine) func() {
+	return func(cluster *Cluster, machine *Machine) func() {
+		controllers := cluster.controllers()
+		other := controllers[cluster.drawBelow("other", len(controllers))].region
+		if other == machine.region {
+			return nil
+		}
+		return cluster.cutBetween(func(from *Machine, to *Machine) bool {
+			return (from.region == machine.region && to.region == other) ||
+				(bothWays && from.region == other && to.region == machine.region)
+		})
+	}
+}
+
+// cutInHalves cuts the controllers into two halves; routers reach both.
+func cutInHalves(cluster *Cluster, _ *Machine) func() {
+	half := map[*Machine]bool{}
+	controllers := cluster.controllers()
+	first := cluster.drawBelow("half", len(controllers))
+	for offset := range len(controllers) / 2 {
+		half[controllers[(first+offset)%len(controllers)]] = true
+	}
+	return cluster.cutBetween(func(from *Machine, to *Machine) bool {
+		return !from.isRouter && !to.isRouter && half[from] != half[to]
+	})
+}
+
+// cutBetween cuts the links between machines that are selected, and returns what heals
+// them.
+func (c *Cluster) cutBetween(selected func(from *Machine, to *Machine) bool) func() {
+	var cut [][2]string
+	for _, from := range c.machines {
+		for _, to := range c.machines {
+			if from != to && selected(from, to) {
+				cut = append(cut, [2]string{from.name, to.name})
+				c.cutLink(from.name, to.name)
+			}
+		}
+	}
+	return func() {
+		for _, link := range cut {
+			c.healLink(link[0], link[1])
+		}
+	}
+}
+
 // partitionPair cuts two machines off from each other, which both reach the rest.
 func partitionPair(cluster *Cluster, machine *Machine) func() {
 	controllers := cluster.controllers()
--- a/simulation/injector.go
+++ b/simulation/injector.go
@@ -35,6 +35,9 @@
 	}
 	var names []string
 	for name, fault := range faultCatalogue {
+		if fault.forCounters && c.options.Applications == 0 {
+			continue
+		}
 		if c.options.Point == 0 || slices.Contains(fault.points, c.options.Point) {
 			names = append(names, name)
 		}
--- a/simulation/links.go
+++ b/simulation/links.go
@@ -25,6 +25,9 @@
 	queued []func()
 }
 
+// isCut reports whether the link is cut; one that was never used is not.
+func (l *link) isCut() bool { return l != nil && l.cut }
+
 func (c *Cluster) link(from string, to string) *link {
 	key := [2]string{from, to}
 	if c.links[key] == nil {
