Soak: applications on counters; logs that tell where admitted requests came from

Applications add to counters and read them at the controllers while faults overlap; no read may lack what its process acknowledged or exceed what was sent, and after the last fault all controllers must agree. For the open finding on quotas each router logs, at level debug, what it admitted from which source and how many routers it counts, and the issuer what it issued and got back; grace is told from a router's own part.

--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -18,24 +18,25 @@
 
 // runCommand are the flags of the run command.
 type runCommand struct {
-	From      uint64        `help:"The first seed." default:"1"`
-	Seeds     int           `help:"How many seeds are run." default:"1"`
-	Jobs      int           `help:"How many are run at once; each has about ten processes." default:"1"`
-	Length    time.Duration `help:"The time in which faults are injected." default:"30s"`
-	Overlap   int           `help:"How many faults are injected within a second of each other." default:"3"`
-	Every     time.Duration `help:"The mean time between such bursts." default:"3s"`
-	Trouble   []string      `help:"A fault to draw, by name; may be given more than once. None is all; the command troubles lists them." placeholder:"NAME"`
-	Regions   int           `help:"Regions." default:"3"`
-	Zones     int           `help:"Zones of each region, each with a controller." default:"1"`
-	Routers   int           `help:"Routers of each zone." default:"2"`
-	Runners   int           `help:"Model runners." default:"9"`
-	Clients   int           `help:"Clients, each with one request in flight." default:"12"`
-	Operators int           `help:"Operators, each with one command in flight." default:"3"`
-	Rude      float64       `help:"The fraction of malformed requests, 0 to 1, which no client should send." default:"0.02"`
-	Mix       string        `help:"The faults of runners: none, or all at the emulator's rates." enum:"none,all" default:"none"`
-	Subnet    int           `help:"The second byte of the loopback addresses of the first job; further jobs have later ones." default:"40"`
-	Folder    string        `help:"Where logs and data directories are kept; those of runs without a finding are removed." default:"soak-logs"`
-	Keep      bool          `help:"Keep the logs and data directories of all runs."`
+	From         uint64        `help:"The first seed." default:"1"`
+	Seeds        int           `help:"How many seeds are run." default:"1"`
+	Jobs         int           `help:"How many are run at once; each has about ten processes." default:"1"`
+	Length       time.Duration `help:"The time in which faults are injected." default:"30s"`
+	Overlap      int           `help:"How many faults are injected within a second of each other." default:"3"`
+	Every        time.Duration `help:"The mean time between such bursts." default:"3s"`
+	Trouble      []string      `help:"A fault to draw, by name; may be given more than once. None is all; the command troubles lists them." placeholder:"NAME"`
+	Regions      int           `help:"Regions." default:"3"`
+	Zones        int           `help:"Zones of each region, each with a controller." default:"1"`
+	Routers      int           `help:"Routers of each zone." default:"2"`
+	Runners      int           `help:"Model runners." default:"9"`
+	Clients      int           `help:"Clients, each with one request in flight." default:"12"`
+	Operators    int           `help:"Operators, each with one command in flight." default:"3"`
+	Applications int           `help:"Applications that add to counters, each with one call in flight." default:"3"`
+	Rude         float64       `help:"The fraction of malformed requests, 0 to 1, which no client should send." default:"0.02"`
+	Mix          string        `help:"The faults of runners: none, or all at the emulator's rates." enum:"none,all" default:"none"`
+	Subnet       int           `help:"The second byte of the loopback addresses of the first job; further jobs have later ones." default:"40"`
+	Folder       string        `help:"Where logs and data directories are kept; those of runs without a finding are removed." default:"soak-logs"`
+	Keep         bool          `help:"Keep the logs and data directories of all runs."`
 }
 
 const (
@@ -118,7 +119,7 @@
 	options := soak.Options{
 		Seed: seed, Duration: r.Length, FaultsPerBurst: r.Overlap, BurstInterval: r.Every, Faults: r.Trouble,
 		Regions: r.Regions, Zones: r.Zones, Routers: r.Routers, Runners: r.Runners,
-		Clients: r.Clients, Operators: r.Operators, MalformedRate: r.Rude, Subnet: r.Subnet + job*subnetsPerRun,
+		Clients: r.Clients, Operators: r.Operators, Applications: r.Applications, MalformedRate: r.Rude, Subnet: r.Subnet + job*subnetsPerRun,
 		Dir: filepath.Join(r.Folder, fmt.Sprintf("seed-%d", seed)), DaemonCommand: []string{executable, daemonCommand},
 	}
 	if r.Mix == "all" {
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -74,7 +74,7 @@
 func (c *Controller) newQuotaIssuer(holder *lease.Holder) func(context.Context) {
 	issuer := quota.NewIssuer(quota.IssuerOptions{
 		Clock: c.clock, Address: c.daemon.Address, Policy: c.daemon.QuotaPolicy(), Held: holder.Held,
-		Config: c.daemon.Config, Routers: c.daemon.Zones.LargestRouterCount, Updates: c.daemon.Updates,
+		Config: c.daemon.Config, Routers: c.daemon.Zones.LargestRouterCount, Updates: c.daemon.Updates, Log: c.log,
 	})
 	c.daemon.ServeQuotaIssuer(issuer.Acquire)
 	return issuer.Run
--- a/control/quota/issuer.go
+++ b/control/quota/issuer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/phuslu/log"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/config"
@@ -30,6 +32,8 @@
 	Routers func() int
 	// Updates is where the issuer is announced.
 	Updates *gossip.Store
+	// Log is told at level debug what was issued. It may be nil.
+	Log *log.Logger
 }
 
 // Issuer issues credit while it holds the lease. It is safe for concurrent use.
@@ -42,6 +46,8 @@
 	startedAt clock.Instant
 	buckets   map[ids.Tenant]*Bucket
 	relays    map[ids.Address]relayContact
+	// issued and returned add up the credit since the last line of the log.
+	issued, returned float64
 }
 
 // relayContact is what a relay said last.
@@ -59,6 +65,7 @@
 	announced := int64(0)
 	for clock.Wait(ctx, i.options.Clock, i.options.Policy.Interval()) {
 		epoch, held := i.options.Held(i.options.Clock.Now())
+		i.logIssued()
 		if !held || epoch == announced {
 			continue
 		}
@@ -69,6 +76,20 @@
 	}
 }
 
+// logIssued logs what was issued and given back since the last call, and what part of
+// all routers was counted in.
+func (i *Issuer) logIssued() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.options.Log == nil || (i.issued == 0 && i.returned == 0) {
+		return
+	}
+	i.options.Log.Debug().Str("part", "quota").Float64("issued", i.issued).Float64("returned", i.returned).
+		Float64("part_in_contact", i.partInContact(i.options.Clock.Now())).Int("routers", i.options.Routers()).Int64("epoch", i.epoch).
+		Msg("credit issued")
+	i.issued, i.returned = 0, 0
+}
+
 // Acquire issues credit to a relay. An immediate need is met in full or not at all;
 // one above the tenant's burst is met by a full bucket, which it leaves below 0. A
 // tenant beyond its quota so loses its largest requests first.
@@ -87,7 +108,9 @@
 	cfg, part := i.options.Config(), i.partInContact(now)
 	resp := AcquireResponse{Issuer: true}
 	for _, need := range req.Needs {
-		resp.Amounts = append(resp.Amounts, i.issue(cfg, need, part, now))
+		amount := i.issue(cfg, need, part, now)
+		i.issued, i.returned = i.issued+amount, i.returned+max(0, -need.Amount)
+		resp.Amounts = append(resp.Amounts, amount)
 	}
 	return resp
 }
--- /dev/null
+++ b/data/ratelimit/admissionlog.go
@@ -0,0 +1,23 @@
+package ratelimit
+
+// logAdmissions logs what was admitted since the last call, by source, with what this
+// router knows of its contact: with the lines of all routers and of the issuer, what
+// runs beyond a quota can be told to have come from somewhere.
+func (l *Limiter) logAdmissions() {
+	if l.options.Log == nil {
+		return
+	}
+	entry := l.options.Log.Debug().Str("part", "quota")
+	for source, name := range SourceNames {
+		entry = entry.Int64(name, l.counts[source].Load()-l.logged[source])
+		l.logged[source] = l.counts[source].Load()
+	}
+	l.mu.Lock()
+	held := 0.0
+	for _, c := range l.credits {
+		held += c.Tokens
+	}
+	attached, routers := l.isAttached, l.routers()
+	l.mu.Unlock()
+	entry.Float64("unspent_credit", held).Bool("attached", attached).Int("routers", routers).Msg("admissions of tenants with a quota")
+}
--- a/data/ratelimit/limiter.go
+++ b/data/ratelimit/limiter.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/base/settings"
@@ -46,12 +48,16 @@
 	Acquire func(ctx context.Context, req quota.AcquireRequest) (quota.AcquireResponse, error)
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// Log is told at level debug what was admitted from where. It may be nil.
+	Log *log.Logger
 }
 
 // Limiter admits requests. It is safe for concurrent use.
 type Limiter struct {
 	options Options
 	counts  [sourceCount]atomic.Int64
+	// logged are the counts at the last logAdmissions, which Run alone calls.
+	logged [sourceCount]int64
 
 	mu      sync.Mutex
 	credits map[ids.Tenant]*credit
@@ -115,11 +121,11 @@
 	case rejected:
 		return Rejected, false
 	case detached:
-		return Detached, l.admitDetached(tenant, cost)
+		return l.admitDetached(tenant, cost)
 	}
 	granted, err := l.acquire(ctx, []quota.Need{{Tenant: tenant.Name, Amount: cost, Immediate: true}})
 	if err != nil {
-		return Detached, l.admitDetached(tenant, cost)
+		return l.admitDetached(tenant, cost)
 	}
 	if granted[0] >= cost {
 		return Relay, true
@@ -139,13 +145,15 @@
 	Relay
 	// Detached is the router's own part of the rate, out of contact.
 	Detached
+	// Grace is what it may use while no relay answers, counted in or not.
+	Grace
 	// Rejected requests were not admitted.
 	Rejected
 	sourceCount
 )
 
 // SourceNames are the names of the sources; they are values of a label of metrics.
-var SourceNames = [sourceCount]string{Unspent: "unspent", Relay: "relay", Detached: "detached", Rejected: "rejected"}
+var SourceNames = [sourceCount]string{Unspent: "unspent", Relay: "relay", Detached: "detached", Grace: "grace", Rejected: "rejected"}
 
 // Count returns how many requests of tenants with a quota came from a source.
 func (l *Limiter) Count(source Source) int64 { return l.counts[source].Load() }
@@ -191,14 +199,14 @@
 
 // admitDetached admits a request without a relay: from this router's own part of the
 // rate, once the issuer counts it in no more, and from its part of the grace.
-func (l *Limiter) admitDetached(tenant *config.Tenant, cost float64) bool {
+func (l *Limiter) admitDetached(tenant *config.Tenant, cost float64) (source Source, ok bool) {
 	now := l.options.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.credit(tenant.Name, now)
 	routers := l.routers()
 	if routers == 0 {
-		return false
+		return Rejected, false
 	}
 	// An attached router is counted in, also where a caller did not wait for the relay.
 	if !l.isAttached {
@@ -208,11 +216,11 @@
 		}
 		c.own.Fill(quota.DetachedLimit(tenant, 1/float64(routers)), now)
 		if c.own.TakeOrDraw(cost, l.options.Random) {
-			return true
+			return Detached, true
 		}
 	}
 	c.grace.Fill(l.options.Policy.GraceLimit(tenant, routers), now)
-	return c.grace.TakeOrDraw(cost, l.options.Random)
+	return Grace, c.grace.TakeOrDraw(cost, l.options.Random)
 }
 
 // noteDenial has the tenant's requests of at least that cost rejected for a moment.
@@ -292,6 +300,7 @@
 			continue
 		}
 		l.fillUp(ctx, cfg)
+		l.logAdmissions()
 	}
 	return nil
 }
--- a/data/router/router.go
+++ b/data/router/router.go
@@ -88,7 +88,7 @@
 	}
 	r.limiter = ratelimit.New(ratelimit.Options{
 		Clock: r.clock, Policy: r.daemon.QuotaPolicy(), Config: r.config, Routers: r.daemon.Zones.LargestRouterCount,
-		Acquire: r.daemon.AcquireQuota, Random: rand.Float64,
+		Acquire: r.daemon.AcquireQuota, Random: rand.Float64, Log: top.Log,
 	})
 	r.proxy = proxy.New(proxy.Options{
 		Clock: r.clock, Log: top.Log, Limits: r.settings.Limits, Snapshots: r.snapshots, Stats: r.stats, SlowStart: r.slowStart,
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -43,6 +43,7 @@
 	c.checkPropagation(ctx, op, report)
 	c.checkRevocation(ctx, op)
 	c.checkEvacuation(ctx, op)
+	c.checkCounters(ctx)
 	if !c.options.SkipQuota {
 		c.checkQuota(ctx)
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -36,6 +36,8 @@
 	checker oracle.Checker
 	history configHistory
 	quota   quotaRecord
+	// counters is what the applications know.
+	counters *counterLedger
 	// executed holds the attempts that ran, unanswered those whose clients waited and
 	// got no complete response, with what they got. Both are filled only where just
 	// planned work is injected.
@@ -81,7 +83,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{recorder: rec, options: options, layout: layout, stopPlatform: func() {}}
+	c := &cluster{
+		recorder: rec, options: options, layout: layout, stopPlatform: func() {},
+		counters: &counterLedger{clock: clk, lastFault: clk.Now()},
+	}
 	if err := c.startRunners(ctx); err != nil {
 		return c, err
 	}
@@ -204,6 +209,8 @@
 	// streamFault is the stream of one fault, seeded from streamFaults.
 	streamFault = 3
 	streamCheck = 4
+	// streamApplication is that of the first application.
+	streamApplication = 1000
 	// streamOperator is that of the first operator; the others have the next ones.
 	streamOperator = 100
 )
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -139,6 +139,7 @@
 		return
 	}
 	c.logEvent("wipe %s", target.Name())
+	c.counters.diskLost()
 	target.kill(randomDuration(random, 0, maxDiskLossDowntime), true)
 }
 
--- a/soak/localcluster/settings.go
+++ b/soak/localcluster/settings.go
@@ -13,7 +13,10 @@
 	// ApplyWithin is how long after its acknowledgement a configuration is in force
 	// at every router, EvacuateWithin how long after that of an evacuation the zone
 	// gets no more requests.
-	ApplyWithin    = 3 * time.Second
+	ApplyWithin = 3 * time.Second
+	// MergeWithin is how long after a partition every controller knows all adds to
+	// counters.
+	MergeWithin    = 3 * time.Second
 	EvacuateWithin = 5 * time.Second
 	// RecoverWithin is how long after the last fault everything is served again,
 	// CatchUpWithin how long a controller with an empty disk needs to be a replica
@@ -40,7 +43,7 @@
 func (l Layout) Settings(machine Machine, dataDir string, firstStart bool, seeds []string) string {
 	zones := l.AllZones()
 	var text strings.Builder
-	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\"]\n",
+	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\", \"apart\"]\n",
 		machine.Name(), machine.Zone.Name, machine.Zone.Region, machine.IP, FirstPort, LastPort, firstStart, dataDir)
 	fmt.Fprintf(&text, "seed_nodes = [\"%s\"]\n[zones]\n", strings.Join(seeds, `", "`))
 	for _, zone := range zones {
@@ -56,7 +59,7 @@
 	}
 	toleratedMachines := min(2, (len(zones)-1)/2)
 	fmt.Fprintf(&text, sharedSettings, l.MemoryMB, linkMbps, toleratedMachines, ApplyWithin.Milliseconds(), CatchUpWithin.Seconds(),
-		EvacuateWithin.Milliseconds(), l.GraceS, QuotaWindowS, QuotaExcess, QuotaSlack, RecoverWithin.Seconds(), l.PlatformAddress())
+		EvacuateWithin.Milliseconds(), l.GraceS, QuotaWindowS, QuotaExcess, QuotaSlack, MergeWithin.Milliseconds(), RecoverWithin.Seconds(), l.PlatformAddress())
 	return text.String()
 }
 
@@ -84,6 +87,7 @@
 quota_excess = %g
 quota_slack = %g
 ttl_max_s = 5
+merge_ms = %d
 recovery_s = %g
 [cloud_api]
 address = %q
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -91,7 +91,7 @@
 	}
 	command := m.cluster.options.DaemonCommand
 	arguments := append(append([]string{}, command[1:]...), m.Role(), "--boot", m.bootFile(),
-		"--log-level", "info", "--metrics", fmt.Sprintf("%d/metrics", metricsPort))
+		"--log-level", "debug", "--metrics", fmt.Sprintf("%d/metrics", metricsPort))
 	process, err := localcluster.Start(m.Machine, m.log, command[0], arguments...)
 	if err != nil {
 		return err
--- a/soak/options.go
+++ b/soak/options.go
@@ -40,6 +40,8 @@
 	// Clients and Operators each have one request in flight.
 	Clients   int
 	Operators int
+	// Applications add to counters and read them.
+	Applications int
 	// RunnerFaults are the rates at which runners misbehave.
 	RunnerFaults runner.FaultRates
 	// MalformedRate is the fraction of requests, 0 to 1, that no client should send.
@@ -57,7 +59,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Seed: 1, Duration: 30 * time.Second, FaultsPerBurst: 3, BurstInterval: 3 * time.Second,
-		Regions: 3, Zones: 1, Routers: 2, Runners: 9, Clients: 12, Operators: 3, MalformedRate: 0.02, Subnet: 40,
+		Regions: 3, Zones: 1, Routers: 2, Runners: 9, Clients: 12, Operators: 3, Applications: 3, MalformedRate: 0.02, Subnet: 40,
 	}
 }
 
@@ -78,7 +80,7 @@
 	}{
 		{"overlap", o.FaultsPerBurst, 0, 10}, {"regions", o.Regions, 1, 9}, {"zones", o.Zones, 1, 9},
 		{"routers", o.Routers, 1, 10}, {"runners", o.Runners, 2, 100}, {"clients", o.Clients, 1, 500},
-		{"operators", o.Operators, 0, 20}, {"subnet", o.Subnet, 3, 200},
+		{"operators", o.Operators, 0, 20}, {"applications", o.Applications, 0, 50}, {"subnet", o.Subnet, 3, 200},
 	} {
 		if option.value < option.min || option.value > option.max {
 			errs = append(errs, fmt.Errorf("%s %d: %d to %d is wanted", option.flag, option.value, option.min, option.max))
@@ -106,9 +108,9 @@
 
 // ReproduceCommand returns the command line that runs the seed again.
 func (o Options) ReproduceCommand() string {
-	command := fmt.Sprintf("soak run --from %d --seeds 1 --length %v --overlap %d --every %v --regions %d --zones %d --routers %d --runners %d --clients %d --operators %d --rude %g",
+	command := fmt.Sprintf("soak run --from %d --seeds 1 --length %v --overlap %d --every %v --regions %d --zones %d --routers %d --runners %d --clients %d --operators %d --applications %d --rude %g",
 		o.Seed, o.Duration, o.FaultsPerBurst, o.BurstInterval, o.Regions, o.Zones, o.Routers,
-		o.Runners, o.Clients, o.Operators, o.MalformedRate)
+		o.Runners, o.Clients, o.Operators, o.Applications, o.MalformedRate)
 	if len(o.RunnerFaults) > 0 {
 		command += " --mix all"
 	}
--- a/soak/report.go
+++ b/soak/report.go
@@ -9,7 +9,7 @@
 
 // Finding is a guarantee that was broken, or that could not be checked.
 type Finding struct {
-	// Rule is that of package oracle, or one of CONFIG, STALE, ACKS, EVAC, RECOVER,
+	// Rule is that of package oracle, or one of CONFIG, STALE, COUNTER, ACKS, EVAC, RECOVER,
 	// LOST, EXIT, LEAVE, MEMORY, INVARIANT, SIGHT; SOAK is a failure of the run
 	// itself. docs/promises.md lists the guarantees behind them.
 	Rule   string
--- a/soak/run.go
+++ b/soak/run.go
@@ -103,6 +103,9 @@
 			op.run(working)
 		}()
 	}
+	for number := range c.options.Applications {
+		workers.Go(func() { newApplication(c, number).run(working) })
+	}
 	c.injectFaults(ctx, report.Faults, &faults)
 	faults.Wait()
 	c.wait(ctx, settleTime)
@@ -128,6 +131,8 @@
 			go func() {
 				defer running.Done()
 				if c.wait(ctx, delay) {
+					c.counters.faultBegins()
+					defer c.counters.faultEnds()
 					f.inject(c, ctx, ownRandom)
 				}
 			}()
