A zone's size is published once its routers are known

Cause: a relay that had just started published the few routers that it knew, often 0, as its zone's size. A router of another zone that heard so and was cut off counted too few routers and went on with far too large a part of a tenant's rate, while the issuer issued the rest. Change: the first size of a zone is published once no further router was heard of for in_touch_ms, or at once where one is known from the disk or from others.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -145,7 +145,9 @@
 		ClientAddress: node.Listen["front"], ServesControl: node.Listen["control"] != "" && options.Role != RouterRole,
 		LinkMbps: int64(node.Limits.LinkMbps),
 	})
-	d.Zones = &zonesummary.Manager{Table: d.Membership, Zones: node.Zones, RouterRole: RouterRole}
+	d.Zones = &zonesummary.Manager{
+		Table: d.Membership, Zones: node.Zones, RouterRole: RouterRole, SettleTime: d.timing.ZoneSettleTime,
+	}
 	d.Updates = gossip.NewStore(func(item gossip.Item) {
 		d.Zones.HandleItem(item)
 		options.OnUpdate(item)
--- a/control/daemon/timing.go
+++ b/control/daemon/timing.go
@@ -32,6 +32,9 @@
 	Probe membership.ProbeConfig
 	// ZoneSummaryInterval is the time between two relay elections and zone summaries.
 	ZoneSummaryInterval time.Duration
+	// ZoneSettleTime is for how long no further router of a zone must be heard of before
+	// its size is published for the first time.
+	ZoneSettleTime time.Duration
 	// RelaysPerZone is how many daemons of a zone relay gossip.
 	RelaysPerZone int
 	// Fanout is how many others a relay pushes to at most.
@@ -65,6 +68,7 @@
 			Interval: inTouch / 8, AckTimeout: inTouch / 20, SuspicionTimeout: inTouch / 3, IndirectProbes: 2,
 		},
 		ZoneSummaryInterval: apply / 12,
+		ZoneSettleTime:      inTouch,
 		RelaysPerZone:       2,
 		Fanout:              8,
 	}
--- a/control/membership/zonesummary/manager.go
+++ b/control/membership/zonesummary/manager.go
@@ -4,7 +4,9 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/gossip"
 	"onyxwell/control/membership"
@@ -39,6 +41,9 @@
 	Zones map[ids.Zone]ids.Region
 	// RouterRole is the role of the daemons that carry requests.
 	RouterRole string
+	// SettleTime is for how long no further router of the zone must be heard of before
+	// its size is published for the first time.
+	SettleTime time.Duration
 
 	mu sync.Mutex
 	// routersByZone has the published sizes, those of other zones for the most part.
@@ -47,6 +52,10 @@
 	largestByZone map[ids.Zone]int64
 	// seenAlive has the zones of whose backbone a member was alive since the start.
 	seenAlive map[ids.Zone]bool
+	// settlingSize is the most routers of the zone that were heard of before its size was
+	// published, settlingSince since when. Refresh alone uses them.
+	settlingSize  int64
+	settlingSince clock.Instant
 	// The counts are as of the last Refresh, so that requests read a number alone.
 	routerCount      atomic.Int64
 	localRouterCount atomic.Int64
@@ -66,7 +75,24 @@
 	if _, published := m.Store.Get(LostZonesKey(zone)); published || len(lost.Zones) > 0 {
 		publish(m, gossip.LostPrefix, lost)
 	}
-	publish(m, SizePrefix, membership.ZoneSize{Zone: zone, Routers: m.advertisedSize()})
+	if m.sizeIsReliable() {
+		publish(m, SizePrefix, membership.ZoneSize{Zone: zone, Routers: m.advertisedSize()})
+	}
+}
+
+// sizeIsReliable reports whether this daemon may publish the zone's size: one was
+// published or stored before, or no further router was heard of for SettleTime. A daemon
+// that has just started knows few routers or none, and a router that hears so and is cut
+// off then takes far too large a part of what all routers share.
+func (m *Manager) sizeIsReliable() bool {
+	if _, known := m.zoneSize(m.Table.Self().Zone); known {
+		return true
+	}
+	now, size := m.Table.Now(), m.localSize()
+	if m.settlingSince == 0 || size > m.settlingSize {
+		m.settlingSince, m.settlingSize = now, size
+	}
+	return now.Since(m.settlingSince) >= m.SettleTime
 }
 
 // firstRelay reports whether this daemon publishes for its zone.
--- a/control/membership/zonesummary/zonesummary_test.go
+++ b/control/membership/zonesummary/zonesummary_test.go
@@ -191,3 +191,53 @@
 		t.Errorf("%d routers are counted, not %d", got, 7*len(zones))
 	}
 }
+
+// TestManagerRefresh_publishesSettledSizes has a relay start before the routers of its
+// zone are heard of. It published a size of 0 then; a router that heard so and was cut off
+// from the rest took the part of two in all that routers share, so that a tenant's quota
+// was exceeded (seed 11 of the simulation's scenario newVoterBesideStaleReplica on the
+// build 2bb6c8b). The first size must wait until no further router is heard of.
+func TestManagerRefresh_publishesSettledSizes(t *testing.T) {
+	source := clock.NewFake()
+	manager := newTestManager(source, "a:1", "east")
+	manager.SettleTime = 4 * time.Second
+	published := func() int64 {
+		manager.Refresh()
+		item, ok := manager.Store.Get(SizePrefix + "east")
+		if !ok {
+			return -1
+		}
+		size, err := transport.Unmarshal[membership.ZoneSize](item.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return size.Routers
+	}
+	source.Advance(time.Second)
+	manager.Table.UpdateRelayRole(2, 0)
+	for _, step := range []struct {
+		wait    time.Duration
+		routers int
+		want    int64
+	}{{0, 0, -1}, {3 * time.Second, 1, -1}, {3 * time.Second, 1, -1}, {time.Second, 1, 2}, {0, 3, 4}} {
+		source.Advance(step.wait)
+		routers := newRouters("east", step.routers)
+		for index := range routers {
+			// This daemon stays the first relay.
+			routers[index].State = membership.Suspect
+		}
+		manager.Table.Merge(routers)
+		if got := published(); got != step.want {
+			t.Errorf("%v later, with %d others: %d is published, not %d", step.wait, step.routers, got, step.want)
+		}
+	}
+	restarted := newTestManager(source, "a:1", "east")
+	restarted.SettleTime = 4 * time.Second
+	restarted.MergeSizes([]membership.ZoneSize{{Zone: "east", Routers: 9}})
+	manager = restarted
+	source.Advance(time.Second)
+	manager.Table.UpdateRelayRole(2, 0)
+	if got := published(); got != 9 {
+		t.Errorf("a size that was stored is published as %d", got)
+	}
+}
