--- a/cmd/simulate/summary.go
+++ b/cmd/simulate/summary.go
@@ -82,7 +82,7 @@
 
 // args are the flags as a process is given them.
 func (r runFlags) args() []string {
-	args := []string{"--site", r.Site, "--point", strconv.Itoa(r.Point), "--length", r.Length.String(), "--operators", strconv.Itoa(r.Operators)}
+	args := []string{"--site", r.Site, "--point", strconv.Itoa(r.Point), "--length", r.Length.String(), "--operators", strconv.Itoa(r.Operators), "--callers", strconv.Itoa(r.Callers)}
 	if r.Quiet {
 		args = append(args, "--quiet")
 	}
