Simulation: a lost disk counts as lost while cuts keep it from catching up

It now counts a lost disk as lost until nothing was cut for catch_up_s. The soak takes up to 250 daemons; what is sent to a peer at a time is bounded by a test.

--- a/control/counter/service_test.go
+++ b/control/counter/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"runtime"
 	"strings"
@@ -300,3 +301,35 @@
 		}
 	}
 }
+
+// TestNextExchange_isBounded has a peer lack far more than fits in an exchange, as after a
+// long partition: what is sent at a time stays below the length of a large message.
+func TestNextExchange_isBounded(t *testing.T) {
+	source := clock.NewFake()
+	a, b := newReplica(t, source, 1), newReplica(t, source, 1)
+	const records = 5 * maxExchangeRecords
+	for origin := int64(1); origin <= 2; origin++ {
+		builder := batchBuilder{batch: Batch{Origin: origin, First: 1}}
+		for id := range records {
+			builder.add(KeyOf("a", fmt.Sprint(origin, "-", id)), "a", 1<<40)
+		}
+		a.state.Apply(builder.batch)
+	}
+	a.know(b)
+	a.exchangeWith(b)
+	req, due := a.nextExchange(a.peers[b.options.Address], true)
+	sent := 0
+	for _, batch := range req.Batches {
+		sent += batch.Len()
+	}
+	body, err := transport.Marshal(req)
+	if !due || err != nil || sent != maxExchangeRecords || len(body) > 64<<10 {
+		t.Errorf("%v, %v: %d records, %d bytes", due, err, sent, len(body))
+	}
+	exchanges := 0
+	for ; b.state.Len() < 2*records; exchanges++ {
+		if !a.exchangeWith(b) || exchanges > 2*records/maxExchangeRecords {
+			t.Fatalf("%d records after %d exchanges", b.state.Len(), exchanges)
+		}
+	}
+}
--- a/simulation/cluster.go
+++ b/simulation/cluster.go
@@ -118,6 +118,10 @@
 	// admitted are the requests of quotaTenant that routers admitted, in order.
 	admitted []admittedRequests
 	counters counterLog
+	// activeCuts counts the cuts in force that are no loss; lastCutEnd is when one last
+	// ended.
+	activeCuts int
+	lastCutEnd time.Duration
 	clientState
 }
 
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -143,7 +143,10 @@
 			}
 		}
 	}
+	c.activeCuts++
 	return func() {
+		c.activeCuts--
+		c.lastCutEnd = c.now()
 		for _, link := range cut {
 			c.healLink(link[0], link[1])
 		}
@@ -206,6 +209,7 @@
 func (m *Machine) corruptLog() {
 	m.losePower()
 	if m.disk.FlipBitWithin(logFile, int(m.disk.Size(logFile))-tailMargin) >= 0 {
+		m.diskLost = true
 		m.recordDiskLoss()
 		m.cluster.count("journals spoilt")
 	}
@@ -215,7 +219,7 @@
 func replace(cluster *Cluster, machine *Machine) func() {
 	removeMachine(cluster, machine)
 	successor := cluster.addMachine(Location{Zone: machine.zone, Region: machine.region}, machine.isRouter)
-	successor.activeFaults, successor.lastFaultChange = 1, cluster.now()
+	successor.activeFaults, successor.lastFaultChange, successor.diskLost = 1, cluster.now(), true
 	return func() {
 		successor.start(false)
 		successor.activeFaults, successor.lastFaultChange = 0, cluster.now()
@@ -226,7 +230,7 @@
 func replacePlanned(cluster *Cluster, machine *Machine) func() {
 	successor := cluster.addMachine(Location{Zone: machine.zone, Region: machine.region}, machine.isRouter)
 	successor.start(false)
-	successor.lastFaultChange = cluster.now()
+	successor.lastFaultChange, successor.diskLost = cluster.now(), true
 	machine.leaving = true
 	machine.shutDown()
 	return func() {
--- a/simulation/injector.go
+++ b/simulation/injector.go
@@ -105,13 +105,22 @@
 	lost := 0
 	for _, machine := range c.controllers() {
 		catchingUp := machine.lastFaultChange > 0 && c.now()-machine.lastFaultChange < c.catchUpTime()
-		if !slices.Contains(excluded, machine) && (machine.activeFaults > 0 || catchingUp) {
+		if !slices.Contains(excluded, machine) && (machine.activeFaults > 0 || catchingUp || c.lacksDisk(machine)) {
 			lost++
 		}
 	}
 	return lost
 }
 
+// lacksDisk reports whether a machine that lost its disk may not have learnt again what
+// it held: cuts that are no loss may have kept it from that.
+func (c *Cluster) lacksDisk(machine *Machine) bool {
+	cut := c.activeCuts > 0 || (c.lastCutEnd > 0 && c.now()-c.lastCutEnd < c.catchUpTime())
+	caughtUp := machine.activeFaults == 0 && c.now()-machine.lastFaultChange >= c.catchUpTime()
+	machine.diskLost = machine.diskLost && (cut || !caughtUp)
+	return machine.diskLost
+}
+
 // catchUpTime is how long a machine that is back counts as lost.
 func (c *Cluster) catchUpTime() time.Duration {
 	return time.Duration(c.options.Site.Bounds.CatchUpS * float64(time.Second))
--- a/simulation/machine.go
+++ b/simulation/machine.go
@@ -33,6 +33,9 @@
 	// lastFaultChange is when one last began or ended.
 	activeFaults    int
 	lastFaultChange time.Duration
+	// diskLost says that it has lost its disk and had no time to catch up since in which
+	// nothing was cut.
+	diskLost bool
 	// starts counts its processes.
 	starts    int
 	durable   durableState
@@ -86,6 +89,7 @@
 func (m *Machine) wipe() {
 	m.losePower()
 	m.disk.Wipe()
+	m.diskLost = true
 	m.recordDiskLoss()
 	if onWipe := m.cluster.options.bug.OnWipe; onWipe != nil {
 		onWipe(m)
--- a/soak/options.go
+++ b/soak/options.go
@@ -61,7 +61,7 @@
 }
 
 const (
-	maxDaemons       = 60
+	maxDaemons       = 250
 	minDuration      = time.Second
 	maxDuration      = 10 * time.Minute
 	minBurstInterval = 500 * time.Millisecond
