--- a/control/counter/journal.go
+++ b/control/counter/journal.go
@@ -60,6 +60,8 @@
 	busySince clock.Instant
 	failures  int64
 	wake      chan struct{}
+	// committing is held through a commit: the next one numbers on from it.
+	committing sync.Mutex
 	// staged are the batches of the commit that is under way: a compaction covers them.
 	staged []Batch
 	// stale says that others hold more of the disk's origin than the disk does.
@@ -148,6 +150,8 @@
 
 // commit makes all that waits durable in one write, and adds it to the state.
 func (j *journal) commit() {
+	j.committing.Lock()
+	defer j.committing.Unlock()
 	j.mu.Lock()
 	adds, received := j.adds, j.batches
 	j.adds, j.batches = nil, nil
--- a/control/counter/replicator.go
+++ b/control/counter/replicator.go
@@ -131,9 +131,12 @@
 	return addresses
 }
 
-// learnPeers adds peers that another controller told. The caller holds mu.
+// learnPeers adds peers that call, or that another controller told. The caller holds mu.
 func (s *Service) learnPeers(addresses []ids.Address) {
 	for _, address := range addresses {
+		if known := s.peers[address]; known != nil {
+			known.listedAt = s.options.Clock.Now()
+		}
 		if address == s.options.Address || s.peers[address] != nil {
 			continue
 		}
@@ -260,16 +263,17 @@
 }
 
 // heardFrom records what a caller holds. It may be one that the membership does not know
-// yet, such as a controller that is new. The caller holds mu.
+// yet, such as a controller that is new; one that leaves is no peer. The caller holds mu.
 func (s *Service) heardFrom(req ExchangeRequest) {
 	if s.running == nil || req.From == s.options.Address {
 		return
 	}
-	s.addPeer(s.running, req.From, s.options.Clock.Now())
-	s.learnPeers(req.Peers)
-	caller, held := s.peers[req.From], vectorOf(req.Vector)
-	caller.held = held
+	s.learnPeers(append(req.Peers, req.From))
+	held := vectorOf(req.Vector)
 	s.journal.checkOrigin(held)
-	caller.notify()
+	if caller := s.peers[req.From]; caller != nil {
+		caller.held = held
+		caller.notify()
+	}
 	s.evaluate()
 }
--- a/control/counter/service.go
+++ b/control/counter/service.go
@@ -126,6 +126,10 @@
 func (s *Service) Run(ctx context.Context) {
 	s.mu.Lock()
 	s.running, s.startedAt = ctx, s.options.Clock.Now()
+	// After a restart by the supervisor the loops of before have ended.
+	for address := range s.peers {
+		s.dropPeer(address)
+	}
 	s.learnPeers(s.options.Seeds)
 	s.mu.Unlock()
 	go s.journal.run(ctx)
