--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,7 @@
 		t.Fatal(err)
 	}
 	options.Clients, options.MalformedRate, options.Faults, options.Routers = 0, 2, []string{"flood"}, 30
+	options.Regions, options.Zones = 9, 9
 	for _, want := range []string{"clients 0", "rude 2", `trouble "flood"`, "daemons"} {
 		if err := options.Validate(); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not among %v", want, err)
