--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,13 +15,34 @@
 // shortSeeds is how many seeds of some seconds each are run.
 const shortSeeds = 4
 
-// TestRun_shortWithAllFaults runs real processes for some seconds, seed after seed,
-// with faults of every kind drawn from, and runners that misbehave.
-func TestRun_shortWithAllFaults(t *testing.T) {
+// buildProgram builds the program that starts the daemons.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "soak")
 	if output, err := exec.Command("go", "build", "-o", program, "onyxwell/cmd/soak").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
+	return program
+}
+
+// TestRun_seedsThatBrokeAQuota runs the first faults of the seeds in which a tenant ran
+// 771, 841 and 799 requests in 5 s of 760, over 30 s beside other work: routers counted
+// too few of each other after a start (TestQuota_routersThatStartTogether shows how).
+func TestRun_seedsThatBrokeAQuota(t *testing.T) {
+	program := buildProgram(t)
+	for _, seed := range []uint64{9100, 9103, 9106} {
+		options := DefaultOptions()
+		options.Seed, options.Duration = seed, 10*time.Second
+		options.DaemonCommand = []string{program, "daemon"}
+		options.Dir, options.Subnet = t.TempDir(), 180
+		runShort(t, options)
+	}
+}
+
+// TestRun_shortWithAllFaults runs real processes for some seconds, seed after seed,
+// with faults of every kind drawn from, and runners that misbehave.
+func TestRun_shortWithAllFaults(t *testing.T) {
+	program := buildProgram(t)
 	for seed := uint64(1); seed <= shortSeeds; seed++ {
 		options := DefaultOptions()
 		options.Seed, options.Duration, options.BurstInterval, options.RunnerFaults = seed, 5*time.Second, time.Second, runner.AllFaults()
