Counters: less state read for a figure, one isSafe, one look-up of a peer

Each of five gauges built the whole status, with its sorted lists, to read one number. addPeer already renews a known peer, which learnPeers did again. isSafe stood twice.

--- a/control/counter/peer.go
+++ b/control/counter/peer.go
@@ -75,23 +75,6 @@
 	done     chan struct{}
 }
 
-// isSafe reports whether a record that this disk holds is on enough disks: on as many as
-// required, or on all that can be reached.
-func isSafe(peers map[ids.Address]*peer, origin int64, sequence int64, required int) bool {
-	copies, possible := 1, 1
-	for _, other := range peers {
-		switch {
-		case other.held[origin] >= sequence:
-			copies++
-			possible++
-		case !other.silent():
-			possible++
-		}
-	}
-	return copies >= min(required, possible)
-}
-
-// exchangeLimits bound what is sent at a time.
 const (
 	// maxExchangeRecords keeps an exchange below the length of a large message.
 	maxExchangeRecords = 2000
--- a/control/counter/replicator.go
+++ b/control/counter/replicator.go
@@ -137,13 +137,8 @@
 // learnPeers adds peers that call, or that another controller told. The caller holds mu.
 func (s *Service) learnPeers(addresses []ids.Address) {
 	for _, address := range addresses {
-		if known := s.peers[address]; known != nil {
-			known.listedAt = s.options.Clock.Now()
-		}
-		if address == s.options.Address || s.peers[address] != nil {
-			continue
-		}
-		if member, known := s.options.Membership.Find(address); known && member.State == membership.Left {
+		member, known := s.options.Membership.Find(address)
+		if address == s.options.Address || (known && member.State == membership.Left) {
 			continue
 		}
 		s.addPeer(s.running, address, s.options.Clock.Now())
--- a/control/counter/service.go
+++ b/control/counter/service.go
@@ -228,8 +228,20 @@
 	return errkind.Errorf(errkind.AddUndecided, "not on enough disks in time")
 }
 
+// isSafe reports whether a record that this disk holds is on enough disks: on as many as
+// required, or on all that can be reached. The caller holds mu.
 func (s *Service) isSafe(origin int64, sequence int64) bool {
-	return isSafe(s.peers, origin, sequence, s.options.RequiredCopies)
+	copies, possible := 1, 1
+	for _, other := range s.peers {
+		holds := other.held[origin] >= sequence
+		if holds {
+			copies++
+		}
+		if holds || !other.silent() {
+			possible++
+		}
+	}
+	return copies >= min(s.options.RequiredCopies, possible)
 }
 
 // recordsCommitted is called with mu held after the state has grown.
--- a/control/counter/status.go
+++ b/control/counter/status.go
@@ -44,6 +44,17 @@
 	return status
 }
 
+// silentPeers counts the peers that are silent. The caller holds mu.
+func (s *Service) silentPeers() int64 {
+	silent := int64(0)
+	for _, other := range s.peers {
+		if other.silent() {
+			silent++
+		}
+	}
+	return silent
+}
+
 // lacking adds up how many records each peer lacks. The caller holds mu.
 func (s *Service) lacking() int64 {
 	lacking := int64(0)
@@ -64,14 +75,18 @@
 		metrics.CounterFunc("counter_adds_total", "Adds to counters by how they were answered; of an undecided one it is open whether it counts.",
 			map[string]string{"outcome": outcome}, func() float64 { return float64(count()) })
 	}
-	gauge := func(name string, help string, read func(Status) float64) {
-		metrics.GaugeFunc(name, help, nil, func() float64 { return read(s.Status()) })
+	gauge := func(name string, help string, read func() int64) {
+		metrics.GaugeFunc(name, help, nil, func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(read())
+		})
 	}
-	gauge("counter_records", "IDs that the counters remember.", func(status Status) float64 { return float64(status.Records) })
-	gauge("counter_capacity", "IDs that they can remember; beyond nine tenths of it adds are refused.", func(status Status) float64 { return float64(status.Capacity) })
-	gauge("counter_peers_silent", "Other controllers that do not answer exchanges of counter records.", func(status Status) float64 { return float64(len(status.Silent)) })
-	gauge("counter_records_lacking", "Records held here that other controllers are not known to hold, added up.", func(status Status) float64 { return float64(status.Lacking) })
-	gauge("counter_conflicts", "Records whose ID came with another amount as well.", func(status Status) float64 { return float64(status.Conflicts) })
+	gauge("counter_records", "IDs that the counters remember.", func() int64 { return int64(s.state.Len()) })
+	gauge("counter_capacity", "IDs that they can remember; beyond nine tenths of it adds are refused.", func() int64 { return int64(s.capacity) })
+	gauge("counter_peers_silent", "Other controllers that do not answer exchanges of counter records.", s.silentPeers)
+	gauge("counter_records_lacking", "Records held here that other controllers are not known to hold, added up.", s.lacking)
+	gauge("counter_conflicts", "Records whose ID came with another amount as well.", func() int64 { return int64(s.state.conflicts) })
 	metrics.CounterFunc("counter_commits_failed_total", "Commits of counter records that the disk failed.", nil, func() float64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/control/counter/timing.go
+++ b/control/counter/timing.go
@@ -51,13 +51,12 @@
 func TimingOf(node *settings.Settings) Timing {
 	merge := settings.Milliseconds(cmp.Or(node.Bounds.MergeMS, node.Bounds.ApplyWithinMS))
 	return Timing{
-		Interval:        merge / ticksPerMerge,
-		ExchangeTimeout: callerPatience * 3 / 10,
-		AddTimeout:      callerPatience * 9 / 10,
-		CatchUpTimeout:  merge / catchUpDivisor,
-		HandOverTimeout: settings.Seconds(node.Bounds.GraceS) / handOverDivisor,
-		ForgetAfter:     forgetAfter,
-
+		Interval:            merge / ticksPerMerge,
+		ExchangeTimeout:     callerPatience * 3 / 10,
+		AddTimeout:          callerPatience * 9 / 10,
+		CatchUpTimeout:      merge / catchUpDivisor,
+		HandOverTimeout:     settings.Seconds(node.Bounds.GraceS) / handOverDivisor,
+		ForgetAfter:         forgetAfter,
 		ForgetStrangerAfter: merge * forgetStrangerMerges,
 		StallAfter:          callerPatience * 3 / 10,
 	}
