--- a/control/quota/issuer.go
+++ b/control/quota/issuer.go
@@ -84,7 +84,11 @@
 	if i.options.Log == nil || (i.issued == 0 && i.returned == 0) {
 		return
 	}
-	i.options.Log.Debug().Str("part", "quota").Float64("issued", i.issued).Float64("returned", i.returned).
+	entry := i.options.Log.Debug()
+	if entry == nil {
+		return
+	}
+	entry.Str("part", "quota").Float64("issued", i.issued).Float64("returned", i.returned).
 		Float64("part_in_contact", i.partInContact(i.options.Clock.Now())).Int("routers", i.options.Routers()).Int64("epoch", i.epoch).
 		Msg("credit issued")
 	i.issued, i.returned = 0, 0
--- a/data/ratelimit/admissionlog.go
+++ b/data/ratelimit/admissionlog.go
@@ -7,7 +7,11 @@
 	if l.options.Log == nil {
 		return
 	}
-	entry := l.options.Log.Debug().Str("part", "quota")
+	entry := l.options.Log.Debug()
+	if entry == nil {
+		return
+	}
+	entry = entry.Str("part", "quota")
 	for source, name := range SourceNames {
 		entry = entry.Int64(name, l.counts[source].Load()-l.logged[source])
 		l.logged[source] = l.counts[source].Load()
--- a/data/ratelimit/limiter_test.go
+++ b/data/ratelimit/limiter_test.go
@@ -38,6 +38,20 @@
 	return ok
 }
 
+// expectGraceAlone sends requests of which no more than the grace may be admitted.
+func expectGraceAlone(ctx context.Context, t *testing.T, limiter *Limiter, requests int, why string) {
+	t.Helper()
+	tenant, admitted := limiter.options.Config().Tenant(fleetTenant), 0.0
+	for range requests {
+		if admits(ctx, limiter, tenant, 1) {
+			admitted++
+		}
+	}
+	if grace := limiter.options.Policy.GraceLimit(tenant, 1).Burst; admitted > math.Ceil(grace) {
+		t.Errorf("%g requests are admitted with a grace of %g, %s", admitted, grace, why)
+	}
+}
+
 func newStubbedLimiter() (*Limiter, *relayStub, *clock.Fake, *config.Tenant) {
 	stub, fakeClock := &relayStub{}, clock.NewFake()
 	cfg := mustConfig(config.Tenant{Name: fleetTenant, RatePerSecond: 10, Burst: 10})
@@ -68,15 +82,7 @@
 		}
 	}
 	stub.reachable = false
-	admitted := 0.0
-	for range 5 {
-		if admits(ctx, limiter, tenant, 1) {
-			admitted++
-		}
-	}
-	if grace := limiter.options.Policy.GraceLimit(tenant, 1).Burst; admitted > math.Ceil(grace) {
-		t.Errorf("%g requests are admitted with a grace of %g, from what accrued before the last contact", admitted, grace)
-	}
+	expectGraceAlone(ctx, t, limiter, 5, "from what accrued before the last contact")
 }
 
 // TestLimiter_refundIsGivenBack returns to the relay what a request was charged that
@@ -123,22 +129,14 @@
 // while the issuer counts this router in: there is the grace alone, and nothing of the
 // router's own part.
 func TestLimiter_ownPartOnlyWhileDetached(t *testing.T) {
-	limiter, stub, fakeClock, tenant := newStubbedLimiter()
+	limiter, stub, fakeClock, _ := newStubbedLimiter()
 	stub.reachable = true
 	limiter.fillUp(context.Background(), limiter.options.Config())
 	fakeClock.Advance(10 * time.Second)
 	impatient, cancel := context.WithCancel(context.Background())
 	cancel()
 	stub.reachable = false
-	admitted := 0.0
-	for range 10 {
-		if admits(impatient, limiter, tenant, 1) {
-			admitted++
-		}
-	}
-	if grace := limiter.options.Policy.GraceLimit(tenant, 1).Burst; admitted > math.Ceil(grace) {
-		t.Errorf("%g requests are admitted with a grace of %g by a router that is counted in", admitted, grace)
-	}
+	expectGraceAlone(impatient, t, limiter, 10, "by a router that is counted in")
 }
 
 // TestLimiter_keepsNoCreditWithoutCount has a router that does not know how many there
