Discovery's test of a long list moves its clock as zones read together do

Change: a page read by zone moves the clock by its part of what the zones take together. No expectation changed.

--- a/control/discovery/publisher_test.go
+++ b/control/discovery/publisher_test.go
@@ -40,12 +40,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls = append(f.calls, req.URL.RequestURI())
-	f.clock.Advance(f.pageDelay)
+	zone := req.URL.Query().Get("zone")
+	f.clock.Advance(f.pageTime(zone))
 	if f.down {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
-	zone := req.URL.Query().Get("zone")
 	var runners []int
 	for number, runnerZone := range f.zones {
 		if zone == "" || zone == runnerZone {
@@ -64,6 +64,16 @@
 	fmt.Fprintf(w, `{"servers":[`+serverJSON+`],"next_token":%s}`, number, f.zones[number], f.condition, f.warmupLeftMS, number, next)
 }
 
+// pageTime is how far a page moves the clock. Zones are read at the same time, so that the
+// pages of all zones together take as long as those of one: else a page that is served
+// after all others times out by the time that these took.
+func (f *fakePlatform) pageTime(zone string) time.Duration {
+	if zone == "" {
+		return f.pageDelay
+	}
+	return f.pageDelay / fixtureZones
+}
+
 // takeCalls gives the sorted calls since the last takeCalls.
 func (f *fakePlatform) takeCalls() []string {
 	f.mu.Lock()
@@ -74,6 +84,9 @@
 	return calls
 }
 
+// fixtureZones is how many zones a publisherFixture reads at the same time.
+const fixtureZones = 3
+
 // publisherFixture is a publisher that holds the lease under epoch 3, with a
 // platform that lists two runners in zone a and one in zone b.
 type publisherFixture struct {
