--- a/base/httpcall/dialer.go
+++ b/base/httpcall/dialer.go
@@ -34,6 +34,8 @@
 	UserTimeout time.Duration
 	// Traffic counts the bytes of the connections; nil counts nothing.
 	Traffic *Traffic
+	// Wrap stands between the client and each connection; nil leaves it as it is.
+	Wrap func(net.Conn) net.Conn
 }
 
 // Dial opens a connection that is closed within UserTimeout if the peer stops
@@ -54,6 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.Wrap != nil {
+		conn = d.Wrap(conn)
+	}
 	return CountConn(conn, d.Traffic), nil
 }
 
@@ -62,7 +67,7 @@
 	Dialer Dialer
 	// IdleTimeout is for how long an unused connection is kept; 0 is for ever.
 	IdleTimeout time.Duration
-	// MaxIdlePerHost bounds the unused connections to one address.
+	// MaxIdlePerHost bounds the unused connections to one address; below 0 none is kept.
 	MaxIdlePerHost int
 }
 
--- a/base/settings/settings.go
+++ b/base/settings/settings.go
@@ -194,6 +194,20 @@
 	// which no page tells more. RevokedFail is unsupported, RevokeMS unused.
 	RevokedFail bool    `toml:"revoked_fail"`
 	RevokeMS    float64 `toml:"revoke_ms"`
+	// Fenced says that the platform refuses calls whose fence is lower than one that it
+	// has seen. Unused: calls are made as if it took them all.
+	Fenced bool `toml:"fenced"`
+	// LeaseMS is the time within which a duty's calls must not go from one holder to
+	// another and back; a new holder waits for it. ThawSlackMS is for how long after a
+	// machine was frozen or cut off late calls are tolerated. Unused.
+	LeaseMS     float64 `toml:"lease_ms"`
+	ThawSlackMS float64 `toml:"thaw_slack_ms"`
+	// UsageWindowS is the length of the windows of usage reports, UsageLateS how long
+	// after its end a window's report is due, UsageError by how much a count may be off.
+	// LeaseMS, UsageWindowS and UsageLateS are above 0 where the duties need them.
+	UsageWindowS float64 `toml:"usage_window_s"`
+	UsageLateS   float64 `toml:"usage_late_s"`
+	UsageError   float64 `toml:"usage_error"`
 	// ColdExcess and ColdSlack bound the requests in a second to a runner that is
 	// warming up: its rate times ColdExcess, and ColdSlack more. Unused.
 	ColdExcess float64 `toml:"cold_excess"`
@@ -223,11 +237,21 @@
 	RatePerS float64 `toml:"rate_per_s"`
 	// MaxLagMS is how far the list may be behind, in milliseconds.
 	MaxLagMS float64 `toml:"max_lag_ms"`
-	// Duties are the calls that one daemon at a time is to make; none is made, see
-	// Unsupported.
+	// Duties are the calls that one daemon at a time is to make; see Unsupported.
 	Duties []string `toml:"duties"`
+	// DutiesPerS is how many of them the whole deployment may make in a second. Above 0
+	// where Duties has any.
+	DutiesPerS float64 `toml:"duties_per_s"`
 }
 
+// The duties, as the boot file names them.
+const (
+	UsageDuty = "usage_report"
+)
+
+// HasDuty reports whether the boot file asks for a duty.
+func (s *Settings) HasDuty(name string) bool { return slices.Contains(s.Platform.Duties, name) }
+
 // Path returns the boot file's path: the value of PathVariable, else DefaultPath.
 func Path() string {
 	if path := os.Getenv(PathVariable); path != "" {
--- a/base/settings/unsupported.go
+++ b/base/settings/unsupported.go
@@ -9,8 +9,9 @@
 var (
 	// supportedRules are parts of the service level rules.
 	supportedRules = []string{
-		"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "places", "tenants", "quota", "apart",
+		"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "places", "tenants", "quota", "apart", "leader",
 	}
+	supportedDuties = []string{UsageDuty}
 	// supportedDiscovery and supportedEntry are where the list of runners comes from
 	// and how clients find routers; an empty value is taken for the first.
 	supportedDiscovery = []string{"", "cloud"}
@@ -27,7 +28,9 @@
 		}
 	}
 	for _, duty := range s.Platform.Duties {
-		unsupported = append(unsupported, "cloud_api.duties="+duty)
+		if !slices.Contains(supportedDuties, duty) {
+			unsupported = append(unsupported, "cloud_api.duties="+duty)
+		}
 	}
 	if !slices.Contains(supportedDiscovery, s.Discovery) {
 		unsupported = append(unsupported, "discovery="+s.Discovery)
--- a/base/settings/validate.go
+++ b/base/settings/validate.go
@@ -33,6 +33,10 @@
 	{func(s *Settings) bool { return s.Bounds.RetryWindowS > 0 }, "bounds.retry_window_s wants a number above 0"},
 	{func(s *Settings) bool { return s.Bounds.QuotaWindowS > 0 || !slices.Contains(s.Rules, "quota") }, "bounds.quota_window_s wants a number above 0 where rules_in_force has quota"},
 	{func(s *Settings) bool { return s.Bounds.QuotaExcess >= 0 && s.Bounds.QuotaSlack >= 0 }, "bounds.quota_excess and bounds.quota_slack want numbers of 0 or more"},
+	{func(s *Settings) bool { return s.Bounds.LeaseMS > 0 || !s.asksForDuties() }, "bounds.lease_ms wants a number above 0 where cloud_api.duties has any"},
+	{func(s *Settings) bool { return s.Platform.DutiesPerS > 0 || !s.asksForDuties() }, "cloud_api.duties_per_s wants a number above 0 where cloud_api.duties has any"},
+	{func(s *Settings) bool { return s.Bounds.UsageWindowS > 0 || !s.HasDuty(UsageDuty) }, "bounds.usage_window_s wants a number above 0 where cloud_api.duties has usage_report"},
+	{func(s *Settings) bool { return s.Bounds.UsageLateS > 0 || !s.HasDuty(UsageDuty) }, "bounds.usage_late_s wants a number above 0 where cloud_api.duties has usage_report"},
 	{func(s *Settings) bool { return s.Bounds.MergeMS >= 0 }, "bounds.merge_ms wants a number of 0 or more"},
 	{func(s *Settings) bool { return s.Bounds.GraceS > 0 }, "bounds.grace_s wants a number above 0"},
 	{func(s *Settings) bool { return s.Bounds.ApplyWithinMS > 0 }, "bounds.apply_within_ms wants a number above 0"},
@@ -61,6 +65,9 @@
 	return errs
 }
 
+// asksForDuties reports whether the boot file asks for a duty that is supported.
+func (s *Settings) asksForDuties() bool { return slices.ContainsFunc(supportedDuties, s.HasDuty) }
+
 func validAddress(address ids.Address) bool {
 	_, err := netip.ParseAddrPort(string(address))
 	return err == nil
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -64,6 +64,7 @@
 	autoscaler *autoscaler.Planner
 	view       *discovery.View
 	leases     []*lease.Holder
+	duties     *duties
 }
 
 // New assembles a controller and loads its state from the disk. It opens the
@@ -127,6 +128,7 @@
 // shutDown leaves the fleet. Resignations are not awaited one by one: each is a
 // message to voters that may be unreachable, and the command timeout bounds all.
 func (c *Controller) shutDown(ctx context.Context) {
+	c.leaveDuties(ctx)
 	c.voter.Leave()
 	counters := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/control/controller/duties.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+	"onyxwell/base/random"
+	"onyxwell/base/settings"
+	"onyxwell/control/discovery"
+	"onyxwell/control/duty"
+	"onyxwell/control/gossip"
+	"onyxwell/control/state/lease"
+	"onyxwell/control/transport"
+	"onyxwell/control/usage"
+)
+
+const (
+	// dutyStep is the time between two looks at what a duty has to do.
+	dutyStep = time.Second / 4
+	// dutyCheckInterval is the time between two looks at the session while a call runs.
+	dutyCheckInterval = 20 * time.Millisecond
+	// maxClockDrift is by how much the time of day may differ from the monotonic clock
+	// over a session; beyond it the machine may have been suspended.
+	maxClockDrift = 100 * time.Millisecond
+)
+
+// duties are the parts of the platform's duties at this controller; nil where the
+// settings ask for none.
+type duties struct {
+	session  *duty.Session
+	assigner *duty.Assigner
+	client   *duty.Client
+	usage    *usage.Collector
+}
+
+// addDuties adds the session, the assigner and the duties that the settings ask for.
+func (c *Controller) addDuties() {
+	parts := c.dutyParts()
+	if len(parts) == 0 {
+		return
+	}
+	c.duties = &duties{}
+	c.addSingleton(duty.LeaseName, func(holder *lease.Holder) func(context.Context) { return c.newAssigner(holder, parts) })
+	c.duties.client = duty.NewClient(duty.ClientOptions{
+		Clock: c.clock, Session: c.duties.session, Node: c.settings.NodeName, Address: c.settings.Platform.Address,
+		Timeout: c.handOverTime(), CheckInterval: dutyCheckInterval, NewHTTP: c.newDutyHTTP,
+	})
+	c.daemon.AddService("duty session", func(ctx context.Context) error { c.duties.session.Run(ctx); return nil })
+	if c.settings.HasDuty(settings.UsageDuty) {
+		c.addUsageCollector()
+	}
+}
+
+// dutyParts returns the parts of the duties that the settings ask for.
+func (c *Controller) dutyParts() []duty.Part {
+	var parts []duty.Part
+	if c.settings.HasDuty(settings.UsageDuty) {
+		parts = append(parts, duty.UsagePart)
+	}
+	return parts
+}
+
+// handOverTime is for how long a new holder of a part makes no call: long enough, too,
+// for a session of which a new assigner knows nothing.
+func (c *Controller) handOverTime() time.Duration {
+	return max(settings.Milliseconds(c.settings.Bounds.LeaseMS), c.timing.LeaseDuration)
+}
+
+// newAssigner makes the singleton that deals the parts, and the session of this
+// controller with whoever does.
+func (c *Controller) newAssigner(holder *lease.Holder, parts []duty.Part) func(context.Context) {
+	c.duties.assigner = duty.NewAssigner(duty.AssignerOptions{
+		Clock: c.clock, Wall: time.Now, Address: c.daemon.Address, Parts: parts, TTL: c.timing.LeaseDuration, HandOver: c.handOverTime(),
+		Held: holder.Held, Update: c.updateDutyState, Publish: func(item gossip.Item) { c.daemon.Updates.Put(item) }, NewSerial: discovery.FencedSerial, Log: c.log,
+	})
+	c.duties.session = duty.NewSession(duty.SessionOptions{
+		Clock: c.clock, Wall: time.Now, Address: c.daemon.Address, Zone: c.settings.Zone, Incarnation: 1 + random.Int64N(1<<62),
+		TTL: c.timing.LeaseDuration, MaxDrift: maxClockDrift, Eligible: c.voter.Voting, Assigner: c.daemon.Controllers,
+		AssignerLease: holder.Held, Send: c.sendHeartbeat, ProbePlatform: c.daemon.NewPlatformClient().Probe, Log: c.log,
+	})
+	transport.Handle(c.daemon.Calls, duty.SessionMessage, func(_ context.Context, req duty.SessionRequest) (duty.SessionResponse, error) {
+		return c.answerHeartbeat(req), nil
+	})
+	return c.duties.assigner.Run
+}
+
+// answerHeartbeat answers as the assigner, or tells who that may be.
+func (c *Controller) answerHeartbeat(req duty.SessionRequest) duty.SessionResponse {
+	resp := c.duties.assigner.Renew(req, c.clock.Now())
+	if !resp.Assigning {
+		resp.Assigner = c.daemon.DutyOverview().Assigner
+	}
+	return resp
+}
+
+func (c *Controller) sendHeartbeat(ctx context.Context, to ids.Address, req duty.SessionRequest) (duty.SessionResponse, error) {
+	if to == c.daemon.Address {
+		return c.answerHeartbeat(req), nil
+	}
+	return transport.Send[duty.SessionResponse](ctx, c.daemon.Transport, to, duty.SessionMessage, req)
+}
+
+// updateDutyState stores a value at this controller's own proposer.
+func (c *Controller) updateDutyState(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error) {
+	return c.commands.Update(ctx, key, update)
+}
+
+// newDutyHTTP makes a client whose connections serve one call each. Unacknowledged bytes
+// end a connection within half of a session, also while this process is stopped.
+func (c *Controller) newDutyHTTP(wrap func(net.Conn) net.Conn) *http.Client {
+	return c.daemon.Network.Client(httpcall.ClientOptions{
+		Dialer:         httpcall.Dialer{Timeout: c.timing.ConnectTimeout, UserTimeout: c.timing.LeaseDuration / 2, Wrap: wrap},
+		MaxIdlePerHost: -1,
+	})
+}
+
+// addUsageCollector adds the holder's side of usage.
+func (c *Controller) addUsageCollector() {
+	agreed, bounds := c.daemon.ServeTime(), c.settings.Bounds
+	c.duties.usage = usage.NewCollector(usage.Options{
+		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
+		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
+		Held:   func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
+		Update: c.updateDutyState,
+		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
+			return c.duties.client.Call(ctx, duty.UsagePart, fence, call)
+		},
+		Log: c.log,
+	})
+	transport.Handle(c.daemon.Calls, usage.CollectMessage, c.duties.usage.Collect)
+	c.daemon.AddService("usage", func(ctx context.Context) error { c.duties.usage.Run(ctx, dutyStep); return nil })
+}
+
+// leaveDuties gives this controller's parts up and waits for calls that run, within the
+// time-out of a command.
+func (c *Controller) leaveDuties(ctx context.Context) {
+	if c.duties == nil {
+		return
+	}
+	ctx, cancel := c.clock.WithTimeout(ctx, c.timing.CommandTimeout)
+	defer cancel()
+	c.duties.session.Leave(ctx)
+	for c.duties.session.Calling() && clock.Wait(ctx, c.clock, dutyCheckInterval) {
+	}
+	c.duties.session.Renew(ctx)
+}
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -39,6 +39,7 @@
 	c.addSingleton(discoveryLease, c.newPublisher)
 	c.addSingleton(planningLease, c.newAutoscaler)
 	c.addSingleton(quotaLease, c.newQuotaIssuer)
+	c.addDuties()
 	c.addAdminAPI()
 	c.addDirectory()
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -79,6 +79,7 @@
 	reports    autoscaler.Aggregator
 	quotaRelay *quota.Relay
 	quotas     quotaContext
+	usage      *usageContext
 	outliers   outlier.Detector
 
 	mu sync.Mutex
@@ -187,6 +188,7 @@
 	d.AddService("datagrams", d.receiveDatagrams)
 	d.addReports()
 	d.addQuotaRelay(options.Config)
+	d.addUsage()
 	d.addMetrics()
 	if options.View != nil {
 		d.addListFallback(options.View)
--- /dev/null
+++ b/control/daemon/usage.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/errkind"
+	"onyxwell/base/ids"
+	"onyxwell/base/random"
+	"onyxwell/base/settings"
+	"onyxwell/control/duty"
+	"onyxwell/control/membership"
+	"onyxwell/control/timesync"
+	"onyxwell/control/transport"
+	"onyxwell/control/usage"
+)
+
+// usageForwardInterval is the time between two messages of a zone's relay to the holder
+// of the part of usage.
+const usageForwardInterval = time.Second / 2
+
+// usageContext is what a daemon knows of usage; it is nil where nobody asks for it.
+type usageContext struct {
+	relay *usage.Relay
+	time  *timesync.Clock
+}
+
+// addUsage has this daemon keep the agreed time and relay the counts of the zone's
+// routers, where the settings ask for usage reports.
+func (d *Daemon) addUsage() {
+	if !d.settings.HasDuty(settings.UsageDuty) {
+		return
+	}
+	d.usage = &usageContext{time: timesync.New(timesync.Options{Clock: d.clock, Wall: time.Now, Peers: d.otherControllers, Ask: d.askTime})}
+	d.usage.relay = usage.NewRelay(usage.RelayOptions{
+		Zone: d.settings.Zone, Routers: d.zoneRouters, Now: d.syncedUnixNanos, Collect: d.collectUsage,
+	})
+	transport.Handle(d.Calls, usage.ReportMessage, d.usage.relay.Report)
+	d.AddService("usage relay", func(ctx context.Context) error {
+		for clock.Wait(ctx, d.clock, usageForwardInterval) {
+			d.usage.relay.Forward(ctx)
+		}
+		return nil
+	})
+}
+
+// ServeTime has this daemon agree on the time with other controllers, and tell them its
+// own. It returns nil where nobody asks for usage reports.
+func (d *Daemon) ServeTime() *timesync.Clock {
+	if d.usage == nil {
+		return nil
+	}
+	transport.Handle(d.Calls, timesync.SampleMessage, d.usage.time.Own)
+	d.AddService("time", func(ctx context.Context) error { d.usage.time.Run(ctx); return nil })
+	return d.usage.time
+}
+
+// AgreedTime returns the agreed time, nil where nobody asks for usage reports.
+func (d *Daemon) AgreedTime() *timesync.Clock {
+	if d.usage == nil {
+		return nil
+	}
+	return d.usage.time
+}
+
+// syncedUnixNanos returns the agreed time for the routers of the zone, 0 where it is this
+// machine's own alone.
+func (d *Daemon) syncedUnixNanos() int64 {
+	if !d.usage.time.Synced() {
+		return 0
+	}
+	return int64(d.usage.time.Now())
+}
+
+// ReportUsage sends a router's counts to the first of its zone's relays that answers, and
+// takes the agreed time over from it. It returns the last window that needs no counts.
+func (d *Daemon) ReportUsage(ctx context.Context, report usage.RouterReport) (decided int64, err error) {
+	report.Router = d.Address
+	err = errkind.Errorf(errkind.NotReady, "no relay is known")
+	for _, relay := range d.Membership.Relays(d.settings.Zone, d.timing.RelaysPerZone) {
+		started := d.clock.Now()
+		var resp usage.ReportResponse
+		if resp, err = d.sendUsage(ctx, relay.Address, report); err != nil {
+			continue
+		}
+		if resp.UnixNanos > 0 && relay.Address != d.Address {
+			d.usage.time.Adopt(resp.UnixNanos, started)
+		}
+		return resp.Decided, nil
+	}
+	return 0, err
+}
+
+func (d *Daemon) sendUsage(ctx context.Context, relay ids.Address, report usage.RouterReport) (usage.ReportResponse, error) {
+	if relay == d.Address {
+		return d.usage.relay.Report(ctx, report)
+	}
+	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
+	defer cancel()
+	return transport.Send[usage.ReportResponse](limited, d.Transport, relay, usage.ReportMessage, report)
+}
+
+// collectUsage sends the counts of the zone to the holder of the part of usage.
+func (d *Daemon) collectUsage(ctx context.Context, req usage.CollectRequest) (usage.CollectResponse, error) {
+	holder := d.DutyOverview().Holder(duty.UsagePart)
+	if holder == "" {
+		return usage.CollectResponse{}, nil
+	}
+	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
+	defer cancel()
+	return transport.Send[usage.CollectResponse](limited, d.Transport, holder, usage.CollectMessage, req)
+}
+
+// DutyOverview returns who holds the parts of duties, as was gossiped last.
+func (d *Daemon) DutyOverview() duty.Overview {
+	item, ok := d.Updates.Get(duty.OverviewKey)
+	if !ok {
+		return duty.Overview{}
+	}
+	overview, err := transport.Unmarshal[duty.Overview](item.Body)
+	if err != nil {
+		return duty.Overview{}
+	}
+	return overview
+}
+
+// zoneRouters returns the routers of this zone that are up.
+func (d *Daemon) zoneRouters() []ids.Address {
+	var routers []ids.Address
+	for _, member := range d.Membership.Members() {
+		if member.Zone == d.settings.Zone && member.Role == RouterRole && member.State == membership.Alive {
+			routers = append(routers, member.Address)
+		}
+	}
+	return routers
+}
+
+// otherControllers returns the other controllers that are up, in an order of their own
+// each time.
+func (d *Daemon) otherControllers() []ids.Address {
+	var controllers []ids.Address
+	for _, member := range d.Membership.Members() {
+		if member.ServesControl && member.State == membership.Alive && member.Address != d.Address {
+			controllers = append(controllers, member.Address)
+		}
+	}
+	for index := range controllers {
+		other := int(random.Int64N(int64(index + 1)))
+		controllers[index], controllers[other] = controllers[other], controllers[index]
+	}
+	return controllers
+}
+
+// Controllers returns the controllers that are up, the one that assigns duties first.
+func (d *Daemon) Controllers() []ids.Address {
+	assigner := d.DutyOverview().Assigner
+	controllers := append(d.otherControllers(), d.Address)
+	if index := slices.Index(controllers, assigner); index > 0 {
+		controllers[0], controllers[index] = controllers[index], controllers[0]
+	}
+	return controllers
+}
+
+func (d *Daemon) askTime(ctx context.Context, peer ids.Address) (timesync.SampleResponse, error) {
+	return transport.Send[timesync.SampleResponse](ctx, d.Transport, peer, timesync.SampleMessage, timesync.SampleRequest{From: d.Address})
+}
--- a/control/discovery/platform.go
+++ b/control/discovery/platform.go
@@ -136,6 +136,12 @@
 	return groupByZone(list.Runners, p.zones()), nil
 }
 
+// Probe reports whether the platform answers: a page of its list is asked for.
+func (p *PlatformClient) Probe(ctx context.Context) bool {
+	_, err := p.fetchPage(ctx, PageRequest{})
+	return err == nil
+}
+
 // ByZone reports whether the list is long enough to be read by zone.
 func (p *PlatformClient) ByZone() bool { return p.byZone }
 
--- /dev/null
+++ b/control/duty/balance.go
@@ -0,0 +1,124 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// planMoves returns the records of parts that get a new holder now, and has holders
+// that have too many told of one part no more. Few parts move: only those whose holder
+// is gone, can't reach the platform while others can, or has two more than another.
+func (a *Assigner) planMoves(now clock.Instant) []PartRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	candidates := a.candidates(now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	a.revokeUnreachable(candidates, now)
+	load := a.loads()
+	var changes []PartRecord
+	for _, part := range a.sortedParts() {
+		state := a.parts[part]
+		if now.Before(state.busyUntil) || !slices.Contains(a.options.Parts, part) {
+			continue
+		}
+		if session := a.sessions[state.record.Holder]; session != nil && state.record.heldBy(session.process) && !state.revoking && session.eligible && now.Before(session.expiry) {
+			// It has just been assigned, and not been told yet.
+			continue
+		}
+		chosen := a.choose(part, candidates, load)
+		load[chosen.process.address]++
+		changes = append(changes, PartRecord{
+			Part: part, Holder: chosen.process.address, Incarnation: chosen.process.incarnation, Fence: state.record.Fence + 1,
+		})
+	}
+	if len(changes) == 0 {
+		a.revokeExcess(candidates, load, now)
+	}
+	return changes
+}
+
+// candidates returns the sessions that may be given parts, in the order of addresses:
+// those that reach the platform, or all where none does. The caller holds a.mu.
+func (a *Assigner) candidates(now clock.Instant) []*assignerSession {
+	var all, reaching []*assignerSession
+	for _, session := range a.sessions {
+		if session.eligible && now.Before(session.expiry) {
+			all = append(all, session)
+			if !session.platformDown {
+				reaching = append(reaching, session)
+			}
+		}
+	}
+	if len(reaching) > 0 {
+		all = reaching
+	}
+	slices.SortFunc(all, func(a, b *assignerSession) int { return cmp.Compare(a.process.address, b.process.address) })
+	return all
+}
+
+// loads counts the parts of each holder. The caller holds a.mu.
+func (a *Assigner) loads() map[ids.Address]int {
+	load := map[ids.Address]int{}
+	for _, state := range a.parts {
+		if !state.revoking {
+			load[state.record.Holder]++
+		}
+	}
+	return load
+}
+
+// choose returns the candidate for a part: one in the part's zone that has no more than
+// its share, or the one with the fewest parts.
+func (a *Assigner) choose(part Part, candidates []*assignerSession, load map[ids.Address]int) *assignerSession {
+	share := (len(a.options.Parts) + len(candidates) - 1) / len(candidates)
+	best := candidates[0]
+	for _, candidate := range candidates {
+		if candidate.zone == part.Zone() && load[candidate.process.address] < share {
+			return candidate
+		}
+		if load[candidate.process.address] < load[best.process.address] {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// revokeUnreachable has holders that can't reach the platform, while others can, told of
+// their parts no more. The caller holds a.mu.
+func (a *Assigner) revokeUnreachable(candidates []*assignerSession, now clock.Instant) {
+	if candidates[0].platformDown {
+		return
+	}
+	for _, state := range a.parts {
+		session := a.sessions[state.record.Holder]
+		if session != nil && session.platformDown && now.Since(state.movedAt) > 2*a.options.HandOver {
+			state.revoking = true
+		}
+	}
+}
+
+// revokeExcess has the holder with the most parts give up one, if another has at least
+// two fewer. The caller holds a.mu.
+func (a *Assigner) revokeExcess(candidates []*assignerSession, load map[ids.Address]int, now clock.Instant) {
+	least := load[candidates[0].process.address]
+	for _, candidate := range candidates {
+		least = min(least, load[candidate.process.address])
+	}
+	for _, part := range a.sortedParts() {
+		state := a.parts[part]
+		if state.revoking {
+			// One at a time.
+			return
+		}
+		settled := now.Since(state.movedAt) > 2*a.options.HandOver
+		if settled && state.record.Holder != "" && load[state.record.Holder] >= least+2 {
+			state.revoking = true
+			return
+		}
+	}
+}
--- /dev/null
+++ b/control/duty/client.go
@@ -0,0 +1,172 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+)
+
+// Headers of calls to the platform.
+const (
+	holderHeader = "Onyxwell-Duty-Holder"
+	fenceHeader  = "Onyxwell-Fence-Number"
+)
+
+// Errors of Client.Call.
+var (
+	// ErrNotHeld says that no byte was sent: the part is not held here, or not yet.
+	ErrNotHeld = errors.New("duty: the part is not held here")
+	// ErrRefused says that the platform has taken a call under a higher fence.
+	ErrRefused = errors.New("duty: the platform refused the fence")
+)
+
+// Call is a call to the platform for a part.
+type Call struct {
+	Path string
+	Body []byte
+}
+
+// ClientOptions configure a Client. All are required.
+type ClientOptions struct {
+	Clock   clock.Clock
+	Session *Session
+	// Node is the name under which the platform knows this machine.
+	Node    string
+	Address ids.Address
+	// Timeout bounds a call; it also ends with the session. CheckInterval is the time
+	// between two looks at the session while a call runs.
+	Timeout       time.Duration
+	CheckInterval time.Duration
+	// NewHTTP makes an HTTP client that keeps no connection for a second call.
+	NewHTTP func(wrap func(net.Conn) net.Conn) *http.Client
+}
+
+// Client makes the calls of parts that are held here, one at a time for each part.
+// There is no pool, queue or retry between the check of the session and the bytes: each
+// call has a connection of its own, whose every write is checked (guardedConn), and
+// which is reset when the session has ended.
+type Client struct {
+	options ClientOptions
+
+	mu    sync.Mutex
+	lines map[Part]*line
+}
+
+// line makes the calls of one part.
+type line struct {
+	// busy is held by the call that runs.
+	busy  sync.Mutex
+	fence atomic.Int64
+	http  *http.Client
+}
+
+// NewClient returns a Client without connections.
+func NewClient(options ClientOptions) *Client {
+	return &Client{options: options, lines: map[Part]*line{}}
+}
+
+func (c *Client) line(part Part) *line {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.lines[part]
+	if l == nil {
+		l = &line{}
+		l.http = c.options.NewHTTP(func(conn net.Conn) net.Conn {
+			return &guardedConn{Conn: conn, allowed: func() bool { return c.options.Session.Allowed(part, l.fence.Load()) }}
+		})
+		c.lines[part] = l
+	}
+	return l
+}
+
+// Call makes a call under a fence and returns the status of the answer. An error leaves
+// open whether the platform has taken it, but for ErrNotHeld.
+func (c *Client) Call(ctx context.Context, part Part, fence int64, call Call) (status int, err error) {
+	l := c.line(part)
+	l.busy.Lock()
+	defer l.busy.Unlock()
+	if !c.options.Session.begin(part, fence) {
+		return 0, ErrNotHeld
+	}
+	l.fence.Store(fence)
+	ctx, cancel := c.options.Clock.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	go c.cancelWhenLost(ctx, cancel, part, fence)
+	answer, err := httpcall.Do[answer](ctx, l.http, c.options.Address, outgoing{call: call, node: c.options.Node, fence: fence})
+	c.options.Session.end(part, answer.status)
+	switch {
+	case err != nil:
+		return 0, err
+	case answer.status == http.StatusConflict:
+		c.options.Session.Refused(part, fence)
+		return answer.status, ErrRefused
+	}
+	return answer.status, nil
+}
+
+// cancelWhenLost ends a call's context once its session has ended.
+func (c *Client) cancelWhenLost(ctx context.Context, cancel context.CancelFunc, part Part, fence int64) {
+	for clock.Wait(ctx, c.options.Clock, c.options.CheckInterval) {
+		if !c.options.Session.Allowed(part, fence) {
+			cancel()
+			return
+		}
+	}
+}
+
+// outgoing is a call as it is sent.
+type outgoing struct {
+	call  Call
+	node  string
+	fence int64
+}
+
+// Encode implements httpcall.Requester.
+func (o outgoing) Encode() httpcall.OutgoingRequest {
+	return httpcall.OutgoingRequest{Method: http.MethodPost, Path: o.call.Path, Body: o.call.Body, Header: http.Header{
+		holderHeader: {o.node}, fenceHeader: {strconv.FormatInt(o.fence, 10)}, "Content-Type": {"application/json"},
+	}}
+}
+
+// answer is the platform's answer; its body says nothing.
+type answer struct{ status int }
+
+// Decode implements httpcall.ResponseReader.
+func (a *answer) Decode(raw httpcall.RawResponse) error {
+	a.status = raw.Status
+	return nil
+}
+
+// guardedConn is a connection of one call. Each write is checked immediately before, and
+// closing discards what the kernel has not delivered: nothing arrives once the call was
+// given up.
+type guardedConn struct {
+	net.Conn
+	allowed func() bool
+}
+
+// Write writes if the part is still held.
+func (g *guardedConn) Write(buffer []byte) (int, error) {
+	if !g.allowed() {
+		_ = g.Close()
+		return 0, ErrNotHeld
+	}
+	return g.Conn.Write(buffer)
+}
+
+// Close resets the connection.
+func (g *guardedConn) Close() error {
+	if tcp, ok := g.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return g.Conn.Close()
+}
--- /dev/null
+++ b/control/duty/forms_test.go
@@ -0,0 +1,16 @@
+package duty
+
+import (
+	"testing"
+
+	"onyxwell/control/transport/transporttest"
+)
+
+// TestForms_keepTheirBytes covers each struct of this package that is stored or sent. The
+// golden files hold the bytes that other builds store or send: never edit one.
+func TestForms_keepTheirBytes(t *testing.T) {
+	transporttest.Golden[Assignment](t, "assignment")
+	transporttest.Golden[SessionRequest](t, "session-request")
+	transporttest.Golden[SessionResponse](t, "session-response")
+	transporttest.Golden[Overview](t, "overview")
+}
--- /dev/null
+++ b/control/duty/session.go
@@ -0,0 +1,346 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+// heartbeatsPerTTL is how often a session is renewed in its time to live.
+const heartbeatsPerTTL = 4
+
+// marginDivisor is the part of a session, one in so many, by which its holder ends it
+// early: for the drift of clocks.
+const marginDivisor = 10
+
+// SessionOptions configure a Session. All are required but Log.
+type SessionOptions struct {
+	Clock clock.Clock
+	// Wall is the time of day: where it and Clock differ in how long something took, the
+	// machine was suspended or its clock was set.
+	Wall    func() time.Time
+	Address ids.Address
+	Zone    ids.Zone
+	// Incarnation tells this process from the one before it.
+	Incarnation int64
+	// TTL is how long a session lasts without a heartbeat.
+	TTL time.Duration
+	// MaxDrift is by how much Clock and Wall may differ over one session.
+	MaxDrift time.Duration
+	// Eligible reports whether parts may be held here.
+	Eligible func() bool
+	// Assigner returns the controllers to ask, the likely assigner first.
+	Assigner func() []ids.Address
+	// Send sends a heartbeat.
+	Send func(ctx context.Context, to ids.Address, req SessionRequest) (SessionResponse, error)
+	// AssignerLease returns the epoch of the assigner's lease where it is held here: what
+	// this controller grants itself lasts no longer.
+	AssignerLease func(now clock.Instant) (epoch int64, held bool)
+	// ProbePlatform reports whether the platform answers.
+	ProbePlatform func(ctx context.Context) bool
+	Log           *log.Logger
+}
+
+// Session is a controller's side: which parts it holds, and until when. It is safe for
+// concurrent use.
+type Session struct {
+	options SessionOptions
+
+	mu sync.Mutex
+	// epoch is that of the assigner that answered last.
+	epoch    int64
+	assigner ids.Address
+	parts    map[Part]*heldPart
+	// ended has the highest fence of each part that was given up or refused: it is never
+	// taken up again. rejected are those that the assigner granted all the same.
+	ended    map[Part]int64
+	rejected map[Part]int64
+	acts     map[Part]Act
+	// leaving has no part be taken up any more.
+	leaving bool
+	// probe says that the assigner wants to know whether the platform answers.
+	probe bool
+	// failingSince has, by part, since when the platform does not answer.
+	failingSince map[Part]clock.Instant
+}
+
+// heldPart is a part that was granted here.
+type heldPart struct {
+	fence     int64
+	notBefore clock.Instant
+	expiry    clock.Instant
+	// grantedAt and grantedWall are the same instant on both clocks.
+	grantedAt   clock.Instant
+	grantedWall time.Time
+	// calls are those that run under the fence; revoked parts get no further ones.
+	calls   int
+	revoked bool
+}
+
+// NewSession returns a Session that holds nothing.
+func NewSession(options SessionOptions) *Session {
+	return &Session{
+		options: options, parts: map[Part]*heldPart{}, ended: map[Part]int64{}, rejected: map[Part]int64{},
+		acts: map[Part]Act{}, failingSince: map[Part]clock.Instant{},
+	}
+}
+
+// Run keeps the session until ctx ends.
+func (s *Session) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.Renew(ctx)
+		if !clock.Wait(ctx, s.options.Clock, s.options.TTL/heartbeatsPerTTL) {
+			return
+		}
+	}
+}
+
+// Renew sends a heartbeat to the first controller that says that it assigns.
+func (s *Session) Renew(ctx context.Context) {
+	ctx, cancel := s.options.Clock.WithTimeout(ctx, s.options.TTL/heartbeatsPerTTL)
+	defer cancel()
+	req := s.request(ctx)
+	asked := map[ids.Address]bool{}
+	candidates := s.candidates()
+	for len(candidates) > 0 && ctx.Err() == nil {
+		address := candidates[0]
+		candidates = candidates[1:]
+		if address == "" || asked[address] {
+			continue
+		}
+		asked[address] = true
+		started, wall := s.options.Clock.Now(), s.options.Wall()
+		resp, err := s.options.Send(ctx, address, req)
+		switch {
+		case err != nil:
+			continue
+		case resp.Assigning:
+			s.take(address, resp, started, wall)
+			return
+		case resp.Assigner != "":
+			candidates = append([]ids.Address{resp.Assigner}, candidates...)
+		}
+	}
+}
+
+// candidates returns whom to ask: who answered last goes first.
+func (s *Session) candidates() []ids.Address {
+	s.mu.Lock()
+	last := s.assigner
+	s.mu.Unlock()
+	return append([]ids.Address{last}, s.options.Assigner()...)
+}
+
+// request returns the next heartbeat.
+func (s *Session) request(ctx context.Context) SessionRequest {
+	req := SessionRequest{From: s.options.Address, Incarnation: s.options.Incarnation, Zone: s.options.Zone}
+	s.mu.Lock()
+	probe := s.probe
+	s.mu.Unlock()
+	eligible := s.options.Eligible()
+	if probe && !s.options.ProbePlatform(ctx) {
+		req.PlatformDown = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	req.Eligible = eligible && !s.leaving
+	for part, held := range s.parts {
+		if held.calls > 0 || (!held.revoked && now.Before(held.expiry)) {
+			req.Active = append(req.Active, Grant{Part: part, Fence: held.fence})
+		} else if held.revoked {
+			delete(s.parts, part)
+		}
+	}
+	for part, fence := range s.rejected {
+		req.Rejected = append(req.Rejected, Grant{Part: part, Fence: fence})
+	}
+	for _, act := range s.acts {
+		req.Acts = append(req.Acts, act)
+	}
+	for _, since := range s.failingSince {
+		req.PlatformDown = req.PlatformDown || now.Since(since) > s.options.TTL
+	}
+	return req
+}
+
+// take takes over what the assigner granted to a heartbeat that was sent at started.
+// Parts that it does not name are given up.
+func (s *Session) take(assigner ids.Address, resp SessionResponse, started clock.Instant, wall time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if resp.Epoch < s.epoch {
+		return
+	}
+	s.epoch, s.assigner, s.probe = resp.Epoch, assigner, resp.ProbePlatform
+	now := s.options.Clock.Now()
+	granted := map[Part]bool{}
+	for _, grant := range resp.Grants {
+		granted[grant.Part] = true
+		s.takeGrant(grant, started, wall, now)
+	}
+	for part, held := range s.parts {
+		if !granted[part] {
+			s.revoke(part, held, "part given up")
+		}
+	}
+}
+
+// revoke ends a part under its fence for good. The caller holds s.mu.
+func (s *Session) revoke(part Part, held *heldPart, message string) {
+	if held.revoked {
+		return
+	}
+	held.revoked = true
+	s.ended[part] = max(s.ended[part], held.fence)
+	delete(s.failingSince, part)
+	s.logChange(part, held.fence, message)
+}
+
+// takeGrant takes over one part. The caller holds s.mu.
+func (s *Session) takeGrant(grant Grant, started clock.Instant, wall time.Time, now clock.Instant) {
+	held := s.parts[grant.Part]
+	switch {
+	case held != nil && held.fence > grant.Fence:
+		return
+	case s.leaving || grant.Fence <= s.ended[grant.Part]:
+		s.rejected[grant.Part] = grant.Fence
+		return
+	case held == nil || held.fence < grant.Fence:
+		calls := 0
+		if held != nil {
+			// Its calls are checked against the former fence, and fail.
+			calls = held.calls
+		}
+		held = &heldPart{fence: grant.Fence, notBefore: now.Add(time.Duration(grant.WaitMS) * time.Millisecond), calls: calls}
+		s.parts[grant.Part] = held
+		delete(s.rejected, grant.Part)
+		s.logChange(grant.Part, grant.Fence, "part held")
+	}
+	held.expiry = started.Add(s.options.TTL - s.options.TTL/marginDivisor)
+	held.grantedAt, held.grantedWall = started, wall
+}
+
+func (s *Session) logChange(part Part, fence int64, message string) {
+	if s.options.Log != nil {
+		s.options.Log.Info().Str("part", "duty").Str("duty_part", string(part)).Int64("fence", fence).Msg(message)
+	}
+}
+
+// Held returns the fence under which calls for a part may be made now.
+func (s *Session) Held(part Part) (fence int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil || !s.mayCall(held) {
+		return 0, false
+	}
+	return held.fence, true
+}
+
+// Allowed reports whether a call under a fence may be made, or go on, now.
+func (s *Session) Allowed(part Part, fence int64) bool {
+	current, ok := s.Held(part)
+	return ok && current == fence
+}
+
+// mayCall reports whether a part's session stands, its hand-over time has passed, and
+// both clocks agree that it has. The caller holds s.mu.
+func (s *Session) mayCall(held *heldPart) bool {
+	now := s.options.Clock.Now()
+	if s.assigner == s.options.Address {
+		if epoch, own := s.options.AssignerLease(now); !own || epoch != s.epoch {
+			return false
+		}
+	}
+	drift := s.options.Wall().Sub(held.grantedWall) - now.Since(held.grantedAt)
+	return !held.revoked && !now.Before(held.notBefore) && now.Before(held.expiry) && drift.Abs() <= s.options.MaxDrift
+}
+
+// begin counts a call under a fence, so that the part is not told to be given up before
+// it ends.
+func (s *Session) begin(part Part, fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil || held.fence != fence || !s.mayCall(held) {
+		return false
+	}
+	held.calls++
+	return true
+}
+
+// end ends a call that begin counted.
+func (s *Session) end(part Part, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.parts[part]; held != nil && held.calls > 0 {
+		held.calls--
+	}
+	now := s.options.Clock.Now()
+	s.acts[part] = Act{Part: part, UnixMS: s.options.Wall().UnixMilli(), Status: int64(status)}
+	if status > 0 {
+		delete(s.failingSince, part)
+	} else if _, failing := s.failingSince[part]; !failing {
+		s.failingSince[part] = now
+	}
+}
+
+// Refused drops a part whose fence the platform refused: another has acted under a
+// higher one.
+func (s *Session) Refused(part Part, fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.parts[part]; held != nil && held.fence == fence {
+		s.revoke(part, held, "part refused: a higher fence has acted")
+		s.rejected[part] = fence
+	}
+}
+
+// Leave gives all parts up and tells the assigner so once no call runs.
+func (s *Session) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	for part, held := range s.parts {
+		s.revoke(part, held, "part given up")
+		s.rejected[part] = held.fence
+	}
+	s.mu.Unlock()
+	s.Renew(ctx)
+}
+
+// PartStatus is a part as it is held here, for GET /status.
+type PartStatus struct {
+	Part   Part  `json:"part"`
+	Fence  int64 `json:"fence"`
+	Acting bool  `json:"acting"`
+	Calls  int   `json:"calls"`
+}
+
+// Status returns the parts that were granted here.
+func (s *Session) Status() []PartStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var statuses []PartStatus
+	for part, held := range s.parts {
+		statuses = append(statuses, PartStatus{Part: part, Fence: held.fence, Acting: s.mayCall(held), Calls: held.calls})
+	}
+	return statuses
+}
+
+// Calling reports whether any call runs.
+func (s *Session) Calling() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, held := range s.parts {
+		if held.calls > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/timesync/timesync_test.go
@@ -0,0 +1,71 @@
+package timesync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/transport/transporttest"
+)
+
+func TestForms_keepTheirBytes(t *testing.T) {
+	transporttest.Golden[SampleRequest](t, "sample-request")
+	transporttest.Golden[SampleResponse](t, "sample-response")
+}
+
+// TestClock_thirdOfClocksStep sets the clocks of two of six controllers ahead and back by
+// seconds: no controller's time moves, nor does that of a router that takes it over.
+func TestClock_thirdOfClocksStep(t *testing.T) {
+	fake := clock.NewFake()
+	start := time.Unix(1_700_000_000, 0)
+	steps := make([]time.Duration, 6)
+	clocks := map[ids.Address]*Clock{}
+	var addresses []ids.Address
+	for index := range steps {
+		address := ids.Address(rune('a' + index))
+		addresses = append(addresses, address)
+		clocks[address] = New(Options{
+			Clock: fake, Wall: func() time.Time { return start.Add(time.Duration(fake.Now()) + steps[index]) },
+			Peers: func() (peers []ids.Address) {
+				for _, peer := range addresses {
+					if peer != address {
+						peers = append(peers, peer)
+					}
+				}
+				return peers
+			},
+			Ask: func(ctx context.Context, peer ids.Address) (SampleResponse, error) {
+				return clocks[peer].Own(ctx, SampleRequest{})
+			},
+		})
+	}
+	router := New(Options{Clock: fake, Wall: func() time.Time { return start.Add(time.Hour) }})
+	check := func(moment string) {
+		t.Helper()
+		for _, address := range addresses {
+			clocks[address].Sample(context.Background())
+		}
+		router.Adopt(int64(clocks["a"].Now()), fake.Now())
+		want := time.Duration(start.UnixNano()) + time.Duration(fake.Now())
+		for _, address := range addresses {
+			if got := clocks[address].Now(); got != want {
+				t.Errorf("%s: the time of %s is off by %v", moment, address, got-want)
+			}
+		}
+		if got := router.Now(); got != want {
+			t.Errorf("%s: the router's time is off by %v", moment, got-want)
+		}
+	}
+	check("all right")
+	steps[0], steps[4] = 2*time.Second, 2*time.Second
+	fake.Advance(time.Second)
+	check("two ahead")
+	steps[0], steps[4] = -2*time.Second, 2*time.Second
+	fake.Advance(time.Second)
+	check("one ahead, one back")
+	steps[0], steps[4] = 0, 0
+	fake.Advance(time.Second)
+	check("all right again")
+}
--- /dev/null
+++ b/control/usage/forms_test.go
@@ -0,0 +1,17 @@
+package usage
+
+import (
+	"testing"
+
+	"onyxwell/control/transport/transporttest"
+)
+
+// TestForms_keepTheirBytes covers each struct of this package that is stored or sent. The
+// golden files hold the bytes that other builds store or send: never edit one.
+func TestForms_keepTheirBytes(t *testing.T) {
+	transporttest.Golden[RouterReport](t, "router-report")
+	transporttest.Golden[ReportResponse](t, "report-response")
+	transporttest.Golden[CollectRequest](t, "collect-request")
+	transporttest.Golden[CollectResponse](t, "collect-response")
+	transporttest.Golden[Log](t, "log")
+}
--- /dev/null
+++ b/control/usage/meter.go
@@ -0,0 +1,108 @@
+package usage
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"onyxwell/base/ids"
+)
+
+// maxWindows is how many undecided windows a router keeps: older ones are past their
+// horizon and are not reported.
+const maxWindows = 24
+
+// settleTime is for how long after the end of a window a router may still count in it.
+const settleTime = 100 * time.Millisecond
+
+// Forever is a Through of a router that counts no more.
+const Forever = math.MaxInt64
+
+// Meter counts the requests of one router that runners began. It is safe for concurrent
+// use.
+type Meter struct {
+	window time.Duration
+	// now returns the agreed time.
+	now func() time.Duration
+
+	mu      sync.Mutex
+	windows map[int64]map[ids.Tenant]int64
+	decided int64
+	// lowest is the window of the last report: no earlier one is counted in any more,
+	// also where the agreed time steps back.
+	closed int64
+	ended  bool
+}
+
+// NewMeter returns a Meter of windows of that length.
+func NewMeter(window time.Duration, now func() time.Duration) *Meter {
+	return &Meter{window: window, now: now, windows: map[int64]map[ids.Tenant]int64{}}
+}
+
+// Began counts a request of a tenant that a runner began age ago.
+func (m *Meter) Began(tenant ids.Tenant, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	window := max(int64((m.now()-age)/m.window), m.closed+1)
+	counts := m.windows[window]
+	if counts == nil {
+		counts = map[ids.Tenant]int64{}
+		m.windows[window] = counts
+	}
+	counts[tenant]++
+}
+
+// Report returns the counts of all windows that are not decided.
+func (m *Meter) Report() RouterReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = max(m.closed, int64((m.now()-settleTime)/m.window)-1)
+	report := RouterReport{Through: m.closed}
+	if m.ended {
+		report.Through = Forever
+	}
+	for window, counts := range m.windows {
+		if window <= m.decided || window <= m.closed-maxWindows {
+			delete(m.windows, window)
+			continue
+		}
+		report.Windows = append(report.Windows, columns(window, counts))
+	}
+	return report
+}
+
+// columns returns the counts of a window in the order of tenants' names.
+func columns(window int64, counts map[ids.Tenant]int64) WindowCounts {
+	result := WindowCounts{Window: window}
+	for tenant := range counts {
+		result.Tenants = append(result.Tenants, tenant)
+	}
+	slices.Sort(result.Tenants)
+	for _, tenant := range result.Tenants {
+		result.Counts = append(result.Counts, counts[tenant])
+	}
+	return result
+}
+
+// Decided forgets the windows up to one.
+func (m *Meter) Decided(window int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decided = max(m.decided, window)
+}
+
+// End has the next report close all windows: the router serves no more.
+func (m *Meter) End() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+}
+
+// UntilReport returns how long to wait for the next report: the interval, or less where
+// a window is closed before.
+func (m *Meter) UntilReport(interval time.Duration) time.Duration {
+	now := m.now()
+	closes := (now-settleTime)/m.window*m.window + m.window + settleTime
+	return min(interval, closes-now+time.Millisecond)
+}
--- a/data/proxy/exchange.go
+++ b/data/proxy/exchange.go
@@ -56,6 +56,9 @@
 	// clientGone says that a write to the client failed.
 	clientGone bool
 
+	// counted says that the request counts as begun by a runner.
+	counted bool
+
 	// outcome is how the exchange ended, "" where it was aborted; reason says more
 	// of a rejection.
 	outcome string
@@ -244,6 +247,7 @@
 	outcome := result.Outcome
 	if outcome == upstream.Answered {
 		e.responseBegan(&a)
+		e.countUsage(result.Response)
 		outcome, done = e.relay(result.Response)
 	} else {
 		discard(e.proxy.clock, result.Response)
--- a/data/proxy/proxy.go
+++ b/data/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/phuslu/log"
 
 	"onyxwell/base/clock"
+	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
 	"onyxwell/base/memquota"
 	"onyxwell/base/response"
@@ -51,8 +52,10 @@
 	Limiter   *ratelimit.Limiter
 	// QuotaRetryAfter is when a client whose tenant's quota is used up may come back.
 	QuotaRetryAfter time.Duration
-	Metrics         *telemetry.Metrics
-	Monitor         *invariant.Monitor
+	// Began is told of each request that a runner began, and how long ago; it may be nil.
+	Began   func(tenant ids.Tenant, age time.Duration)
+	Metrics *telemetry.Metrics
+	Monitor *invariant.Monitor
 }
 
 // Proxy is the handler of clients' requests. Its methods may be called at the
@@ -71,6 +74,8 @@
 	limiter   *ratelimit.Limiter
 	// quotaRetryAfter is Options.QuotaRetryAfter.
 	quotaRetryAfter time.Duration
+	// began is Options.Began.
+	began func(tenant ids.Tenant, age time.Duration)
 
 	metrics *telemetry.Metrics
 	monitor *invariant.Monitor
@@ -97,7 +102,7 @@
 	p := &Proxy{
 		clock: options.Clock, log: options.Log, machine: options.Limits,
 		snapshots: options.Snapshots, balancer: options.Balancer, stats: options.Stats, slowStart: options.SlowStart,
-		upstream: options.Upstream, limiter: options.Limiter, quotaRetryAfter: options.QuotaRetryAfter, metrics: options.Metrics, monitor: options.Monitor,
+		upstream: options.Upstream, limiter: options.Limiter, quotaRetryAfter: options.QuotaRetryAfter, began: options.Began, metrics: options.Metrics, monitor: options.Monitor,
 	}
 	if memory := p.machine.MemoryMB << 20; memory > 0 {
 		p.bodyQuota = memquota.New(memory/bodyMemoryDivisor, p.monitor)
--- a/data/proxy/tenant.go
+++ b/data/proxy/tenant.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+
 	"onyxwell/base/errkind"
 	"onyxwell/data/upstream"
 )
@@ -38,3 +40,13 @@
 		e.proxy.limiter.Refund(e.charge)
 	}
 }
+
+// countUsage counts the request once a runner has begun it, at the head of its first
+// response: whatever comes of it later, and wherever it is resumed, it counts once.
+func (e *exchange) countUsage(resp *http.Response) {
+	if e.proxy.began == nil || e.tenant == nil || e.counted || resp.StatusCode != http.StatusOK {
+		return
+	}
+	e.counted = true
+	e.proxy.began(e.tenant.Name, 0)
+}
--- a/data/router/drain.go
+++ b/data/router/drain.go
@@ -57,6 +57,7 @@
 	if endpoint != nil {
 		r.closeEndpoint(ctx, endpoint, grace*drainEndPercent/100-r.clock.Now().Since(startedAt))
 	}
+	r.usage.end(ctx)
 	r.daemon.Leave(ctx)
 	clock.Wait(ctx, r.clock, r.timing.Probe.AckTimeout)
 }
--- a/data/router/router.go
+++ b/data/router/router.go
@@ -52,6 +52,7 @@
 	readIndex *readindex.Gate
 	proxy     *proxy.Proxy
 	limiter   *ratelimit.Limiter
+	usage     *usageReporter
 
 	mu sync.Mutex
 	// endpoint is nil until the router is ready for the first time.
@@ -90,6 +91,7 @@
 		Clock: r.clock, Policy: r.daemon.QuotaPolicy(), Config: r.config, Routers: r.daemon.Zones.LargestRouterCount,
 		Acquire: r.daemon.AcquireQuota, Random: rand.Float64, Log: top.Log,
 	})
+	r.usage = newUsageReporter(r.clock, r.settings, r.daemon)
 	r.proxy = proxy.New(proxy.Options{
 		Clock: r.clock, Log: top.Log, Limits: r.settings.Limits, Snapshots: r.snapshots, Stats: r.stats, SlowStart: r.slowStart,
 		Balancer: balancer.New(balancer.Options{
@@ -101,6 +103,7 @@
 			Clock: r.clock, Dialer: r.dialer(),
 			IdleTimeout: upstreamIdleFactor * r.timing.PeerTimeout, MaxIdlePerHost: r.settings.Limits.OpenFiles / idlePerHostDivisor,
 		}),
+		Began:   r.usage.began,
 		Limiter: r.limiter, QuotaRetryAfter: r.daemon.QuotaPolicy().RetryAfter(),
 		Metrics: r.daemon.Metrics, Monitor: r.daemon.Monitor,
 	})
@@ -141,6 +144,7 @@
 	r.daemon.AddService("front", r.serveClients)
 	r.daemon.AddService("report", r.sendReports)
 	r.daemon.AddService("quota", r.limiter.Run)
+	r.usage.addService(r.daemon)
 	r.daemon.AddService("doubts", r.probeSuspects)
 }
 
--- /dev/null
+++ b/data/router/usage.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/base/random"
+	"onyxwell/base/settings"
+	"onyxwell/control/daemon"
+	"onyxwell/control/usage"
+)
+
+// usageReportInterval is the time between two reports of usage; one goes out at the end
+// of each window besides.
+const usageReportInterval = time.Second
+
+// usageReporter counts the requests that runners began, and reports them to the zone's
+// relay. It does nothing where the settings ask for no usage reports.
+type usageReporter struct {
+	clock  clock.Clock
+	daemon *daemon.Daemon
+	meter  *usage.Meter
+	life   int64
+}
+
+func newUsageReporter(source clock.Clock, node *settings.Settings, d *daemon.Daemon) *usageReporter {
+	reporter := &usageReporter{clock: source, daemon: d}
+	if agreed := d.AgreedTime(); agreed != nil {
+		reporter.meter = usage.NewMeter(settings.Seconds(node.Bounds.UsageWindowS), agreed.Now)
+		// Later lives of a router have higher numbers, unless its clock was set back.
+		reporter.life = int64(agreed.Now())<<8 | random.Int64N(1<<8)
+	}
+	return reporter
+}
+
+// began counts a request of a tenant that a runner began age ago.
+func (u *usageReporter) began(tenant ids.Tenant, age time.Duration) {
+	if u.meter != nil {
+		u.meter.Began(tenant, age)
+	}
+}
+
+func (u *usageReporter) addService(d *daemon.Daemon) {
+	if u.meter == nil {
+		return
+	}
+	d.AddService("usage", func(ctx context.Context) error {
+		for clock.Wait(ctx, u.clock, u.meter.UntilReport(usageReportInterval)) {
+			u.report(ctx)
+		}
+		return nil
+	})
+}
+
+func (u *usageReporter) report(ctx context.Context) {
+	report := u.meter.Report()
+	report.Life = u.life
+	if decided, err := u.daemon.ReportUsage(ctx, report); err == nil {
+		u.meter.Decided(decided)
+	}
+}
+
+// end reports all that was counted: the router serves no more.
+func (u *usageReporter) end(ctx context.Context) {
+	if u.meter != nil {
+		u.meter.End()
+		u.report(ctx)
+	}
+}
