Sizes of zones are ordered by the holders of their parts; tests of duties

Cause: the planner's number of replicas moved nothing, and each runner of a scaled service is paid for.

Change: the planner decides sizes by the linear program over learnt limits and forecast load (autoscaler, sizing.go), once its metrics cover the horizon; holders of zones' parts store and send them (control/sizing). Settings and configurations check what scaling needs.

--- a/base/settings/settings.go
+++ b/base/settings/settings.go
@@ -246,7 +246,8 @@
 
 // The duties, as the boot file names them.
 const (
-	UsageDuty = "usage_report"
+	UsageDuty   = "usage_report"
+	ScalingDuty = "scaling"
 )
 
 // HasDuty reports whether the boot file asks for a duty.
--- a/base/settings/unsupported.go
+++ b/base/settings/unsupported.go
@@ -11,7 +11,7 @@
 	supportedRules = []string{
 		"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "places", "tenants", "quota", "apart", "leader",
 	}
-	supportedDuties = []string{UsageDuty}
+	supportedDuties = []string{UsageDuty, ScalingDuty}
 	// supportedDiscovery and supportedEntry are where the list of runners comes from
 	// and how clients find routers; an empty value is taken for the first.
 	supportedDiscovery = []string{"", "cloud"}
--- a/control/config/config.go
+++ b/control/config/config.go
@@ -150,8 +150,21 @@
 	TLS      bool   `json:"tls"`
 	// Engine is nil for a service that serves no model.
 	Engine *Engine `json:"engine"`
+	// Scaling is nil for a service whose runners are not ordered.
+	Scaling *Scaling `json:"scaling"`
 }
 
+// Scaling bounds how many runners of a service are ordered for a zone.
+type Scaling struct {
+	Min int64 `json:"min"`
+	Max int64 `json:"max"`
+	// StartupSeconds is after how long an ordered runner serves.
+	StartupSeconds float64 `json:"startup_s"`
+}
+
+// Clamp returns the size within the bounds that is closest to a wanted one.
+func (s Scaling) Clamp(wanted int64) int64 { return min(s.Max, max(s.Min, wanted)) }
+
 // Limits bound what a router accepts from a client.
 type Limits struct {
 	// MaxHeaderBytes bounds a request's header, in bytes. By default 0: unbounded.
--- a/control/controller/autoscaler.go
+++ b/control/controller/autoscaler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"onyxwell/base/settings"
 	"time"
 
 	"onyxwell/control/discovery"
@@ -21,7 +22,12 @@
 // newAutoscaler makes the planning singleton; the headroom estimate runs under
 // the same lease.
 func (c *Controller) newAutoscaler(holder *lease.Holder) func(context.Context) {
+	var scaled func() []autoscaler.ScaledService
+	if c.settings.HasDuty(settings.ScalingDuty) {
+		scaled = c.scaledServices
+	}
 	c.autoscaler = autoscaler.New(autoscaler.Options{
+		Scaled:  scaled,
 		Clock:   c.clock,
 		Address: c.daemon.Address, Gossip: c.daemon.Updates, Lease: holder.Held, Now: c.clock.Now,
 		Runners: c.listRunners, NewSerial: discovery.FencedSerial,
--- /dev/null
+++ b/control/duty/client_test.go
@@ -0,0 +1,165 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+)
+
+// heldSession returns a session that holds the part of usage under a fence, on a clock
+// that stands still.
+func heldSession(fake *clock.Fake, fence int64, waitMS int64) *Session {
+	session := NewSession(SessionOptions{
+		Clock: fake, Wall: func() time.Time { return time.Unix(0, int64(fake.Now())) }, Address: "a", TTL: time.Second, MaxDrift: time.Millisecond,
+		Eligible: func() bool { return true }, Assigner: func() []ids.Address { return []ids.Address{"b"} },
+		Send: func(context.Context, ids.Address, SessionRequest) (SessionResponse, error) {
+			return SessionResponse{Assigning: true, Epoch: 1, Grants: []Grant{{Part: UsagePart, Fence: fence, WaitMS: waitMS}}}, nil
+		},
+	})
+	session.Renew(context.Background())
+	return session
+}
+
+func newTestClient(session *Session, server *httptest.Server, wrap func(net.Conn) net.Conn) *Client {
+	return NewClient(ClientOptions{
+		Clock: clock.NewMonotonic(), Session: session, Node: "edge-1", Address: ids.Address(strings.TrimPrefix(server.URL, "http://")),
+		Timeout: 5 * time.Second, CheckInterval: time.Millisecond,
+		NewHTTP: func(guard func(net.Conn) net.Conn) *http.Client {
+			return httpcall.NewClient(httpcall.ClientOptions{MaxIdlePerHost: -1, Dialer: httpcall.Dialer{
+				Timeout: time.Second, UserTimeout: time.Second, Wrap: func(conn net.Conn) net.Conn { return guard(wrap(conn)) },
+			}})
+		},
+	})
+}
+
+func unchanged(conn net.Conn) net.Conn { return conn }
+
+func TestClient_sendsHolderAndFence(t *testing.T) {
+	var got *http.Request
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		got = req
+		body, _ = io.ReadAll(req.Body)
+	}))
+	defer server.Close()
+	fake := clock.NewFake()
+	client := newTestClient(heldSession(fake, 7, 0), server, unchanged)
+	status, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage", Body: []byte("{}")})
+	if err != nil || status != http.StatusOK {
+		t.Fatal(status, err)
+	}
+	if got.Method != http.MethodPost || got.URL.Path != "/usage" || string(body) != "{}" ||
+		got.Header.Get(holderHeader) != "edge-1" || got.Header.Get(fenceHeader) != "7" {
+		t.Errorf("%s %s %s with %v", got.Method, got.URL, body, got.Header)
+	}
+}
+
+// TestClient_sendsNothingUnlessHeld has the part be held under another fence, not yet, no
+// more, and expire between the check and the first byte: the platform sees nothing.
+func TestClient_sendsNothingUnlessHeld(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	fake := clock.NewFake()
+	expire := func(conn net.Conn) net.Conn {
+		fake.Advance(time.Minute)
+		return conn
+	}
+	cases := map[string]struct {
+		session *Session
+		advance time.Duration
+		wrap    func(net.Conn) net.Conn
+	}{
+		"another fence":                   {session: heldSession(fake, 6, 0), wrap: unchanged},
+		"not yet":                         {session: heldSession(fake, 7, 500), wrap: unchanged},
+		"no more":                         {session: heldSession(fake, 7, 0), advance: 900 * time.Millisecond, wrap: unchanged},
+		"expires while the call connects": {session: heldSession(fake, 7, 0), wrap: expire},
+	}
+	for name, tc := range cases {
+		tc.session.Renew(context.Background())
+		fake.Advance(tc.advance)
+		client := newTestClient(tc.session, server, tc.wrap)
+		if _, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage"}); !errors.Is(err, ErrNotHeld) && err == nil {
+			t.Errorf("%s: the call succeeds", name)
+		}
+	}
+	if calls.Load() != 0 {
+		t.Errorf("%d calls reached the platform", calls.Load())
+	}
+}
+
+// TestClient_callEndsWithSession has the session expire while an answer is awaited: the
+// connection is reset at once.
+func TestClient_callEndsWithSession(t *testing.T) {
+	fake := clock.NewFake()
+	gone := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.ReadAll(req.Body)
+		fake.Advance(time.Minute)
+		<-req.Context().Done()
+		gone <- req.Context().Err()
+	}))
+	defer server.Close()
+	client := newTestClient(heldSession(fake, 7, 0), server, unchanged)
+	if _, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage", Body: []byte("{}")}); err == nil {
+		t.Error("the call outlived its session")
+	}
+	<-gone
+}
+
+// TestClient_refusedFenceIsDropped has the platform refuse a fence: no further call goes
+// out under it, and the assigner is told.
+func TestClient_refusedFenceIsDropped(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusConflict)
+	}))
+	defer server.Close()
+	session := heldSession(clock.NewFake(), 7, 0)
+	client := newTestClient(session, server, unchanged)
+	for range 3 {
+		if _, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage"}); err == nil {
+			t.Error("a refused call succeeds")
+		}
+		session.Renew(context.Background())
+	}
+	if calls.Load() != 1 {
+		t.Errorf("%d calls under a refused fence", calls.Load())
+	}
+	if req := session.request(context.Background()); len(req.Rejected) != 1 || req.Rejected[0].Fence != 7 || len(req.Active) != 0 {
+		t.Errorf("the assigner is told %+v", req)
+	}
+}
+
+// TestSession_suspendedMachine has the time of day run on while the monotonic clock stands
+// still, as when a machine is suspended, or be set: nothing may be sent before the next
+// heartbeat.
+func TestSession_suspendedMachine(t *testing.T) {
+	fake := clock.NewFake()
+	shift := time.Duration(0)
+	session := heldSession(fake, 7, 0)
+	session.options.Wall = func() time.Time { return time.Unix(0, int64(fake.Now())).Add(shift) }
+	if !session.Allowed(UsagePart, 7) {
+		t.Fatal("a part that is held may not be used")
+	}
+	shift = time.Minute
+	if session.Allowed(UsagePart, 7) {
+		t.Error("a part may be used after the machine was suspended")
+	}
+	session.Renew(context.Background())
+	if !session.Allowed(UsagePart, 7) {
+		t.Error("a heartbeat after it does not help")
+	}
+}
--- a/control/planning/autoscaler/planner.go
+++ b/control/planning/autoscaler/planner.go
@@ -26,7 +26,7 @@
 	WarmingUp bool
 }
 
-// Options configure a Planner; all fields but Now and GroupByLength are required.
+// Options configure a Planner; all fields but Now, Scaled and GroupByLength are required.
 type Options struct {
 	// Clock is required by Run and RegisterHandlers alone.
 	Clock clock.Clock
@@ -52,6 +52,8 @@
 	// PlanEvery is the number of ticks between two plans for which there is no
 	// other cause.
 	PlanEvery int
+	// Scaled returns the services whose runners are ordered; nil leaves sizes alone.
+	Scaled func() []ScaledService
 	// GroupByLength has runners grouped by the expected duration of requests.
 	GroupByLength bool
 }
@@ -76,6 +78,7 @@
 	// quarantined counts the ticks for which a runner stays quarantined.
 	quarantined map[ids.RunnerID]int
 	lengths     map[ids.Region]*lengthstats.Estimator
+	sizer       *sizer
 	// counter numbers the published items.
 	counter int64
 	// steps counts the ticks, planCount the plans.
@@ -103,6 +106,7 @@
 	p.typeWeights, p.flows = map[runnerType]float64{}, map[flowKey][]Flow{}
 	p.quarantined = map[ids.RunnerID]int{}
 	p.lengths = map[ids.Region]*lengthstats.Estimator{}
+	p.sizer = newSizer()
 	p.steps, p.planCount, p.published, p.readyRunners = 0, 0, nil, ""
 }
 
@@ -165,6 +169,7 @@
 	if anomaly || changed || scheduled {
 		p.publish(p.Plan(runners), runners)
 	}
+	p.planSizes(now, runners)
 	if scheduled {
 		p.updateProfiles()
 	}
--- a/control/planning/autoscaler/publish.go
+++ b/control/planning/autoscaler/publish.go
@@ -19,6 +19,11 @@
 			}
 		}
 	}
+	if item, ok := p.options.Gossip.Get(SizesKey); ok {
+		if sizes, err := ReadSizes(item.Body); err == nil {
+			p.sizer.restore(sizes)
+		}
+	}
 	if item, ok := p.options.Gossip.Get(RoutingKey); ok {
 		if routing, err := ReadRouting(item.Body); err == nil {
 			for _, weight := range routing.Types {
--- /dev/null
+++ b/control/planning/autoscaler/sizing_test.go
@@ -0,0 +1,133 @@
+package autoscaler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/transport/transporttest"
+)
+
+func TestSizes_keepTheirBytes(t *testing.T) { transporttest.Golden[Sizes](t, "sizes") }
+
+// scaledFixture is a service in two regions of two zones each, with 10 runners in each
+// zone at first.
+func scaledFixture() ScaledService {
+	service := ScaledService{Service: "s", Slots: 64, Horizon: 12 * time.Second, TolerateRegion: true}
+	for zone, region := range map[ids.Zone]ids.Region{"a": "north", "b": "north", "c": "south", "d": "south"} {
+		service.Zones = append(service.Zones, ScaledZone{Zone: zone, Region: region, Min: 2, Max: 20, Present: 10, Usable: true})
+	}
+	return service
+}
+
+// play lets the sizer decide once a second for a time, at a load of each region.
+func play(s *sizer, service ScaledService, now *clock.Instant, length time.Duration, load func(second float64) float64) {
+	for range int(length / time.Second) {
+		*now = now.Add(time.Second)
+		perS := load(time.Duration(*now).Seconds())
+		s.observe(service, map[ids.Region]float64{"north": perS, "south": perS}, *now)
+		s.decide(service, replicaLimit{rate: 10}, *now)
+	}
+}
+
+func steady(perS float64) func(float64) float64 { return func(float64) float64 { return perS } }
+
+// total adds the sizes in force up; a zone without an order has what it had.
+func total(s *sizer, service ScaledService) (sum int64) {
+	for _, zone := range service.Zones {
+		wanted, ordered := s.ordered[sizeKey{service.Service, zone.Zone}]
+		if !ordered {
+			wanted = zone.Present
+		}
+		sum += wanted
+	}
+	return sum
+}
+
+// TestSizer_nothingBeforeMetricsCoverHorizon gives a new planner metrics for less than the
+// horizon, and none at all: it orders nothing.
+func TestSizer_nothingBeforeMetricsCoverHorizon(t *testing.T) {
+	s, service, now := newSizer(), scaledFixture(), clock.Instant(0)
+	play(s, service, &now, 30*time.Second, steady(0))
+	play(s, service, &now, 11*time.Second, steady(20))
+	if len(s.ordered) > 0 {
+		t.Errorf("ordered %v", s.ordered)
+	}
+}
+
+// TestSizer_followsLoadDownInSteps has a load that needs few runners: sizes go down in
+// bounded steps to what the load and the loss of a region need, and not below.
+func TestSizer_followsLoadDownInSteps(t *testing.T) {
+	s, service, now := newSizer(), scaledFixture(), clock.Instant(0)
+	before := total(s, service)
+	for range 80 {
+		play(s, service, &now, time.Second, steady(20))
+		after := total(s, service)
+		if lowered := before - after; lowered > before/decreaseDivisor {
+			t.Fatalf("from %d to %d in one step", before, after)
+		}
+		before = after
+	}
+	// 20 a second in each region, 1.15 of it, twice for the loss of a region, 10 a runner.
+	if want := 4 * int64(math.Ceil(20*loadHeadroom*2/10/2)); before != want {
+		t.Errorf("%d runners in all, want %d", before, want)
+	}
+}
+
+// TestSizer_raisesAheadOfRisingLoad has the load rise: what is ordered is there a horizon
+// before it is needed, in one step, and is not lowered at once.
+func TestSizer_raisesAheadOfRisingLoad(t *testing.T) {
+	s, service, now := newSizer(), scaledFixture(), clock.Instant(0)
+	play(s, service, &now, 40*time.Second, steady(20))
+	low := total(s, service)
+	start := time.Duration(now).Seconds()
+	rising := func(second float64) float64 { return 20 + 5*(second-start) }
+	play(s, service, &now, 10*time.Second, rising)
+	needed := 2 * (rising(time.Duration(now).Seconds()+12) / 10)
+	if got := total(s, service); float64(got) < needed || got <= low {
+		t.Errorf("%d runners, %g are needed a horizon later", got, needed)
+	}
+	raised := total(s, service)
+	play(s, service, &now, service.Horizon/2, steady(20))
+	if got := total(s, service); got < raised {
+		t.Errorf("lowered to %d from %d within the horizon", got, raised)
+	}
+}
+
+// TestSizer_unusableZones has a zone be evacuated: nothing is lowered meanwhile, and the
+// other zone of its region grows at once.
+func TestSizer_unusableZones(t *testing.T) {
+	s, service, now := newSizer(), scaledFixture(), clock.Instant(0)
+	play(s, service, &now, 60*time.Second, steady(40))
+	before := total(s, service)
+	for index := range service.Zones {
+		service.Zones[index].Usable = service.Zones[index].Zone != "a"
+	}
+	grown := s.ordered[sizeKey{"s", "b"}]
+	play(s, service, &now, 2*time.Second, steady(40))
+	if got := s.ordered[sizeKey{"s", "b"}]; got <= grown {
+		t.Errorf("the other zone has %d of %d", got, grown)
+	}
+	play(s, service, &now, 30*time.Second, steady(5))
+	if got := total(s, service); got < before {
+		t.Errorf("lowered to %d from %d while a zone is evacuated", got, before)
+	}
+}
+
+// TestSizer_bounds keeps to the configuration's bounds, also where they change.
+func TestSizer_bounds(t *testing.T) {
+	s, service, now := newSizer(), scaledFixture(), clock.Instant(0)
+	play(s, service, &now, 60*time.Second, steady(1000))
+	if got := total(s, service); got != 4*20 {
+		t.Errorf("%d runners at a load beyond all", got)
+	}
+	for index := range service.Zones {
+		service.Zones[index].Max = 12
+	}
+	play(s, service, &now, time.Second, steady(1000))
+	if got := total(s, service); got != 4*12 {
+		t.Errorf("%d runners after the largest size was lowered to 12", got)
+	}
+}
--- /dev/null
+++ b/control/sizing/sizing.go
@@ -0,0 +1,232 @@
+// Package sizing orders from the platform how many runners of a service a zone has, for
+// the parts of that duty which are held here. What is ordered is the planner's decision
+// (package autoscaler), within the bounds of the configuration in force.
+//
+// Invariants: an order is stored on a majority of disks before its first byte leaves; a
+// new holder sends the newest stored orders once, and then what the planner says. While
+// the planner says nothing, the last orders stand.
+package sizing
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/config"
+	"onyxwell/control/duty"
+	"onyxwell/control/planning/autoscaler"
+	"onyxwell/control/transport"
+)
+
+// keyPrefix begins the register's keys of the orders; the zone's name follows. It is
+// stored; it never changes.
+const keyPrefix = "sizes/"
+
+// Orders is the register's value of a zone: the newest order of each service.
+type Orders struct {
+	Orders []Order `avro:"Orders"`
+}
+
+// SchemaName names the stored form; it must never change.
+func (Orders) SchemaName() string { return "SizeOrders" }
+
+// Order is how many runners of a service were ordered.
+type Order struct {
+	Service ids.Service `avro:"Service"`
+	Wanted  int64       `avro:"Wanted"`
+}
+
+// SchemaName names the stored form; it must never change.
+func (Order) SchemaName() string { return "SizeOrder" }
+
+// Options configure an Orderer. All are required but Log.
+type Options struct {
+	Clock clock.Clock
+	// Zones are all zones of the deployment.
+	Zones []ids.Zone
+	// Config returns the configuration in force, nil for none.
+	Config func() *config.Config
+	// Planned returns what the planner has decided last.
+	Planned func() autoscaler.Sizes
+	// Held returns the fence of a part, if it is held here.
+	Held func(part duty.Part) (fence int64, ok bool)
+	// Update stores the orders of a zone.
+	Update func(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error)
+	// Call makes a call to the platform.
+	Call func(ctx context.Context, part duty.Part, fence int64, call duty.Call) (status int, err error)
+	// RetryPause is the time after a call that the platform did not take.
+	RetryPause time.Duration
+	Log        *log.Logger
+}
+
+// Orderer makes the orders of the zones whose parts are held here. Run is its only user.
+type Orderer struct {
+	options Options
+	zones   map[ids.Zone]*zoneOrders
+}
+
+// zoneOrders is what is known of a zone under one fence.
+type zoneOrders struct {
+	fence  int64
+	loaded bool
+	stored Orders
+	// acknowledged are the orders that the platform has taken under the fence.
+	acknowledged map[ids.Service]int64
+	retryAt      clock.Instant
+}
+
+// New returns an Orderer that has ordered nothing.
+func New(options Options) *Orderer {
+	return &Orderer{options: options, zones: map[ids.Zone]*zoneOrders{}}
+}
+
+// Run orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context, interval time.Duration) {
+	for clock.Wait(ctx, o.options.Clock, interval) {
+		o.Step(ctx)
+	}
+}
+
+// Step stores and sends what is due in each zone whose part is held here; zones do not
+// wait for each other.
+func (o *Orderer) Step(ctx context.Context) {
+	cfg := o.options.Config()
+	if cfg == nil {
+		return
+	}
+	planned := o.options.Planned()
+	var steps sync.WaitGroup
+	for _, zone := range o.options.Zones {
+		part := duty.SizePart(zone)
+		fence, held := o.options.Held(part)
+		if !held {
+			continue
+		}
+		state := o.zones[zone]
+		if state == nil || state.fence != fence {
+			state = &zoneOrders{fence: fence, acknowledged: map[ids.Service]int64{}}
+			o.zones[zone] = state
+		}
+		steps.Go(func() { o.stepZone(ctx, zone, state, wantedIn(cfg, planned, zone)) })
+	}
+	steps.Wait()
+}
+
+// wantedIn returns the planned orders of a zone within the bounds of the configuration.
+func wantedIn(cfg *config.Config, planned autoscaler.Sizes, zone ids.Zone) []Order {
+	var wanted []Order
+	for _, size := range planned.Sizes {
+		service := cfg.Service(size.Service)
+		if size.Zone != zone || service == nil || service.Scaling == nil {
+			continue
+		}
+		wanted = append(wanted, Order{Service: size.Service, Wanted: service.Scaling.Clamp(size.Wanted)})
+	}
+	return wanted
+}
+
+func (o *Orderer) stepZone(ctx context.Context, zone ids.Zone, state *zoneOrders, wanted []Order) {
+	if o.options.Clock.Now().Before(state.retryAt) {
+		return
+	}
+	if !state.loaded || state.stored.differs(wanted) {
+		if !o.store(ctx, zone, state, wanted) {
+			return
+		}
+	}
+	for _, order := range state.stored.Orders {
+		if acknowledged, ok := state.acknowledged[order.Service]; ok && acknowledged == order.Wanted {
+			continue
+		}
+		if !o.send(ctx, zone, state, order) {
+			return
+		}
+	}
+}
+
+// differs reports whether an order is wanted that is not the newest one.
+func (o Orders) differs(wanted []Order) bool {
+	return slices.ContainsFunc(wanted, func(order Order) bool { return !slices.Contains(o.Orders, order) })
+}
+
+// set replaces the order of a service.
+func (o *Orders) set(order Order) {
+	for index := range o.Orders {
+		if o.Orders[index].Service == order.Service {
+			o.Orders[index] = order
+			return
+		}
+	}
+	o.Orders = append(o.Orders, order)
+}
+
+// store stores the wanted orders over those of before.
+func (o *Orderer) store(ctx context.Context, zone ids.Zone, state *zoneOrders, wanted []Order) bool {
+	key := keyPrefix + string(zone)
+	value, err := o.options.Update(ctx, key, func(current []byte) ([]byte, error) {
+		orders, err := decodeOrders(key, current)
+		if err != nil {
+			return nil, err
+		}
+		for _, order := range wanted {
+			orders.set(order)
+		}
+		return transport.Marshal(orders)
+	})
+	if err != nil {
+		state.retryAt = o.options.Clock.Now().Add(o.options.RetryPause)
+		return false
+	}
+	orders, err := decodeOrders(key, value)
+	if err != nil {
+		return false
+	}
+	state.stored, state.loaded = orders, true
+	return true
+}
+
+func decodeOrders(key string, value []byte) (Orders, error) {
+	if len(value) == 0 {
+		return Orders{}, nil
+	}
+	orders, err := transport.Unmarshal[Orders](value)
+	if err != nil {
+		return Orders{}, transport.NewStoredValueError(key, err)
+	}
+	return orders, nil
+}
+
+// document is the platform's.
+type document struct {
+	Service ids.Service `json:"service"`
+	Zone    ids.Zone    `json:"zone"`
+	Wanted  int64       `json:"wanted"`
+}
+
+// send sends an order. It returns false where it was not taken and is to be sent again.
+func (o *Orderer) send(ctx context.Context, zone ids.Zone, state *zoneOrders, order Order) bool {
+	body, err := json.Marshal(document{Service: order.Service, Zone: zone, Wanted: order.Wanted})
+	if err != nil {
+		return false
+	}
+	status, err := o.options.Call(ctx, duty.SizePart(zone), state.fence, duty.Call{Path: "/size", Body: body})
+	final := status == http.StatusBadRequest || status == http.StatusNotFound || status == http.StatusUnprocessableEntity
+	taken := status >= http.StatusOK && status < http.StatusMultipleChoices
+	if err == nil && (taken || final) {
+		state.acknowledged[order.Service] = order.Wanted
+	} else {
+		state.retryAt = o.options.Clock.Now().Add(o.options.RetryPause)
+	}
+	if o.options.Log != nil {
+		o.options.Log.Info().Str("part", "sizing").Str("service", string(order.Service)).Str("zone", string(zone)).
+			Int64("wanted", order.Wanted).Int64("fence", state.fence).Int("status", status).Err(err).Msg("size ordered")
+	}
+	return err == nil && (taken || final)
+}
