Heads of clients' requests are bounded while they are read

Cause: up to 1 MB of each head was read before max_header_bytes was looked at, and heads were not bounded together.

Change: a head is cut where it passes the limit in force, or where the memory quota that it shares with bodies has no room; what is read then is rejected with 431 or 503. Sizes are raised only where the load exceeds them by a fifth.

Measured: TestHeadBudget (an endless head is answered 431; 4,000 heads that never end together stay within their quota).

--- a/base/memquota/memquota.go
+++ b/base/memquota/memquota.go
@@ -72,3 +72,35 @@
 		q.monitor.Violated(invariant.MemoryReserved, "%d bytes are given back, %d more than were taken", size, -left)
 	}
 }
+
+// Reservation is memory that grows, taken from the pool for small bodies. It is not safe
+// for concurrent use. A nil one holds nothing.
+type Reservation struct {
+	quota *Quota
+	size  int64
+}
+
+// NewReservation returns a reservation of nothing. That of a nil Quota never fails.
+func (q *Quota) NewReservation() *Reservation { return &Reservation{quota: q} }
+
+// Grow has the reservation be of at least so many bytes, and reports whether there was
+// room for them.
+func (r *Reservation) Grow(size int64) bool {
+	if r.quota == nil || size <= r.size {
+		return true
+	}
+	if !r.quota.small.reserve(size - r.size) {
+		return false
+	}
+	r.size = size
+	return true
+}
+
+// Release gives all of it back.
+func (r *Reservation) Release() {
+	if r == nil || r.quota == nil || r.size == 0 {
+		return
+	}
+	r.quota.release(&r.quota.small, r.size)
+	r.size = 0
+}
--- a/control/planning/autoscaler/sizing.go
+++ b/control/planning/autoscaler/sizing.go
@@ -68,6 +68,10 @@
 	loadHeadroom = 1.15
 	// forecastHorizons is for how many horizons the highest load counts.
 	forecastHorizons = 2
+	// increaseDivisor is the part of a zone's runners, one in so many, by which the load
+	// must exceed them before more are ordered: new runners take prompts away from those
+	// that have their prefixes cached. Saturated runners do not wait for that.
+	increaseDivisor = 5
 	// decreaseDivisor is the part of a zone's runners, one in so many, by which an order
 	// lowers its size at most; decreasesPerHorizon is how often it may.
 	decreaseDivisor     = 3
@@ -226,7 +230,7 @@
 		switch {
 		case !planned:
 			continue
-		case target > current:
+		case target > current && (limit.saturated || !ordered || target-current >= (current+increaseDivisor-1)/increaseDivisor):
 			s.ordered[key], s.raisedAt[service.Service] = target, now
 		case target < current && mayLower && now.Since(s.loweredAt[key]) >= service.Horizon/decreasesPerHorizon:
 			step := max(1, current/decreaseDivisor)
--- a/data/proxy/listener.go
+++ b/data/proxy/listener.go
@@ -66,6 +66,7 @@
 		return nil, err
 	}
 	conn := &clientConn{Conn: accepted, slots: l.slots, conns: &l.proxy.conns}
+	conn.head.quota = l.proxy.bodyQuota
 	conn.deadlines.limits = l.proxy.limits
 	conn.deadlines.enter(phaseReadingHead)
 	conn.conns.add(conn)
@@ -99,6 +100,8 @@
 	// its present line, of maxFieldName bytes at most.
 	headEnded bool
 	line      []byte
+	// head bounds the bytes of the head that is read.
+	head headBudget
 	// contentLengths and transferEncodings count the scanned head's fields that
 	// frame a body, requests those that were taken since it began.
 	contentLengths, transferEncodings, requests atomic.Int32
@@ -110,6 +113,10 @@
 // Read implements net.Conn. It reads on after a time-out of limits that are in
 // force no more.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if n := c.head.endTruncated(p); n > 0 {
+		c.headEnded = true
+		return n, nil
+	}
 	n, err := c.Conn.Read(p)
 	for n == 0 {
 		deadline, ok := c.deadlines.extended(err)
@@ -127,9 +134,13 @@
 			c.contentLengths.Store(0)
 			c.transferEncodings.Store(0)
 			c.requests.Store(0)
+			c.head.begin()
 		}
 		if !c.headEnded {
 			c.scanHead(p[:n])
+			if !c.headEnded {
+				c.head.grow(n, c.deadlines.limits().MaxHeaderBytes)
+			}
 		}
 	}
 	return n, err
@@ -152,6 +163,7 @@
 	c.closeOnce.Do(func() {
 		c.conns.remove(c)
 		c.slots.release()
+		c.head.release()
 	})
 	return c.Conn.Close()
 }
@@ -210,6 +222,9 @@
 	if conn == nil {
 		return nil
 	}
+	if kind := conn.head.problem(); kind != errkind.None {
+		return errkind.Errorf(kind, "")
+	}
 	ambiguous, scanned := conn.takeRequest()
 	if ambiguous {
 		return errkind.Errorf(errkind.BadRequest, "the body's length is told twice")
