--- a/base/program/program.go
+++ b/base/program/program.go
@@ -32,6 +32,16 @@
 	// error is that of the program. Each reloaded boot file is received from
 	// reread.
 	Serve func(ctx scope.Scope, reread <-chan *settings.Settings) error
+	// Commands are what the program does besides run and check.
+	Commands []Command
+}
+
+// Command is a command of the command line that needs the boot file.
+type Command struct {
+	Name, Help string
+	// Flags is a pointer to a struct whose fields kong fills from the command line.
+	Flags any
+	Run   func(node *settings.Settings) error
 }
 
 // commandLine is what the flags are parsed into; the names of its fields are the
@@ -59,8 +69,12 @@
 func execute(daemon Daemon, arguments []string) error {
 	hangups := NotifyHangup()
 	var line commandLine
-	parser, err := kong.New(&line, kong.Name(daemon.Name), kong.Description(daemon.Description),
-		kong.Vars{"version": daemon.Name + " " + Version, "variable": settings.PathVariable})
+	options := []kong.Option{kong.Name(daemon.Name), kong.Description(daemon.Description),
+		kong.Vars{"version": daemon.Name + " " + Version, "variable": settings.PathVariable}}
+	for _, command := range daemon.Commands {
+		options = append(options, kong.DynamicCommand(command.Name, command.Help, "", command.Flags))
+	}
+	parser, err := kong.New(&line, options...)
 	if err != nil {
 		return err
 	}
@@ -82,6 +96,11 @@
 	if command.Command() == "check" {
 		return printCheck(daemon, line.Boot, node)
 	}
+	for _, named := range daemon.Commands {
+		if command.Command() == named.Name {
+			return named.Run(node)
+		}
+	}
 	return run(daemon, line.LogLevel, node, file, hangups)
 }
 
--- a/cmd/fleet-controller/main.go
+++ b/cmd/fleet-controller/main.go
@@ -13,11 +13,15 @@
 )
 
 func main() {
+	parts := &partsFlags{}
 	os.Exit(program.Main(program.Daemon{
 		Name:              controller.Role,
 		Description:       "Replicates onyxwell's control state, serves the admin and the directory API, discovers runners and plans.",
 		RequiredListeners: []string{"control", "directory"},
 		Serve:             serve,
+		Commands: []program.Command{{
+			Name: "parts", Help: "Show who holds the parts of the duties at the platform, or hand one over.", Flags: parts, Run: parts.run,
+		}},
 	}, os.Args[1:]))
 }
 
--- a/control/controller/duties.go
+++ b/control/controller/duties.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"onyxwell/base/clock"
+	"onyxwell/base/errkind"
 	"onyxwell/base/httpcall"
 	"onyxwell/base/ids"
 	"onyxwell/base/random"
@@ -52,6 +54,9 @@
 		Clock: c.clock, Session: c.duties.session, Node: c.settings.NodeName, Address: c.settings.Platform.Address,
 		Timeout: c.handOverTime(), CheckInterval: dutyCheckInterval, NewHTTP: c.newDutyHTTP,
 	})
+	c.daemon.Metrics.GaugeFunc("duty_parts_held", "Parts of duties at the platform that this controller may act for now.", nil, func() float64 {
+		return float64(len(slices.DeleteFunc(c.duties.session.Status(), func(part duty.PartStatus) bool { return !part.Acting })))
+	})
 	c.daemon.AddService("duty session", func(ctx context.Context) error { c.duties.session.Run(ctx); return nil })
 	if c.settings.HasDuty(settings.UsageDuty) {
 		c.addUsageCollector()
@@ -93,6 +98,9 @@
 		TTL: c.timing.LeaseDuration, MaxDrift: maxClockDrift, Eligible: c.voter.Voting, Assigner: c.daemon.Controllers,
 		AssignerLease: holder.Held, Send: c.sendHeartbeat, ProbePlatform: c.daemon.NewPlatformClient().Probe, Log: c.log,
 	})
+	transport.Handle(c.daemon.Calls, duty.HandOverMessage, func(_ context.Context, req duty.HandOverRequest) (duty.HandOverResponse, error) {
+		return c.duties.assigner.HandOver(req, c.clock.Now()), nil
+	})
 	transport.Handle(c.daemon.Calls, duty.SessionMessage, func(_ context.Context, req duty.SessionRequest) (duty.SessionResponse, error) {
 		return c.answerHeartbeat(req), nil
 	})
@@ -143,6 +151,13 @@
 		Log: c.log,
 	})
 	transport.Handle(c.daemon.Calls, usage.CollectMessage, c.duties.usage.Collect)
+	for result, read := range map[string]func(usage.Stats) int64{
+		"decided": func(s usage.Stats) int64 { return s.Decided }, "incomplete": func(s usage.Stats) int64 { return s.Incomplete },
+		"reported": func(s usage.Stats) int64 { return s.Reported }, "failed": func(s usage.Stats) int64 { return s.Failed },
+	} {
+		c.daemon.Metrics.CounterFunc("usage_windows_total", "Windows of usage that this controller decided, decided without all zones, reported, or failed to report (calls).",
+			map[string]string{"result": result}, func() float64 { return float64(read(c.duties.usage.Stats())) })
+	}
 	c.daemon.AddService("usage", func(ctx context.Context) error { c.duties.usage.Run(ctx, dutyStep); return nil })
 }
 
@@ -238,3 +253,51 @@
 	}
 	return lost
 }
+
+// dutiesStatus is the part of GET /status that tells of the duties at the platform.
+type dutiesStatus struct {
+	Assigner ids.Address         `json:"assigner"`
+	Held     []duty.PartStatus   `json:"held_here"`
+	Parts    []duty.PartOverview `json:"parts"`
+}
+
+// dutiesStatus returns the parts as this controller knows them: what is held here, and
+// what the assigner told of all.
+func (c *Controller) dutiesStatus() *dutiesStatus {
+	if c.duties == nil {
+		return nil
+	}
+	overview, acts := c.daemon.DutyOverview(), c.duties.assigner.Acts()
+	for index := range overview.Parts {
+		act := acts[overview.Parts[index].Part]
+		overview.Parts[index].ActUnixMS, overview.Parts[index].ActStatus = act.UnixMS, act.Status
+	}
+	return &dutiesStatus{Assigner: overview.Assigner, Held: c.duties.session.Status(), Parts: overview.Parts}
+}
+
+// handOverPart asks the assigner to give a part to another controller.
+func (c *Controller) handOverPart(ctx context.Context, part duty.Part) error {
+	if c.duties == nil {
+		return errkind.Errorf(errkind.UnknownCall, "the boot file asks for no duties")
+	}
+	ctx, cancel := c.clock.WithTimeout(ctx, c.timing.CommandTimeout)
+	defer cancel()
+	for _, address := range c.daemon.Controllers() {
+		resp, err := c.sendHandOver(ctx, address, duty.HandOverRequest{Part: part})
+		switch {
+		case err != nil || !resp.Assigning:
+			continue
+		case !resp.Known:
+			return errkind.Errorf(errkind.BadRequest, "part: %q is not known", part)
+		}
+		return nil
+	}
+	return errkind.Errorf(errkind.NoQuorum, "no controller assigns duties now")
+}
+
+func (c *Controller) sendHandOver(ctx context.Context, to ids.Address, req duty.HandOverRequest) (duty.HandOverResponse, error) {
+	if to == c.daemon.Address {
+		return c.duties.assigner.HandOver(req, c.clock.Now()), nil
+	}
+	return transport.Send[duty.HandOverResponse](ctx, c.daemon.Transport, to, duty.HandOverMessage, req)
+}
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -87,6 +87,7 @@
 	admin.Serve(mux, admin.Options{Log: c.log, Dispatcher: c.commands, Zones: c.settings.Zones, Metrics: c.daemon.Metrics})
 	admin.ServeHeadroom(mux, c.daemon.Updates)
 	admin.ServeCounters(mux, c.counters)
+	admin.ServeParts(mux, c.handOverPart)
 	c.serveStatus(mux)
 	c.addListener("control", mux)
 }
--- a/control/controller/status.go
+++ b/control/controller/status.go
@@ -35,13 +35,15 @@
 	// Serials gives the version of each gossip item.
 	Serials map[string]int64 `json:"news"`
 	// Counters is this controller's replica of the applications' counters.
-	Counters     counter.Status `json:"counters"`
-	Pushed       int64          `json:"pushed"`
-	PushesFailed int64          `json:"pushes_failed"`
-	Relayed      int64          `json:"relayed"`
-	MessagesSent int64          `json:"messages_sent"`
-	BytesOut     int64          `json:"bytes_out"`
-	BytesIn      int64          `json:"bytes_in"`
+	Counters counter.Status `json:"counters"`
+	// Duties are the parts of the duties at the platform; nil where there are none.
+	Duties       *dutiesStatus `json:"duties,omitempty"`
+	Pushed       int64         `json:"pushed"`
+	PushesFailed int64         `json:"pushes_failed"`
+	Relayed      int64         `json:"relayed"`
+	MessagesSent int64         `json:"messages_sent"`
+	BytesOut     int64         `json:"bytes_out"`
+	BytesIn      int64         `json:"bytes_in"`
 	// MessagesRejected counts messages of other daemons that were dropped, by reason.
 	MessagesRejected map[string]int64 `json:"messages_refused"`
 }
@@ -76,8 +78,8 @@
 	return status{
 		Address: c.daemon.Address, Regions: c.daemon.Zones.Regions(), Voters: c.Voters().Members,
 		Quorum: c.quorum.Status(c.clock.Now()), Redundancy: c.voter.QueryRedundancy(ctx),
-		Counters: c.counters.Status(),
-		Pushed:   gossiped.Pushed.Load(), PushesFailed: gossiped.Failed.Load(), Relayed: gossiped.Relayed.Load(),
+		Counters: c.counters.Status(), Duties: c.dutiesStatus(),
+		Pushed: gossiped.Pushed.Load(), PushesFailed: gossiped.Failed.Load(), Relayed: gossiped.Relayed.Load(),
 		MessagesSent: traffic.Messages.Load(), BytesOut: traffic.BytesOut.Load(), BytesIn: traffic.BytesIn.Load(),
 		MessagesRejected: c.daemon.Transport.Guard.Totals(),
 		Owners:           c.owners(), Leases: c.heldLeases(), Serials: c.serials(), Zones: c.zoneStatuses(),
--- a/control/counter/service_test.go
+++ b/control/counter/service_test.go
@@ -329,3 +329,62 @@
 		}
 	}
 }
+
+// TestExchange_bytesOfAllPeersTogether has a controller come back that lacks many records,
+// and several peers that hold all of them bring it up to date at the same time: together
+// they send little more than the records once, and hold no more than an exchange each in
+// flight, which a link of 10 Mbit/s carries within a fraction of a second.
+func TestExchange_bytesOfAllPeersTogether(t *testing.T) {
+	source := clock.NewFake()
+	const peers, perOrigin = 4, 3 * maxExchangeRecords
+	back := newReplica(t, source, 1)
+	var others []*replica
+	for range peers {
+		others = append(others, newReplica(t, source, 1))
+	}
+	for _, origin := range others {
+		builder := batchBuilder{batch: Batch{Origin: origin.journal.origin, First: 1}}
+		for id := range perOrigin {
+			builder.add(KeyOf("a", fmt.Sprint(origin.journal.origin, "-", id)), "a", 1<<40)
+		}
+		for _, holder := range others {
+			holder.state.Apply(builder.batch)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go back.commitWhenWoken(ctx)
+	for _, other := range others {
+		other.know(back)
+		other.exchangeWith(back)
+	}
+	sent, largest := 0, 0
+	for round := 0; back.state.Len() < peers*perOrigin; round++ {
+		if round > peers*perOrigin {
+			t.Fatalf("%d records after %d rounds", back.state.Len(), round)
+		}
+		// All peers decide what to send before any of it has arrived.
+		requests := make([]ExchangeRequest, peers)
+		for index, other := range others {
+			requests[index], _ = other.nextExchange(other.peers[back.options.Address], true)
+		}
+		together := 0
+		for index, other := range others {
+			body, err := transport.Marshal(requests[index])
+			if err != nil {
+				t.Fatal(err)
+			}
+			together += len(body)
+			other.exchange(context.Background(), other.peers[back.options.Address], requests[index])
+		}
+		sent, largest = sent+together, max(largest, together)
+	}
+	const recordBytes = keySize + 12
+	if most := 2 * peers * perOrigin * recordBytes; sent > most {
+		t.Errorf("%d bytes are sent for %d records, over %d", sent, peers*perOrigin, most)
+	}
+	if most := peers * 64 << 10; largest > most {
+		t.Errorf("%d bytes are in flight at once, over %d", largest, most)
+	}
+	t.Logf("%d bytes for %d records, %d at once", sent, peers*perOrigin, largest)
+}
--- a/control/duty/assigner.go
+++ b/control/duty/assigner.go
@@ -71,8 +71,10 @@
 	busyUntil clock.Instant
 	// notBefore is from when on a new holder may make calls.
 	notBefore clock.Instant
-	// revoking holders are told of the part no more.
+	// revoking holders are told of the part no more; avoid is not chosen as the next one
+	// if there is another.
 	revoking bool
+	avoid    ids.Address
 	movedAt  clock.Instant
 	moves    int64
 	since    time.Time
@@ -227,6 +229,23 @@
 	}
 }
 
+// HandOver has a part be given to another controller, if there is one: its holder gives it
+// up in order first.
+func (a *Assigner) HandOver(req HandOverRequest, now clock.Instant) HandOverResponse {
+	epoch, held := a.options.Held(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !held || !a.ready || a.epoch != epoch {
+		return HandOverResponse{}
+	}
+	state := a.parts[req.Part]
+	if state == nil {
+		return HandOverResponse{Assigning: true}
+	}
+	state.revoking, state.avoid = true, state.record.Holder
+	return HandOverResponse{Assigning: true, Known: true}
+}
+
 // anyDown reports whether some holder says that the platform does not answer it. The
 // caller holds a.mu.
 func (a *Assigner) anyDown() bool {
@@ -281,7 +300,7 @@
 		a.options.Log.Info().Str("part", "duty").Str("duty_part", string(record.Part)).Str("from", string(state.record.Holder)).
 			Str("to", string(record.Holder)).Int64("fence", record.Fence).Msg("part assigned")
 	}
-	state.record, state.revoking, state.movedAt, state.busyUntil = record, false, now, now
+	state.record, state.revoking, state.avoid, state.movedAt, state.busyUntil = record, false, "", now, now
 	state.since, state.act = a.options.Wall(), Act{}
 	state.moves++
 }
--- a/control/duty/balance.go
+++ b/control/duty/balance.go
@@ -30,7 +30,7 @@
 			// It has just been assigned, and not been told yet.
 			continue
 		}
-		chosen := a.choose(part, candidates, load)
+		chosen := a.choose(part, without(candidates, state.avoid), load)
 		load[chosen.process.address]++
 		changes = append(changes, PartRecord{
 			Part: part, Holder: chosen.process.address, Incarnation: chosen.process.incarnation, Fence: state.record.Fence + 1,
@@ -61,6 +61,15 @@
 	return all
 }
 
+// without returns the candidates but for one, or all where it is the only one.
+func without(candidates []*assignerSession, avoid ids.Address) []*assignerSession {
+	others := slices.DeleteFunc(slices.Clone(candidates), func(session *assignerSession) bool { return session.process.address == avoid })
+	if len(others) == 0 {
+		return candidates
+	}
+	return others
+}
+
 // loads counts the parts of each holder. The caller holds a.mu.
 func (a *Assigner) loads() map[ids.Address]int {
 	load := map[ids.Address]int{}
--- a/control/duty/client_test.go
+++ b/control/duty/client_test.go
@@ -71,27 +71,28 @@
 	var calls atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
 	defer server.Close()
-	fake := clock.NewFake()
-	expire := func(conn net.Conn) net.Conn {
-		fake.Advance(time.Minute)
-		return conn
-	}
-	cases := map[string]struct {
-		session *Session
-		advance time.Duration
-		wrap    func(net.Conn) net.Conn
+	for name, tc := range map[string]struct {
+		fence, waitMS int64
+		advance       time.Duration
+		// lateBy is how long connecting takes.
+		lateBy time.Duration
 	}{
-		"another fence":                   {session: heldSession(fake, 6, 0), wrap: unchanged},
-		"not yet":                         {session: heldSession(fake, 7, 500), wrap: unchanged},
-		"no more":                         {session: heldSession(fake, 7, 0), advance: 900 * time.Millisecond, wrap: unchanged},
-		"expires while the call connects": {session: heldSession(fake, 7, 0), wrap: expire},
-	}
-	for name, tc := range cases {
-		tc.session.Renew(context.Background())
+		"another fence":                   {fence: 6},
+		"not yet":                         {fence: 7, waitMS: 500},
+		"no more":                         {fence: 7, advance: 900 * time.Millisecond},
+		"expires while the call connects": {fence: 7, lateBy: time.Minute},
+	} {
+		fake := clock.NewFake()
+		session := heldSession(fake, tc.fence, tc.waitMS)
 		fake.Advance(tc.advance)
-		client := newTestClient(tc.session, server, tc.wrap)
-		if _, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage"}); !errors.Is(err, ErrNotHeld) && err == nil {
-			t.Errorf("%s: the call succeeds", name)
+		client := newTestClient(session, server, func(conn net.Conn) net.Conn {
+			fake.Advance(tc.lateBy)
+			return conn
+		})
+		_, err := client.Call(context.Background(), UsagePart, 7, Call{Path: "/usage"})
+		// Once connected, the end of the connection may be seen first.
+		if err == nil || (tc.lateBy == 0 && !errors.Is(err, ErrNotHeld)) {
+			t.Errorf("%s: the call ends with %v", name, err)
 		}
 	}
 	if calls.Load() != 0 {
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -416,3 +416,25 @@
 		t.Errorf("nobody acts for %s though two controllers reach the platform", last.part)
 	}
 }
+
+// TestCluster_handsOver has an operator ask for a part to be handed over: another holds it
+// within the hand-over time and some heartbeats, and the platform sees nothing forbidden.
+func TestCluster_handsOver(t *testing.T) {
+	c := newCluster(5, 3, clusterOptions{})
+	c.run(15 * time.Second)
+	assigner := c.nodes[c.leaseHolder].assigner
+	before := assigner.parts[UsagePart].record
+	if resp := assigner.HandOver(HandOverRequest{Part: UsagePart}, c.clock.Now()); !resp.Assigning || !resp.Known {
+		t.Fatalf("%+v", resp)
+	}
+	if resp := assigner.HandOver(HandOverRequest{Part: "no such"}, c.clock.Now()); !resp.Assigning || resp.Known {
+		t.Errorf("an unknown part: %+v", resp)
+	}
+	calls := len(c.platform.calls)
+	c.run(testHandOver + 2*time.Second)
+	after := assigner.parts[UsagePart].record
+	acts := slices.ContainsFunc(c.platform.calls[calls:], func(other call) bool { return other.part == UsagePart && other.fence == after.Fence })
+	if after.Holder == before.Holder || after.Fence != before.Fence+1 || !acts || len(c.platform.broken) > 0 {
+		t.Errorf("from %+v to %+v, acts %v, broken %v", before, after, acts, c.platform.broken)
+	}
+}
--- a/control/duty/forms_test.go
+++ b/control/duty/forms_test.go
@@ -13,4 +13,6 @@
 	transporttest.Golden[SessionRequest](t, "session-request")
 	transporttest.Golden[SessionResponse](t, "session-response")
 	transporttest.Golden[Overview](t, "overview")
+	transporttest.Golden[HandOverRequest](t, "hand-over-request")
+	transporttest.Golden[HandOverResponse](t, "hand-over-response")
 }
--- a/control/duty/messages.go
+++ b/control/duty/messages.go
@@ -8,6 +8,8 @@
 const (
 	// SessionMessage goes from a controller to the assigner.
 	SessionMessage = "duty-session"
+	// HandOverMessage asks the assigner to give a part to another controller.
+	HandOverMessage = "duty-hand-over"
 	// LeaseName is that of the assigner's lease.
 	LeaseName = "duties"
 	// AssignmentKey is the register's key of the Assignment.
@@ -118,6 +120,25 @@
 // SchemaName names the sent form; it must never change.
 func (SessionResponse) SchemaName() string { return "DutySessionResponse" }
 
+// HandOverRequest asks for a part to be given to another controller than its holder.
+type HandOverRequest struct {
+	Part Part `avro:"Part"`
+}
+
+// SchemaName names the sent form; it must never change.
+func (HandOverRequest) SchemaName() string { return "DutyHandOverRequest" }
+
+// HandOverResponse answers a HandOverRequest.
+type HandOverResponse struct {
+	// Assigning is false where the receiver does not hold the assigner's lease; Known
+	// where there is no such part.
+	Assigning bool `avro:"Assigning"`
+	Known     bool `avro:"Known"`
+}
+
+// SchemaName names the sent form; it must never change.
+func (HandOverResponse) SchemaName() string { return "DutyHandOverResponse" }
+
 // Act is the last call that a part's holder made.
 type Act struct {
 	Part Part `avro:"Part"`
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -266,11 +266,27 @@
 		}
 		if !complete {
 			incomplete++
+			c.logIncomplete(window)
 		}
 		next.Decided, next.Pending = window, append(next.Pending, Decision{Window: window, Body: body})
 	}
 }
 
+// logIncomplete names the zones without whose counts a window is decided. The caller holds
+// c.mu.
+func (c *Collector) logIncomplete(window int64) {
+	if c.options.Log == nil {
+		return
+	}
+	var missing []string
+	for _, zone := range c.options.Zones {
+		if through, known := c.closed[zone]; !known || through < window {
+			missing = append(missing, string(zone))
+		}
+	}
+	c.options.Log.Info().Str("part", "usage").Int64("window", window).Strs("missing_zones", missing).Int64("fence", c.fence).Msg("window decided without all zones")
+}
+
 // isClosed reports whether the routers of all zones have closed a window. The caller
 // holds c.mu.
 func (c *Collector) isClosed(window int64) bool {
--- a/data/proxy/headbudget_test.go
+++ b/data/proxy/headbudget_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -44,22 +43,6 @@
 	}
 }
 
-// pieces is a connection whose bytes come in pieces of one size, for ever.
-type pieces struct {
-	net.Conn
-	size int
-}
-
-func (p *pieces) Read(buffer []byte) (int, error) {
-	n := min(p.size, len(buffer))
-	for index := range buffer[:n] {
-		buffer[index] = 'x'
-	}
-	return n, nil
-}
-
-func (p *pieces) Close() error { return nil }
-
 // TestHeadBudget_headsAreBoundedTogether has many connections send heads that never end,
 // while no limit is configured: together they take no more than the quota, those that find
 // no room are rejected, and all is given back when they close.
