Usage: windows are decided once all routers have closed them; probes do not hold up heartbeats

A silent platform held up heartbeats, whose sender asked it first.

Change: lives are nanoseconds; probes have a loop of their own; a call without an answer for a session's life counts as the platform being out of reach.

--- a/control/duty/client_test.go
+++ b/control/duty/client_test.go
@@ -139,7 +139,7 @@
 	if calls.Load() != 1 {
 		t.Errorf("%d calls under a refused fence", calls.Load())
 	}
-	if req := session.request(context.Background()); len(req.Rejected) != 1 || req.Rejected[0].Fence != 7 || len(req.Active) != 0 {
+	if req := session.request(); len(req.Rejected) != 1 || req.Rejected[0].Fence != 7 || len(req.Active) != 0 {
 		t.Errorf("the assigner is told %+v", req)
 	}
 }
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -195,6 +195,7 @@
 			n.assigner.Step(context.Background())
 		}
 		if c.random.IntN(4) == 0 {
+			n.session.Probe(context.Background())
 			n.session.Renew(context.Background())
 		}
 		for _, part := range testParts {
--- a/control/duty/session.go
+++ b/control/duty/session.go
@@ -63,8 +63,9 @@
 	acts     map[Part]Act
 	// leaving has no part be taken up any more.
 	leaving bool
-	// probe says that the assigner wants to know whether the platform answers.
-	probe bool
+	// probe says that the assigner wants to know whether the platform answers, unreachable
+	// that it did not answer the last probe.
+	probe, unreachable bool
 	// failingSince has, by part, since when the platform does not answer.
 	failingSince map[Part]clock.Instant
 }
@@ -80,6 +81,8 @@
 	// calls are those that run under the fence; revoked parts get no further ones.
 	calls   int
 	revoked bool
+	// callStarted is when the last call began.
+	callStarted clock.Instant
 }
 
 // NewSession returns a Session that holds nothing.
@@ -92,6 +95,12 @@
 
 // Run keeps the session until ctx ends.
 func (s *Session) Run(ctx context.Context) {
+	go func() {
+		// A platform that is silent must not hold up heartbeats.
+		for clock.Wait(ctx, s.options.Clock, s.options.TTL/heartbeatsPerTTL) {
+			s.Probe(ctx)
+		}
+	}()
 	for ctx.Err() == nil {
 		s.Renew(ctx)
 		if !clock.Wait(ctx, s.options.Clock, s.options.TTL/heartbeatsPerTTL) {
@@ -100,11 +109,24 @@
 	}
 }
 
+// Probe asks the platform for an answer, if the assigner wants to know.
+func (s *Session) Probe(ctx context.Context) {
+	s.mu.Lock()
+	wanted := s.probe
+	s.mu.Unlock()
+	ctx, cancel := s.options.Clock.WithTimeout(ctx, s.options.TTL/2)
+	defer cancel()
+	unreachable := wanted && !s.options.ProbePlatform(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachable = unreachable
+}
+
 // Renew sends a heartbeat to the first controller that says that it assigns.
 func (s *Session) Renew(ctx context.Context) {
 	ctx, cancel := s.options.Clock.WithTimeout(ctx, s.options.TTL/heartbeatsPerTTL)
 	defer cancel()
-	req := s.request(ctx)
+	req := s.request()
 	asked := map[ids.Address]bool{}
 	candidates := s.candidates()
 	for len(candidates) > 0 && ctx.Err() == nil {
@@ -137,22 +159,17 @@
 }
 
 // request returns the next heartbeat.
-func (s *Session) request(ctx context.Context) SessionRequest {
+func (s *Session) request() SessionRequest {
 	req := SessionRequest{From: s.options.Address, Incarnation: s.options.Incarnation, Zone: s.options.Zone}
-	s.mu.Lock()
-	probe := s.probe
-	s.mu.Unlock()
 	eligible := s.options.Eligible()
-	if probe && !s.options.ProbePlatform(ctx) {
-		req.PlatformDown = true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock.Now()
-	req.Eligible = eligible && !s.leaving
+	req.Eligible, req.PlatformDown = eligible && !s.leaving, s.unreachable
 	for part, held := range s.parts {
 		if held.calls > 0 || (!held.revoked && now.Before(held.expiry)) {
 			req.Active = append(req.Active, Grant{Part: part, Fence: held.fence})
+			req.PlatformDown = req.PlatformDown || (held.calls > 0 && now.Since(held.callStarted) > s.options.TTL)
 		} else if held.revoked {
 			delete(s.parts, part)
 		}
@@ -272,6 +289,7 @@
 		return false
 	}
 	held.calls++
+	held.callStarted = s.options.Clock.Now()
 	return true
 }
 
@@ -279,15 +297,16 @@
 func (s *Session) end(part Part, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	started := s.options.Clock.Now()
 	if held := s.parts[part]; held != nil && held.calls > 0 {
 		held.calls--
+		started = held.callStarted
 	}
-	now := s.options.Clock.Now()
 	s.acts[part] = Act{Part: part, UnixMS: s.options.Wall().UnixMilli(), Status: int64(status)}
 	if status > 0 {
 		delete(s.failingSince, part)
 	} else if _, failing := s.failingSince[part]; !failing {
-		s.failingSince[part] = now
+		s.failingSince[part] = started
 	}
 }
 
--- a/control/usage/collector_test.go
+++ b/control/usage/collector_test.go
@@ -93,7 +93,7 @@
 func (f *fleet) now() time.Duration { return testEpoch + time.Duration(f.clock.Now()) }
 
 func (f *fleet) startRouter(index int) {
-	f.routers[index].meter, f.routers[index].life = NewMeter(testWindow, f.now), f.routers[index].life+1
+	f.routers[index].meter, f.routers[index].life = NewMeter(testWindow, f.now), int64(f.now())+int64(index)
 }
 
 func routerAddress(index int) ids.Address { return ids.Address(fmt.Sprintf("r%d", index)) }
@@ -252,6 +252,14 @@
 	if wrong := f.wrong(first, last, 0); len(wrong) > 0 || last-first < 7 {
 		t.Errorf("windows %d to %d: %v", first, last, wrong)
 	}
+	for window := first; window <= last; window++ {
+		if after := f.platform.takenAt[window] - time.Duration(window+1)*testWindow; after > 2*time.Second {
+			t.Errorf("window %d is reported %v after its end, though all routers have closed it", window, after)
+		}
+	}
+	if stats := f.collectors[0].Stats(); stats.Incomplete > 1 {
+		t.Errorf("%d windows are decided without all zones", stats.Incomplete)
+	}
 	if f.platform.calls != len(f.platform.first) {
 		t.Errorf("%d calls for %d windows", f.platform.calls, len(f.platform.first))
 	}
--- a/data/ratelimit/fleet_test.go
+++ b/data/ratelimit/fleet_test.go
@@ -53,7 +53,7 @@
 	holdTime  time.Duration
 	// issuerWaits counts the needs for which a request waited for the issuer.
 	issuerWaits int
-	held      []heldRequest
+	held        []heldRequest
 }
 
 // heldRequest is a request that was admitted and will not run.
--- a/data/router/usage.go
+++ b/data/router/usage.go
@@ -6,9 +6,9 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
-	"onyxwell/base/random"
 	"onyxwell/base/settings"
 	"onyxwell/control/daemon"
+	"onyxwell/control/timesync"
 	"onyxwell/control/usage"
 )
 
@@ -29,12 +29,15 @@
 	reporter := &usageReporter{clock: source, daemon: d}
 	if agreed := d.AgreedTime(); agreed != nil {
 		reporter.meter = usage.NewMeter(settings.Seconds(node.Bounds.UsageWindowS), agreed.Now)
-		// Later lives of a router have higher numbers, unless its clock was set back.
-		reporter.life = int64(agreed.Now())<<8 | random.Int64N(1<<8)
+		reporter.life = lifeOf(agreed)
 	}
 	return reporter
 }
 
+// lifeOf numbers a life of a router that begins now: later ones have higher numbers, unless
+// its clock was set back.
+func lifeOf(agreed *timesync.Clock) int64 { return int64(agreed.Now()) }
+
 // began counts a request of a tenant that a runner began age ago.
 func (u *usageReporter) began(tenant ids.Tenant, age time.Duration) {
 	if u.meter != nil {
