Soak: the platform judges duties; a body after a response has begun is no head

Cause: the soak had no duties.

Change: boot files of the soak ask for usage reports and sizes; its platform takes every call, loses one answer in five while faults are on, and judges one holder at a time, one report a window, and that windows are reported once faults are over. Heads are bounded only while no request is served. Seed 9145, in which a tenant was rejected within its quota, is a test.

--- a/data/proxy/deadlines.go
+++ b/data/proxy/deadlines.go
@@ -73,6 +73,13 @@
 	return true
 }
 
+// serving returns whether a request is being served, of which only a body may still come.
+func (c *connDeadlines) serving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseServing
+}
+
 // hasRequest returns whether a request is being read or served.
 func (c *connDeadlines) hasRequest() bool {
 	c.mu.Lock()
--- a/data/proxy/headbudget_test.go
+++ b/data/proxy/headbudget_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"onyxwell/base/errkind"
 	"onyxwell/base/memquota"
+	"onyxwell/control/config"
 )
 
 // TestHeadBudget_endlessHeadIsCut has a client send a head that never ends: it is answered
@@ -95,3 +97,42 @@
 		t.Error("ended twice")
 	}
 }
+
+// bodyConn is a connection of which a body comes, without an end of line.
+type bodyConn struct{ net.Conn }
+
+func (bodyConn) Read(buffer []byte) (int, error) {
+	for index := range buffer {
+		buffer[index] = 'x'
+	}
+	return len(buffer), nil
+}
+
+// TestHeadBudget_bodyAfterResponseBeganIsNoHead has a router write a response, as it does
+// for "Expect: 100-continue", before it reads a large body: the body is passed on as it is,
+// and the next head that never ends is cut all the same.
+func TestHeadBudget_bodyAfterResponseBeganIsNoHead(t *testing.T) {
+	conn := &clientConn{Conn: bodyConn{}}
+	conn.head.quota = memquota.New(1<<20, nil)
+	conn.deadlines.limits = func() config.Limits { return config.Limits{MaxHeaderBytes: 16384} }
+	read := func() (cut bool) {
+		buffer := make([]byte, 4096)
+		for range 64 {
+			n, err := conn.Read(buffer)
+			if err != nil || n != len(buffer) {
+				return true
+			}
+		}
+		return false
+	}
+	conn.deadlines.enter(phaseServing)
+	conn.responseBegun.Store(true)
+	if read() {
+		t.Error("a body is cut")
+	}
+	conn.deadlines.enter(phaseIdle)
+	conn.responseBegun.Store(true)
+	if !read() {
+		t.Error("a head without an end is not cut")
+	}
+}
--- a/data/proxy/listener.go
+++ b/data/proxy/listener.go
@@ -138,7 +138,8 @@
 		}
 		if !c.headEnded {
 			c.scanHead(p[:n])
-			if !c.headEnded {
+			// What follows a response that has begun, such as 100, may be the rest of a body.
+			if !c.headEnded && !c.deadlines.serving() {
 				c.head.grow(n, c.deadlines.limits().MaxHeaderBytes)
 			}
 		}
--- a/emulator/links/network.go
+++ b/emulator/links/network.go
@@ -149,7 +149,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return httpcall.CountConn(n.wrap(opened, dialer.UserTimeout), dialer.Traffic), nil
+		conn := n.wrap(opened, dialer.UserTimeout)
+		if dialer.Wrap != nil {
+			conn = dialer.Wrap(conn)
+		}
+		return httpcall.CountConn(conn, dialer.Traffic), nil
 	}
 	return client
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -45,6 +45,7 @@
 	c.checkEvacuation(ctx, op)
 	c.checkCounters(ctx)
 	c.checkQuota(ctx)
+	c.checkDuties(ctx)
 	c.checkControllerReads(ctx, op)
 	c.checkInvariantMetrics(ctx)
 	c.checkMemory(report)
@@ -62,6 +63,7 @@
 		m.setLinkFaults(links.Faults{})
 		m.signal(syscall.SIGCONT)
 	}
+	c.duties.endLosses()
 	c.platform.Unavailable.Store(false)
 	for _, r := range c.runners {
 		r.StopFaults()
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -36,6 +36,7 @@
 	checker oracle.Checker
 	history configHistory
 	quota   quotaRecord
+	duties  dutyRecord
 	// counters is what the applications know.
 	counters *oracle.CounterLedger
 	// executed holds the attempts that ran, unanswered those whose clients waited and
@@ -90,7 +91,7 @@
 	if err := c.startRunners(ctx); err != nil {
 		return c, err
 	}
-	c.platform = &localcluster.Platform{ListRunners: c.listRunners}
+	c.platform = &localcluster.Platform{ListRunners: c.listRunners, OnDuty: c.recordDuty}
 	stopPlatform, err := localcluster.Serve(layout.PlatformAddress(), c.platform)
 	if err != nil {
 		return c, err
--- a/soak/config.go
+++ b/soak/config.go
@@ -34,8 +34,15 @@
 }
 
 type service struct {
-	Name       string `json:"name"`
-	HealthPath string `json:"health_path"`
+	Name       string  `json:"name"`
+	HealthPath string  `json:"health_path"`
+	Scaling    scaling `json:"scaling"`
+}
+
+type scaling struct {
+	Min            int     `json:"min"`
+	Max            int     `json:"max"`
+	StartupSeconds float64 `json:"startup_s"`
 }
 
 type limits struct {
@@ -78,7 +85,7 @@
 		resumable := newRoute(name+"-resumable", "/"+name+"/resumable/", streamingType, name)
 		resumable.Resumable = true
 		doc.Routes = append(doc.Routes, stream, resumable)
-		doc.Services = append(doc.Services, service{Name: name, HealthPath: "/health"})
+		doc.Services = append(doc.Services, service{Name: name, HealthPath: "/health", Scaling: scaling{Min: 1, Max: 9, StartupSeconds: 1}})
 	}
 	doc.Routes = append(doc.Routes, markerRoute(initialID))
 	return doc
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -123,6 +123,7 @@
 	c.logEvent("pause %s for %v", target.Name(), length)
 	process.Signal(syscall.SIGSTOP)
 	c.wait(ctx, length)
+	c.duties.resumed(target.Name(), c.clock.Now())
 	process.Signal(syscall.SIGCONT)
 	c.logEvent("resume %s", target.Name())
 }
--- a/soak/localcluster/platform.go
+++ b/soak/localcluster/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -36,14 +37,54 @@
 	ListRunners func() []ListedRunner
 	// Unavailable has every request answered with 503.
 	Unavailable atomic.Bool
+	// OnDuty takes the calls of duties and returns the status of the answer; 0 has the
+	// call be taken and the answer be lost. It is called concurrently.
+	OnDuty func(call DutyCall) int
 }
 
-// ServeHTTP answers GET /servers; zone and page_token are its parameters.
+// DutyCall is a call to the platform that one daemon at a time is to make.
+type DutyCall struct {
+	Path   string
+	Holder string
+	Fence  int64
+	Body   []byte
+}
+
+// Headers of the calls of duties.
+const (
+	holderHeader = "Onyxwell-Duty-Holder"
+	fenceHeader  = "Onyxwell-Fence-Number"
+)
+
+// maxDutyBody is the largest body of a duty's call that is read.
+const maxDutyBody = 1 << 20
+
+// serveDuty hands a duty's call to OnDuty.
+func (p *Platform) serveDuty(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxDutyBody))
+	fence, fenceErr := strconv.ParseInt(req.Header.Get(fenceHeader), 10, 64)
+	if err != nil || fenceErr != nil || p.OnDuty == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status := p.OnDuty(DutyCall{Path: req.URL.Path, Holder: req.Header.Get(holderHeader), Fence: fence, Body: body})
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+// ServeHTTP answers GET /servers, whose parameters are zone and page_token, and the calls
+// of duties.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if p.Unavailable.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if req.Method == http.MethodPost {
+		p.serveDuty(w, req)
+		return
+	}
 	runners := p.ListRunners()
 	if zone := req.URL.Query().Get("zone"); zone != "" {
 		runners = slices.DeleteFunc(slices.Clone(runners), func(listed ListedRunner) bool { return listed.Zone != zone })
--- a/soak/localcluster/settings.go
+++ b/soak/localcluster/settings.go
@@ -32,6 +32,17 @@
 	QuotaSlack   = 100.0
 )
 
+// Duties, as the boot files have them.
+const (
+	// LeaseTime is the time within which a duty's calls must not go from one holder to
+	// another and back.
+	LeaseTime = 2 * time.Second
+	// UsageWindow is the length of the windows of usage, UsageLate how long after its end
+	// a window's report is due.
+	UsageWindow = 2 * time.Second
+	UsageLate   = 8 * time.Second
+)
+
 // Bandwidth in Mbit/s that the boot files state.
 const (
 	controllerLinkMbps = 100
@@ -43,7 +54,7 @@
 func (l Layout) Settings(machine Machine, dataDir string, firstStart bool, seeds []string) string {
 	zones := l.AllZones()
 	var text strings.Builder
-	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\", \"apart\"]\n",
+	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\", \"apart\", \"leader\"]\n",
 		machine.Name(), machine.Zone.Name, machine.Zone.Region, machine.IP, FirstPort, LastPort, firstStart, dataDir)
 	fmt.Fprintf(&text, "seed_nodes = [\"%s\"]\n[zones]\n", strings.Join(seeds, `", "`))
 	for _, zone := range zones {
@@ -59,7 +70,8 @@
 	}
 	toleratedMachines := min(2, (len(zones)-1)/2)
 	fmt.Fprintf(&text, sharedSettings, l.MemoryMB, linkMbps, toleratedMachines, ApplyWithin.Milliseconds(), CatchUpWithin.Seconds(),
-		EvacuateWithin.Milliseconds(), l.GraceS, QuotaWindowS, QuotaExcess, QuotaSlack, MergeWithin.Milliseconds(), RecoverWithin.Seconds(), l.PlatformAddress())
+		EvacuateWithin.Milliseconds(), l.GraceS, QuotaWindowS, QuotaExcess, QuotaSlack, MergeWithin.Milliseconds(), RecoverWithin.Seconds(),
+		LeaseTime.Milliseconds(), UsageWindow.Seconds(), UsageLate.Seconds(), l.PlatformAddress())
 	return text.String()
 }
 
@@ -89,8 +101,14 @@
 ttl_max_s = 5
 merge_ms = %d
 recovery_s = %g
+lease_ms = %d
+usage_window_s = %g
+usage_late_s = %g
+usage_error = 0.05
 [cloud_api]
 address = %q
+duties = ["usage_report", "scaling"]
+duties_per_s = 50
 rate_per_s = 1000
 max_lag_ms = 200
 `
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// TestRun_seedThatRejectedWithinQuota runs the seed in which 45 requests of a tenant at half
+// of its quota were rejected once all faults were over.
+func TestRun_seedThatRejectedWithinQuota(t *testing.T) {
+	options := DefaultOptions()
+	options.Seed, options.Duration = 9145, 30*time.Second
+	options.DaemonCommand = []string{buildProgram(t), "daemon"}
+	options.Dir, options.Subnet = t.TempDir(), 180
+	runShort(t, options)
+}
+
 // TestRun_shortWithAllFaults runs real processes for some seconds, seed after seed,
 // with faults of every kind drawn from, and runners that misbehave.
 func TestRun_shortWithAllFaults(t *testing.T) {
