Duties: parts settle with few moves; incomplete windows are decided after a quarter of their time

Change: the holder is avoided, parts of other zones go first, and the first assignment waits a session's life for all controllers that start.

--- a/control/duty/assigner.go
+++ b/control/duty/assigner.go
@@ -48,6 +48,7 @@
 	// epoch is the one under which the rest was begun; ready says that the stored
 	// assignment was read under it.
 	epoch     int64
+	begunAt   clock.Instant
 	ready     bool
 	counter   int64
 	sessions  map[ids.Address]*assignerSession
@@ -141,7 +142,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.epoch, a.ready, a.counter, a.published = epoch, true, 0, nil
+	a.epoch, a.begunAt, a.ready, a.counter, a.published = epoch, started, true, 0, nil
 	a.sessions, a.parts = map[ids.Address]*assignerSession{}, map[Part]*partState{}
 	for _, part := range a.options.Parts {
 		a.parts[part] = &partState{record: PartRecord{Part: part}}
--- a/control/duty/balance.go
+++ b/control/duty/balance.go
@@ -26,6 +26,10 @@
 		if now.Before(state.busyUntil) || !slices.Contains(a.options.Parts, part) {
 			continue
 		}
+		if state.record.Fence == 0 && now.Since(a.begunAt) < a.options.TTL {
+			// Other controllers may just be starting, too.
+			continue
+		}
 		if session := a.sessions[state.record.Holder]; session != nil && state.record.heldBy(session.process) && !state.revoking && session.eligible && now.Before(session.expiry) {
 			// It has just been assigned, and not been told yet.
 			continue
@@ -111,13 +115,14 @@
 	}
 }
 
-// revokeExcess has the holder with the most parts give up one, if another has at least
-// two fewer. The caller holds a.mu.
+// revokeExcess has a holder with at least two parts more than another give up one: rather
+// one of another zone than its own. The caller holds a.mu.
 func (a *Assigner) revokeExcess(candidates []*assignerSession, load map[ids.Address]int, now clock.Instant) {
 	least := load[candidates[0].process.address]
 	for _, candidate := range candidates {
 		least = min(least, load[candidate.process.address])
 	}
+	var excess *partState
 	for _, part := range a.sortedParts() {
 		state := a.parts[part]
 		if state.revoking {
@@ -125,9 +130,15 @@
 			return
 		}
 		settled := now.Since(state.movedAt) > 2*a.options.HandOver
-		if settled && state.record.Holder != "" && load[state.record.Holder] >= least+2 {
-			state.revoking = true
-			return
+		session := a.sessions[state.record.Holder]
+		if !settled || session == nil || load[state.record.Holder] < least+2 {
+			continue
 		}
+		if excess == nil || session.zone != part.Zone() {
+			excess = state
+		}
+	}
+	if excess != nil {
+		excess.revoking, excess.avoid = true, excess.record.Holder
 	}
 }
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -394,7 +394,7 @@
 	holders := map[process]int{}
 	for _, state := range c.nodes[c.leaseHolder].assigner.parts {
 		holders[process{state.record.Holder, state.record.Incarnation}]++
-		if state.moves > 2 {
+		if state.moves > 2 || (state.record.Part.Zone() != "" && state.record.Holder == "") {
 			t.Errorf("%s moved %d times", state.record.Part, state.moves)
 		}
 	}
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -19,7 +19,7 @@
 const (
 	// decideLate is the part of the time in which a window falls due after which it is
 	// decided with what is known: it leaves time for another holder and two tries.
-	decideLate = 0.4
+	decideLate = 0.25
 	// horizonWindows is how many windows before the present may be decided: a holder that
 	// finds an older log starts there.
 	horizonWindows = maxWindows
