Quotas: a zone's routers share their parts while the issuer is lost

Change: out of contact with the issuer, a relay grants what it holds unspent and its zone's part of the rate, which routers leave to one relay for a bounded time (control/quota/detached.go); a router that delegates does not use its own part.

--- a/control/daemon/quota.go
+++ b/control/daemon/quota.go
@@ -54,7 +54,7 @@
 }
 
 // AcquireQuota asks the relays of the zone for credit, as quota.AskRelays does.
-func (d *Daemon) AcquireQuota(ctx context.Context, req quota.AcquireRequest) (quota.AcquireResponse, error) {
+func (d *Daemon) AcquireQuota(ctx context.Context, req quota.AcquireRequest, delegate ids.Address) (quota.Answer, error) {
 	req.From = d.Address
 	limited, cancel := d.clock.WithTimeout(ctx, d.quotas.policy.Timeout())
 	defer cancel()
@@ -62,7 +62,7 @@
 	for _, relay := range d.Membership.Relays(d.Membership.Self().Zone, d.timing.RelaysPerZone) {
 		relays = append(relays, relay.Address)
 	}
-	return quota.AskRelays(limited, relays, req, d.askQuotaRelay)
+	return quota.AskRelays(limited, relays, req, delegate, d.askQuotaRelay)
 }
 
 func (d *Daemon) askQuotaRelay(ctx context.Context, relay ids.Address, req quota.AcquireRequest) (quota.AcquireResponse, error) {
--- a/control/quota/acquire_test.go
+++ b/control/quota/acquire_test.go
@@ -15,7 +15,7 @@
 		t.Run(name, func(t *testing.T) {
 			returned, asked := 0.0, 0
 			req := AcquireRequest{Needs: []Need{{Tenant: "a", Amount: -5}, {Tenant: "b", Amount: 3}}}
-			resp, err := AskRelays(context.Background(), []ids.Address{"one", "two", "three"}, req,
+			resp, err := AskRelays(context.Background(), []ids.Address{"one", "two", "three"}, req, "",
 				func(_ context.Context, relay ids.Address, req AcquireRequest) (AcquireResponse, error) {
 					asked++
 					if len(req.Needs) != 2 || req.Needs[1].Amount != 3 {
--- /dev/null
+++ b/control/quota/detached.go
@@ -0,0 +1,72 @@
+package quota
+
+import (
+	"onyxwell/base/clock"
+	"onyxwell/control/config"
+)
+
+// While the issuer is out of contact a relay grants what it holds unspent, which was
+// issued, and its zone's part of the rate: one in all routers for each router that has left
+// its own part to it. The issuer counts these routers in no more by then; a router's part
+// counts here only once it has delegated for longer than any other relay may still count
+// it in, and the router takes its part back only once this relay counts it in no more.
+
+// grantDetached grants immediate needs without the issuer.
+func (r *Relay) grantDetached(cfg *config.Config, req AcquireRequest) AcquireResponse {
+	resp := AcquireResponse{Routers: int64(r.options.Routers()), Amounts: make([]float64, len(req.Needs))}
+	return r.addDetached(cfg, req, resp)
+}
+
+// addDetached grants the immediate needs that a response does not, without the issuer.
+func (r *Relay) addDetached(cfg *config.Config, req AcquireRequest, resp AcquireResponse) AcquireResponse {
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	contact := r.routers[req.From]
+	contact.isAttached = false
+	r.routers[req.From] = contact
+	part := r.delegatedPart(now)
+	for index, need := range req.Needs {
+		tenant := cfg.Tenant(need.Tenant)
+		if tenant == nil || !need.Immediate || need.Amount <= 0 || resp.Amounts[index] > 0 {
+			continue
+		}
+		p := r.pool(need.Tenant, now)
+		p.usedAt = now
+		if p.Take(need.Amount) || r.takeOwn(p, tenant, need.Amount, part, now) {
+			resp.Amounts[index] = need.Amount
+		}
+	}
+	return resp
+}
+
+// delegatedPart is the part of all routers that have left their own part to this relay
+// for long enough. The caller holds r.mu.
+func (r *Relay) delegatedPart(now clock.Instant) float64 {
+	all := r.options.Routers()
+	if all == 0 {
+		return 0
+	}
+	count := 0
+	for _, contact := range r.routers {
+		recent := now.Since(contact.at) <= r.options.Policy.HopTimeout()
+		if recent && contact.delegatingSince > 0 && now.Since(contact.delegatingSince) > r.options.Policy.DetachTimeout(false) {
+			count++
+		}
+	}
+	return min(1, float64(count)/float64(all))
+}
+
+// takeOwn takes an amount out of what accrued of the zone's part for a tenant. The caller
+// holds r.mu.
+func (r *Relay) takeOwn(p *pool, tenant *config.Tenant, amount float64, part float64, now clock.Instant) bool {
+	if now.Before(r.ownSince) {
+		return false
+	}
+	if p.own.FilledAt < r.ownSince {
+		// What accrued before the last contact is gone.
+		p.own = Bucket{FilledAt: r.ownSince}
+	}
+	p.own.Fill(DetachedLimit(tenant, part), now)
+	return p.own.Take(amount)
+}
--- a/control/quota/messages.go
+++ b/control/quota/messages.go
@@ -31,11 +31,17 @@
 type AcquireRequest struct {
 	From ids.Address `avro:"From"`
 	// Routers is how many routers the sender speaks for: those that got the answer to
-	// their last request, if it got that to its own. Others go on with their own part.
+	// their last request, if it got that to its own. Others go on with their own part, or,
+	// with Delegating, have left it to the relay that is asked.
 	Routers int64  `avro:"Routers"`
 	Needs   []Need `avro:"Needs"`
 }
 
+// Delegating is the value of Routers of a router that got its last answer from the relay
+// which it asks, out of contact with the issuer: it does not use its own part. Relays that
+// do not know it take it for a router that goes on with its part, and grant nothing.
+const Delegating = -1
+
 // SchemaName names the sent form; it must never change.
 func (AcquireRequest) SchemaName() string { return "QuotaAcquireRequest" }
 
@@ -46,7 +52,8 @@
 	Issuer bool `avro:"Issuer"`
 	// Routers is how many routers there may be; 0 is not known.
 	Routers int64 `avro:"Routers"`
-	// Amounts has what is granted of each need, in their order.
+	// Amounts has what is granted of each need, in their order. A relay out of contact with
+	// the issuer grants from what it holds, and from its zone's part.
 	Amounts []float64 `avro:"Amounts"`
 }
 
--- a/control/quota/relay.go
+++ b/control/quota/relay.go
@@ -51,6 +51,9 @@
 	// says that it answered the last request.
 	contactAt  clock.Instant
 	isAttached bool
+	// ownSince is from when on the zone's part accrues here while the issuer is out of
+	// contact: it counts in none of the routers any more.
+	ownSince clock.Instant
 	// detachedUntil is until when no request waits for the issuer, after it did not
 	// answer; credit to be kept is asked for all the same.
 	detachedUntil clock.Instant
@@ -61,11 +64,17 @@
 	at clock.Instant
 	// isAttached says that the router got the answer to the request before it.
 	isAttached bool
+	// delegatingSince is since when the router has left its own part to this relay without
+	// a break, 0 if it does not.
+	delegatingSince clock.Instant
 }
 
 // pool is the unspent credit for a tenant.
 type pool struct {
 	Bucket
+	// own has what accrued of the zone's part. It is used while the issuer is out of
+	// contact alone, and never given back.
+	own    Bucket
 	usedAt clock.Instant
 	denial Denial
 }
@@ -74,6 +83,7 @@
 func NewRelay(options RelayOptions) *Relay {
 	return &Relay{
 		options: options, routers: map[ids.Address]routerContact{}, pools: map[ids.Tenant]*pool{},
+		ownSince: options.Clock.Now().Add(options.Policy.DetachTimeout(false)),
 	}
 }
 
@@ -95,7 +105,7 @@
 	}
 	if !r.inContact(req) {
 		if _, err := r.issueUnlessDetached(ctx, nil); err != nil {
-			return r.refuse(req.From), nil
+			return r.grantDetached(cfg, req), nil
 		}
 	}
 	resp := AcquireResponse{Issuer: true, Routers: int64(r.options.Routers()), Amounts: make([]float64, len(req.Needs))}
@@ -110,7 +120,8 @@
 	issued, err := r.issueUnlessDetached(ctx, needs)
 	if err != nil {
 		r.putBack(uncovered)
-		return r.refuse(req.From), nil
+		resp.Issuer = false
+		return r.addDetached(cfg, req, resp), nil
 	}
 	for position, part := range uncovered {
 		if issued[position] > 0 {
@@ -148,21 +159,20 @@
 	}
 }
 
-// refuse counts a router in no more, and returns the response that tells it so.
-func (r *Relay) refuse(router ids.Address) AcquireResponse {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.routers[router] = routerContact{at: r.options.Clock.Now()}
-	return AcquireResponse{Routers: int64(r.options.Routers())}
-}
-
 // inContact records that a router asks, and reports whether the issuer answered of
 // late.
 func (r *Relay) inContact(req AcquireRequest) bool {
 	now := r.options.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.routers[req.From] = routerContact{at: now, isAttached: req.Routers > 0}
+	contact := routerContact{at: now, isAttached: req.Routers > 0}
+	if req.Routers == Delegating {
+		contact.delegatingSince = now
+		if last, ok := r.routers[req.From]; ok && last.delegatingSince > 0 && now.Since(last.at) <= r.options.Policy.HopTimeout() {
+			contact.delegatingSince = last.delegatingSince
+		}
+	}
+	r.routers[req.From] = contact
 	return r.isAttached && now.Since(r.contactAt) <= r.options.Policy.HopTimeout()
 }
 
@@ -305,6 +315,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err != nil && r.isAttached {
+		r.ownSince = r.options.Clock.Now().Add(r.options.Policy.DetachTimeout(false))
+	}
 	r.isAttached = err == nil
 	if err != nil {
 		r.detachedUntil = r.options.Clock.Now().Add(2 * r.options.Policy.Interval())
--- a/data/ratelimit/fleet_test.go
+++ b/data/ratelimit/fleet_test.go
@@ -51,6 +51,8 @@
 	// time of up to holdTime. held are those that wait for it.
 	heldShare float64
 	holdTime  time.Duration
+	// reached is how many routers, the first ones, get requests; 0 is all.
+	reached int
 	// issuerWaits counts the needs for which a request waited for the issuer.
 	issuerWaits int
 	held        []heldRequest
@@ -118,9 +120,9 @@
 	router := f.routers[index]
 	router.limiter = New(Options{
 		Clock: f.clock, Policy: f.policy, Config: f.inForce, Routers: f.routerCount, Random: f.random.Float64,
-		Acquire: func(ctx context.Context, req quota.AcquireRequest) (quota.AcquireResponse, error) {
+		Acquire: func(ctx context.Context, req quota.AcquireRequest, delegate ids.Address) (quota.Answer, error) {
 			req.From = ids.Address(rune('A' + index))
-			return quota.AskRelays(ctx, f.relayAddresses(router.zone), req, func(ctx context.Context, address ids.Address, req quota.AcquireRequest) (quota.AcquireResponse, error) {
+			return quota.AskRelays(ctx, f.relayAddresses(router.zone), req, delegate, func(ctx context.Context, address ids.Address, req quota.AcquireRequest) (quota.AcquireResponse, error) {
 				relay := f.relays[address[0]-'0']
 				if relay.down || router.cut {
 					return quota.AcquireResponse{}, errCut
@@ -193,7 +195,7 @@
 func (f *fleet) step(requests int, costs []float64) (admitted int) {
 	tenant := f.config.Tenant(fleetTenant)
 	for range requests {
-		router := f.routers[f.random.IntN(len(f.routers))]
+		router := f.routers[f.random.IntN(f.reachedRouters())]
 		cost := costs[f.random.IntN(len(costs))]
 		limiter := router.limiter
 		if charge, ok := limiter.Admit(context.Background(), tenant, cost); ok {
@@ -210,6 +212,14 @@
 	return admitted
 }
 
+// reachedRouters returns how many routers get requests.
+func (f *fleet) reachedRouters() int {
+	if f.reached > 0 {
+		return f.reached
+	}
+	return len(f.routers)
+}
+
 // runOrHold has an admitted request run now, or be given back later.
 func (f *fleet) runOrHold(refund func(), cost float64) {
 	now := f.clock.Now()
@@ -338,6 +348,32 @@
 	}
 }
 
+// TestFleet_goesOnWithoutIssuer loses the issuer for some seconds, or the contact of one
+// zone with it, while clients reach few routers each: most of what is within the quota is
+// admitted all the same, since the zone's routers share their parts.
+func TestFleet_goesOnWithoutIssuer(t *testing.T) {
+	for _, rate := range []float64{20, 100} {
+		q := fleetQuota{"requests", quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
+			config.Tenant{Name: fleetTenant, RatePerSecond: rate, Burst: 2 * rate}, 88, []float64{1}}
+		f := newFleet(12, q.policy, q.tenant, q.routers)
+		// A tenant's clients reach one router of each zone.
+		f.reached = fleetZones
+		q.run(f, 5*time.Second, 0.6)
+		f.epoch = 0
+		if got := q.run(f, 6*time.Second, 0.6); got < 0.75 {
+			t.Errorf("rate %g: %.3f of the requests are admitted without an issuer", rate, got)
+		}
+		f.takeLease()
+		q.run(f, 3*time.Second, 0.6)
+		if got := q.run(f, 5*time.Second, 0.6); got < 0.98 {
+			t.Errorf("rate %g: %.3f of the requests are admitted afterwards", rate, got)
+		}
+		if got := f.excess(); got > 0 {
+			t.Errorf("rate %g: the worst window exceeds what may run in one by %.3f", rate, got)
+		}
+	}
+}
+
 // TestFleet_keepsQuotaUnderFaults plays cuts, restarts and changes of the issuer, at
 // any time and over each other, against a tenant that sends many times its quota.
 func TestFleet_keepsQuotaUnderFaults(t *testing.T) {
--- a/data/ratelimit/limiter.go
+++ b/data/ratelimit/limiter.go
@@ -43,9 +43,8 @@
 	// Routers returns how many routers there may be; 0 is not known, and leaves this
 	// one without a part of its own.
 	Routers func() int
-	// Acquire asks the relays of the zone for credit; its error says that one did not
-	// answer and none granted, a response without an issuer that all refused.
-	Acquire func(ctx context.Context, req quota.AcquireRequest) (quota.AcquireResponse, error)
+	// Acquire asks the relays of the zone for credit, as quota.AskRelays does.
+	Acquire func(ctx context.Context, req quota.AcquireRequest, delegate ids.Address) (quota.Answer, error)
 	// Random returns a number in [0, 1).
 	Random func() float64
 	// Log is told at level debug what was admitted from where. It may be nil.
@@ -65,6 +64,9 @@
 	// part of the rate accrues from ownSince on.
 	isAttached bool
 	ownSince   clock.Instant
+	// delegate is the relay that this router has left its own part to, by its last answer
+	// out of contact with the issuer; "" for none.
+	delegate ids.Address
 	// relayRouters is how many routers a relay knew of at most.
 	relayRouters int
 	// detachedUntil is until when no relay is asked, after none answered.
@@ -92,8 +94,8 @@
 func NewDetached(source clock.Clock, inForce func() *config.Config, random func() float64) *Limiter {
 	return New(Options{
 		Clock: source, Policy: quota.PolicyOf(settings.Bounds{}), Config: inForce, Routers: func() int { return 1 }, Random: random,
-		Acquire: func(context.Context, quota.AcquireRequest) (quota.AcquireResponse, error) {
-			return quota.AcquireResponse{}, errNoRelay
+		Acquire: func(context.Context, quota.AcquireRequest, ids.Address) (quota.Answer, error) {
+			return quota.Answer{}, errNoRelay
 		},
 	})
 }
@@ -137,12 +139,12 @@
 		return l.admitDetached(tenant, cost)
 	}
 	granted, err := l.acquire(ctx, []quota.Need{{Tenant: tenant.Name, Amount: cost, Immediate: true}})
+	if len(granted) > 0 && granted[0] >= cost {
+		return Relay, true
+	}
 	if err != nil {
 		return l.admitDetached(tenant, cost)
 	}
-	if granted[0] >= cost {
-		return Relay, true
-	}
 	l.noteDenial(tenant, cost)
 	return Rejected, false
 }
@@ -269,50 +271,69 @@
 	return c
 }
 
-// acquire asks for credit and returns what is granted of each need.
+// acquire asks for credit and returns what is granted of each need. With an error there
+// may be grants, too: of a relay out of contact with the issuer.
 func (l *Limiter) acquire(ctx context.Context, needs []quota.Need) ([]float64, error) {
 	req := quota.AcquireRequest{Needs: needs}
-	if l.attached() {
-		req.Routers = 1
-	}
-	resp, err := l.options.Acquire(ctx, req)
-	refused := err == nil && !resp.Issuer
-	if refused || (err == nil && len(resp.Amounts) != len(needs)) {
+	var delegate ids.Address
+	req.Routers, delegate = l.contact()
+	answer, err := l.options.Acquire(ctx, req, delegate)
+	answered := answer.Relay != "" && len(answer.Amounts) == len(needs)
+	refused := err == nil && !answer.Issuer
+	if refused || (err == nil && !answered) {
 		err = errNoRelay
 	}
-	if err == nil || refused || ctx.Err() == nil {
+	if err == nil || refused || answered || ctx.Err() == nil {
 		// That the caller waited no longer says nothing of the relay.
-		l.noteContact(err, refused, int(resp.Routers))
+		l.noteContact(err, refused, answer, answered)
 	}
-	if err != nil {
-		return nil, err
+	if answered {
+		return answer.Amounts, err
 	}
-	return resp.Amounts, nil
+	return nil, err
 }
 
-func (l *Limiter) attached() bool {
+// contact returns what requests say of this router's own part.
+func (l *Limiter) contact() (routers int64, delegate ids.Address) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.isAttached
+	switch {
+	case l.isAttached:
+		return 1, ""
+	case l.delegate != "":
+		return quota.Delegating, l.delegate
+	}
+	return 0, ""
 }
 
 // noteContact takes over whether a relay answered, or refused, and how many routers it
 // knows of. The first failure after an answer sets when this router's own part of the
 // rate begins; those that follow don't put it off, since their requests don't count
-// this router in.
-func (l *Limiter) noteContact(err error, refused bool, routers int) {
+// this router in. The answer of a relay out of contact with the issuer does: the part is
+// left to that relay until it may count this router in no more.
+func (l *Limiter) noteContact(err error, refused bool, answer quota.Answer, answered bool) {
 	now := l.options.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.relayRouters = max(l.relayRouters, routers)
+	l.relayRouters = max(l.relayRouters, int(answer.Routers))
 	if err == nil {
-		l.isAttached, l.detachedUntil = true, 0
+		l.isAttached, l.delegate, l.detachedUntil = true, "", 0
 		return
 	}
 	if l.isAttached {
 		l.ownSince = now.Add(l.options.Policy.DetachTimeout(refused))
 	}
-	l.isAttached, l.detachedUntil = false, now.Add(l.options.Policy.Interval())
+	if l.delegate != "" {
+		// Requests that are on their way delegate, too.
+		l.ownSince = max(l.ownSince, now.Add(l.options.Policy.DetachTimeout(false)))
+	}
+	l.isAttached, l.delegate = false, ""
+	if answered {
+		l.delegate, l.detachedUntil = answer.Relay, 0
+		l.ownSince = max(l.ownSince, now.Add(l.options.Policy.DetachTimeout(false)))
+		return
+	}
+	l.detachedUntil = now.Add(l.options.Policy.Interval())
 }
 
 // routers returns how many routers there may be, as known here or to a relay, whichever
@@ -335,8 +356,8 @@
 
 func (l *Limiter) fillUp(ctx context.Context, cfg *config.Config) {
 	needs := l.missingCredit(cfg)
-	granted, err := l.acquire(ctx, needs)
-	if err != nil {
+	granted, _ := l.acquire(ctx, needs)
+	if len(granted) == 0 {
 		return
 	}
 	now := l.options.Clock.Now()
--- a/data/ratelimit/limiter_test.go
+++ b/data/ratelimit/limiter_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"onyxwell/base/clock"
+	"onyxwell/base/ids"
 	"onyxwell/control/config"
 	"onyxwell/control/quota"
 )
@@ -18,9 +19,9 @@
 	needs     []quota.Need
 }
 
-func (r *relayStub) acquire(_ context.Context, req quota.AcquireRequest) (quota.AcquireResponse, error) {
+func (r *relayStub) acquire(_ context.Context, req quota.AcquireRequest, _ ids.Address) (quota.Answer, error) {
 	if !r.reachable {
-		return quota.AcquireResponse{}, errCut
+		return quota.Answer{}, errCut
 	}
 	r.needs = append(r.needs, req.Needs...)
 	resp := quota.AcquireResponse{Issuer: true, Amounts: make([]float64, len(req.Needs))}
@@ -29,7 +30,7 @@
 			resp.Amounts[index] = need.Amount
 		}
 	}
-	return resp, nil
+	return quota.Answer{AcquireResponse: resp, Relay: "relay"}, nil
 }
 
 // admits reports whether a limiter admits a request.
