Quotas: routers use their own parts until their zone's part begins

Cause: routers withheld their own part as soon as a relay answered without an issuer; the zone's part begins half a second later.

Change: the own part goes on for three intervals; the relay counts a router in after four.

Measured: TestFleet_* with three times 2,000 draws, none beyond the quota.

--- a/control/quota/policy.go
+++ b/control/quota/policy.go
@@ -89,6 +89,10 @@
 	return 2 * p.HopTimeout()
 }
 
+// DelegateTimeout is for how long a router goes on with its own part after it has left it
+// to a relay: that counts it in only once it has delegated for a DetachTimeout.
+func (p Policy) DelegateTimeout() time.Duration { return 3 * p.Interval() }
+
 // RetryAfter is when a client whose request was rejected may come back: credit has
 // been filled up by then.
 func (p Policy) RetryAfter() time.Duration { return p.Interval() }
--- a/data/ratelimit/limiter.go
+++ b/data/ratelimit/limiter.go
@@ -65,8 +65,9 @@
 	isAttached bool
 	ownSince   clock.Instant
 	// delegate is the relay that this router has left its own part to, by its last answer
-	// out of contact with the issuer; "" for none.
-	delegate ids.Address
+	// out of contact with the issuer, without a break since delegateSince; "" for none.
+	delegate      ids.Address
+	delegateSince clock.Instant
 	// relayRouters is how many routers a relay knew of at most.
 	relayRouters int
 	// detachedUntil is until when no relay is asked, after none answered.
@@ -238,8 +239,9 @@
 	if routers == 0 {
 		return Rejected, false
 	}
+	l.withholdOwn(now)
 	// An attached router is counted in, also where a caller did not wait for the relay.
-	if !l.isAttached {
+	if !l.isAttached && l.ownSince <= now {
 		if c.own.FilledAt < l.ownSince {
 			// What accrued before the last contact is gone: the issuer counted this router.
 			c.own = quota.Bucket{FilledAt: l.ownSince}
@@ -323,19 +325,28 @@
 	if l.isAttached {
 		l.ownSince = now.Add(l.options.Policy.DetachTimeout(refused))
 	}
-	if l.delegate != "" {
+	if !answered || answer.Relay != l.delegate {
 		// Requests that are on their way delegate, too.
-		l.ownSince = max(l.ownSince, now.Add(l.options.Policy.DetachTimeout(false)))
+		l.withholdOwn(now)
+		l.delegate, l.delegateSince = "", now
 	}
-	l.isAttached, l.delegate = false, ""
+	l.isAttached = false
 	if answered {
 		l.delegate, l.detachedUntil = answer.Relay, 0
-		l.ownSince = max(l.ownSince, now.Add(l.options.Policy.DetachTimeout(false)))
+		l.withholdOwn(now)
 		return
 	}
 	l.detachedUntil = now.Add(l.options.Policy.Interval())
 }
 
+// withholdOwn puts this router's own part off until the relay that it is left to counts it
+// in no more, if that may count it in by now. The caller holds l.mu.
+func (l *Limiter) withholdOwn(now clock.Instant) {
+	if l.delegate != "" && now.Since(l.delegateSince) >= l.options.Policy.DelegateTimeout() {
+		l.ownSince = max(l.ownSince, now.Add(l.options.Policy.DetachTimeout(false)))
+	}
+}
+
 // routers returns how many routers there may be, as known here or to a relay, whichever
 // knows of more; 0 is not known. The caller holds l.mu.
 func (l *Limiter) routers() int { return max(l.options.Routers(), l.relayRouters) }
