--- a/control/timesync/timesync.go
+++ b/control/timesync/timesync.go
@@ -44,6 +44,9 @@
 	maxSampleAge = 10 * interval
 	// maxPeers bounds how many clocks a round asks.
 	maxPeers = 8
+	// minRounds is after how many rounds the time is agreed on though fewer than three clocks
+	// are known: there are no more controllers, or no others that tell their time.
+	minRounds = 5
 	// maxRoundTrip is the longest round trip whose sample counts.
 	maxRoundTrip = interval / 2
 )
@@ -66,6 +69,7 @@
 	mu     sync.Mutex
 	offset time.Duration
 	synced bool
+	rounds int
 	// samples are the offsets of other controllers' clocks.
 	samples map[ids.Address]sample
 }
@@ -149,6 +153,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock.Now()
+	c.rounds++
 	offsets := []time.Duration{own}
 	for peer, known := range c.samples {
 		if now.Since(known.at) > maxSampleAge {
@@ -162,7 +167,7 @@
 		return
 	}
 	slices.Sort(offsets)
-	c.offset, c.synced = offsets[(len(offsets)-1)/2], c.synced || len(offsets) > 2
+	c.offset, c.synced = offsets[(len(offsets)-1)/2], c.synced || len(offsets) > 2 || c.rounds >= minRounds
 }
 
 // Adopt takes over the time that a relay told in answer to a request sent at started: it
--- a/control/timesync/timesync_test.go
+++ b/control/timesync/timesync_test.go
@@ -69,3 +69,31 @@
 	fake.Advance(time.Second)
 	check("all right again")
 }
+
+// TestClock_fewClocks has one controller alone, and two: their time is agreed on after some
+// rounds, and a step of a clock has no effect from then on.
+func TestClock_fewClocks(t *testing.T) {
+	for _, peers := range [][]ids.Address{nil, {"b"}} {
+		fake, start, step := clock.NewFake(), time.Unix(1_700_000_000, 0), time.Duration(0)
+		wall := func() time.Time { return start.Add(time.Duration(fake.Now()) + step) }
+		alone := New(Options{
+			Clock: fake, Wall: wall, Peers: func() []ids.Address { return peers },
+			Ask: func(context.Context, ids.Address) (SampleResponse, error) {
+				return SampleResponse{UnixNanos: wall().UnixNano()}, nil
+			},
+		})
+		for round := 1; round <= minRounds; round++ {
+			if alone.Synced() {
+				t.Errorf("%d peers: synced after %d rounds", len(peers), round-1)
+			}
+			alone.Sample(context.Background())
+			fake.Advance(interval)
+		}
+		want := alone.Now()
+		step = 2 * time.Second
+		alone.Sample(context.Background())
+		if !alone.Synced() || alone.Now() != want {
+			t.Errorf("%d peers: synced %v, off by %v after a step", len(peers), alone.Synced(), alone.Now()-want)
+		}
+	}
+}
