Duties: one type for a register's update, one plain error, two comments that were stale

duty.UpdateFunc repeated register.UpdateFunc and needed a wrapper in the controller; errSuperseded was a type of its own. No behaviour changes; tests of control/duty, usage, sizing and transport, vet, staticcheck and revive ran.

--- a/control/controller/duties.go
+++ b/control/controller/duties.go
@@ -91,7 +91,7 @@
 func (c *Controller) newAssigner(holder *lease.Holder, parts []duty.Part) func(context.Context) {
 	c.duties.assigner = duty.NewAssigner(duty.AssignerOptions{
 		Clock: c.clock, Wall: time.Now, Address: c.daemon.Address, Parts: parts, TTL: c.timing.LeaseDuration, HandOver: c.handOverTime(),
-		Held: holder.Held, Update: c.updateDutyState, Publish: func(item gossip.Item) { c.daemon.Updates.Put(item) }, NewSerial: discovery.FencedSerial, Log: c.log,
+		Held: holder.Held, Update: c.commands.Update, Publish: func(item gossip.Item) { c.daemon.Updates.Put(item) }, NewSerial: discovery.FencedSerial, Log: c.log,
 	})
 	c.duties.session = duty.NewSession(duty.SessionOptions{
 		Clock: c.clock, Wall: time.Now, Address: c.daemon.Address, Zone: c.settings.Zone, Incarnation: 1 + random.Int64N(1<<62),
@@ -123,11 +123,6 @@
 	return transport.Send[duty.SessionResponse](ctx, c.daemon.Transport, to, duty.SessionMessage, req)
 }
 
-// updateDutyState stores a value at this controller's own proposer.
-func (c *Controller) updateDutyState(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error) {
-	return c.commands.Update(ctx, key, update)
-}
-
 // newDutyHTTP makes a client whose connections serve one call each. Unacknowledged bytes
 // end a connection within half of a session, also while this process is stopped.
 func (c *Controller) newDutyHTTP(wrap func(net.Conn) net.Conn) *http.Client {
@@ -144,7 +139,7 @@
 		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
 		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
 		Held:   func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
-		Update: c.updateDutyState,
+		Update: c.commands.Update,
 		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
 			return c.duties.client.Call(ctx, duty.UsagePart, fence, call)
 		},
@@ -182,7 +177,7 @@
 func (c *Controller) addOrderer() {
 	orderer := sizing.New(sizing.Options{
 		Clock: c.clock, Zones: c.settings.ZoneNames(), Config: c.daemon.Config, Planned: c.plannedSizes,
-		Held: c.duties.session.Held, Update: c.updateDutyState, Call: c.duties.client.Call, RetryPause: orderRetryPause, Log: c.log,
+		Held: c.duties.session.Held, Update: c.commands.Update, Call: c.duties.client.Call, RetryPause: orderRetryPause, Log: c.log,
 	})
 	c.daemon.AddService("sizing", func(ctx context.Context) error { orderer.Run(ctx, dutyStep); return nil })
 }
--- a/control/duty/assigner.go
+++ b/control/duty/assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -11,11 +12,12 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/gossip"
+	"onyxwell/control/state/register"
 	"onyxwell/control/transport"
 )
 
-// UpdateFunc stores the next value of a key on a majority, as register.UpdateFunc does.
-type UpdateFunc = func(current []byte) ([]byte, error)
+// UpdateFunc returns the next value of a key that is stored on a majority.
+type UpdateFunc = register.UpdateFunc
 
 // AssignerOptions configure an Assigner. All are required but Log.
 type AssignerOptions struct {
@@ -167,11 +169,7 @@
 }
 
 // errSuperseded ends an update of an assigner whose lease has passed to another.
-var errSuperseded = supersededError{}
-
-type supersededError struct{}
-
-func (supersededError) Error() string { return "duty: another assigner has taken over" }
+var errSuperseded = errors.New("duty: another assigner has taken over")
 
 func decodeAssignment(value []byte) (Assignment, error) {
 	if len(value) == 0 {
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -252,7 +252,7 @@
 }
 
 func (j *judge) take(c call) {
-	// left is when another holder than this one began to act after this one's last call.
+	// overtaken says that another holder has acted since the call that is looked at.
 	overtaken := false
 	for index := len(j.calls) - 1; index >= 0; index-- {
 		former := j.calls[index]
--- a/control/usage/meter.go
+++ b/control/usage/meter.go
@@ -29,8 +29,8 @@
 	mu      sync.Mutex
 	windows map[int64]map[ids.Tenant]int64
 	decided int64
-	// lowest is the window of the last report: no earlier one is counted in any more,
-	// also where the agreed time steps back.
+	// closed is the last window that a report has closed: it is counted in no more, also
+	// where the agreed time steps back.
 	closed int64
 	ended  bool
 }
