Quotas: a controller that does not know how many routers there are leaves the issuer's lease to others

Cause: a controller that had lost its disk took the lease of quotas while all processes started, before its zone's size was published.

Change: lease.Options.Eligible; the holder of the lease quota requests it only once the number of routers is known. The simulation checks that an issuer knows it.

--- a/control/controller/duties.go
+++ b/control/controller/duties.go
@@ -49,7 +49,7 @@
 		return
 	}
 	c.duties = &duties{}
-	c.addSingleton(duty.LeaseName, func(holder *lease.Holder) func(context.Context) { return c.newAssigner(holder, parts) })
+	c.addSingleton(singleton{lease: duty.LeaseName, newService: func(holder *lease.Holder) func(context.Context) { return c.newAssigner(holder, parts) }})
 	c.duties.client = duty.NewClient(duty.ClientOptions{
 		Clock: c.clock, Session: c.duties.session, Node: c.settings.NodeName, Address: c.settings.Platform.Address,
 		Timeout: c.handOverTime(), CheckInterval: dutyCheckInterval, NewHTTP: c.newDutyHTTP,
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -36,26 +36,36 @@
 	c.daemon.AddService("voter", func(ctx context.Context) error { c.voter.Run(ctx, c.timing.GossipInterval); return nil })
 	c.daemon.AddService("sweep", func(ctx context.Context) error { c.commands.Run(ctx, c.timing.SweepInterval); return nil })
 	c.daemon.AddService("counters", func(ctx context.Context) error { c.counters.Run(ctx); return nil })
-	c.addSingleton(discoveryLease, c.newPublisher)
-	c.addSingleton(planningLease, c.newAutoscaler)
-	c.addSingleton(quotaLease, c.newQuotaIssuer)
+	c.addSingleton(singleton{lease: discoveryLease, newService: c.newPublisher})
+	c.addSingleton(singleton{lease: planningLease, newService: c.newAutoscaler})
+	c.addSingleton(singleton{lease: quotaLease, newService: c.newQuotaIssuer, eligible: c.KnowsRouters})
 	c.addDuties()
 	c.addAdminAPI()
 	c.addDirectory()
 }
 
-// addSingleton adds a service that acts only while this controller holds the
-// lease of that name. newService is called once, before the supervisor starts.
-func (c *Controller) addSingleton(name string, newService func(*lease.Holder) func(context.Context)) {
+// singleton is a service that acts only while this controller holds a lease.
+type singleton struct {
+	// lease is the lease's name.
+	lease string
+	// newService is called once, before the supervisor starts.
+	newService func(*lease.Holder) func(context.Context)
+	// eligible reports whether the service could do its work here; until it can, the lease
+	// is left to other controllers. nil is always.
+	eligible func() bool
+}
+
+// addSingleton adds a singleton and the holder of its lease.
+func (c *Controller) addSingleton(added singleton) {
 	holder := lease.NewHolder(lease.Options{
 		Clock: c.clock, Log: c.log,
-		Name: name, Address: c.daemon.Address, TTL: c.timing.LeaseDuration,
+		Name: added.lease, Address: c.daemon.Address, TTL: c.timing.LeaseDuration, Eligible: added.eligible,
 		RequestGrant: c.voter.RequestLease, NextEpoch: c.commands.NextEpoch, Monitor: c.daemon.Monitor,
 	})
 	c.leases = append(c.leases, holder)
-	run := newService(holder)
-	c.daemon.AddService("lease "+name, func(ctx context.Context) error { holder.Run(ctx); return nil })
-	c.daemon.AddService(name, func(ctx context.Context) error { run(ctx); return nil })
+	run := added.newService(holder)
+	c.daemon.AddService("lease "+added.lease, func(ctx context.Context) error { holder.Run(ctx); return nil })
+	c.daemon.AddService(added.lease, func(ctx context.Context) error { run(ctx); return nil })
 }
 
 // newPublisher makes the singleton that polls the platform's endpoint list.
--- a/control/state/lease/holder.go
+++ b/control/state/lease/holder.go
@@ -17,7 +17,7 @@
 // as long as the time between two.
 const renewalsPerTTL = 3
 
-// Options configure a Holder. All but Monitor and Incarnation are required.
+// Options configure a Holder. All but Eligible, Monitor and Incarnation are required.
 type Options struct {
 	// Clock measures all timeouts; it and Log are required.
 	Clock clock.Clock
@@ -32,6 +32,9 @@
 	RequestGrant func(ctx context.Context, req Request) Outcome
 	// NextEpoch durably raises the lease's epoch and returns it.
 	NextEpoch func(ctx context.Context, name string) (int64, error)
+	// Eligible reports whether this daemon could do what the lease is for; until it can,
+	// the lease is left to others. It may be nil.
+	Eligible func() bool
 	// Monitor counts broken invariants; it may be nil.
 	Monitor *invariant.Monitor
 	// Incarnation tells this process from the one before it on the same address;
@@ -137,7 +140,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.sequence++
-	return h.sequence, h.heldAt(now), h.resigned || now.Before(h.standDownUntil)
+	renew = h.heldAt(now)
+	idle = h.resigned || now.Before(h.standDownUntil) || (!renew && !h.eligible())
+	return h.sequence, renew, idle
+}
+
+// eligible reports whether the lease may be requested where it is not held.
+func (h *Holder) eligible() bool {
+	return h.options.Eligible == nil || h.options.Eligible()
 }
 
 func (h *Holder) newRequest(sequence int64, req Request) Request {
--- a/control/state/lease/holder_test.go
+++ b/control/state/lease/holder_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// TestHolder_ineligibleLeavesLeaseToOthers has a daemon that cannot do yet what the lease
+// is for request nothing; once it holds the lease it renews it all the same.
+func TestHolder_ineligibleLeavesLeaseToOthers(t *testing.T) {
+	c := newCluster()
+	c.clock.Advance(testTTL)
+	eligible := false
+	c.holders[0].options.Eligible = func() bool { return eligible }
+	if c.holders[0].TryAcquireOrRenew(c.ctx) {
+		t.Fatal("requested while not eligible")
+	}
+	eligible = true
+	if !c.holders[0].TryAcquireOrRenew(c.ctx) {
+		t.Fatal("not granted though eligible")
+	}
+	eligible = false
+	if !c.holders[0].TryAcquireOrRenew(c.ctx) {
+		t.Fatal("what is held was not renewed")
+	}
+	c.holders[0].Release(c.ctx)
+	if !c.holders[1].TryAcquireOrRenew(c.ctx) {
+		t.Fatal("the lease is not free")
+	}
+}
+
 // TestHolder_releasesOnlyWhatWasGranted counts the releases of a holder that is
 // refused: what no voter granted need not be released.
 func TestHolder_releasesOnlyWhatWasGranted(t *testing.T) {
--- a/simulation/invariants.go
+++ b/simulation/invariants.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"onyxwell/control/quota"
 	"onyxwell/control/state/register"
 )
 
@@ -42,7 +43,7 @@
 }
 
 // leaseNames are the leases of which one controller at a time may hold each.
-var leaseNames = []string{"census", "plan", "quota"}
+var leaseNames = []string{"census", "plan", quota.LeaseName}
 
 // checkInvariants checks what must hold after every event.
 func (c *Cluster) checkInvariants() {
@@ -54,6 +55,20 @@
 	for _, name := range leaseNames {
 		c.checkLease(name)
 	}
+	c.checkQuotaIssuer()
+}
+
+// checkQuotaIssuer checks that whoever issues credit for quotas knows how many routers
+// there may be.
+func (c *Cluster) checkQuotaIssuer() {
+	for _, machine := range c.machines {
+		if machine.process == nil || machine.frozen || machine.process.controller == nil {
+			continue
+		}
+		if _, held := machine.process.controller.HoldsLease(quota.LeaseName); held && !machine.process.controller.KnowsRouters() {
+			c.reportViolation("%s issues quotas and does not know how many routers there are", machine.name)
+		}
+	}
 }
 
 // checkLease checks that a lease has one holder, and that no two machines ever
--- a/simulation/quota_test.go
+++ b/simulation/quota_test.go
@@ -27,3 +27,29 @@
 		})
 	}
 }
+
+// TestQuota_issuerKnowsRouters kills all machines at once, of which one controller has lost
+// its disk: it took the lease of quotas before it heard of its zone's size, and for three
+// seconds issued next to nothing to requests at half of their quota. The soak found it
+// (seed 9145, beside load).
+func TestQuota_issuerKnowsRouters(t *testing.T) {
+	if runWithoutRaceDetector(t) {
+		return
+	}
+	for seed := uint64(1); seed <= 4; seed++ {
+		result := Run(t, Options{Site: Sites["three"], Seed: seed, Duration: 14 * time.Second, scenario: func(cluster *Cluster) {
+			cluster.executeChange(cluster.changeCommand(0, 1, false))
+			cluster.sleep(6 * time.Second)
+			cluster.machines[0].wipe()
+			for _, machine := range cluster.machines[1:] {
+				machine.losePower()
+			}
+			for _, machine := range cluster.machines {
+				machine.powerOn()
+			}
+		}})
+		for _, violation := range result.Violations {
+			t.Error(violation)
+		}
+	}
+}
