Quotas: routers' requests do not wait for a silent issuer

A router that gave up waiting also had its relay believe that the issuer was silent.

Change: after a request that failed, only FillUp asks the issuer until it answers; a caller that gave up changes nothing of the contact.

Measured: TestRelay_requestsDoNotWaitForSilentIssuer (10 of 20 waited before, 1 after) and TestRelay_callerThatGivesUpSaysNothingOfIssuer fail without the change.

--- a/control/quota/relay.go
+++ b/control/quota/relay.go
@@ -47,18 +47,27 @@
 	// routers has when each router asked last, and whether it counts in.
 	routers map[ids.Address]routerContact
 	pools   map[ids.Tenant]*pool
-	// contactAt is when the issuer was asked last that answered; 0 is never. isAttached
-	// says that it answered the last request.
-	contactAt  clock.Instant
-	isAttached bool
+	// contactAt is when the issuer was asked last that answered; 0 is never.
+	contactAt clock.Instant
+	contact   issuerContact
 	// ownSince is from when on the zone's part accrues here while the issuer is out of
 	// contact: it counts in none of the routers any more.
 	ownSince clock.Instant
-	// detachedUntil is until when no request waits for the issuer, after it did not
-	// answer; credit to be kept is asked for all the same.
-	detachedUntil clock.Instant
 }
 
+// issuerContact is what came of a relay's last request to the issuer.
+type issuerContact int
+
+const (
+	// issuerUnasked: there was none.
+	issuerUnasked issuerContact = iota
+	// issuerAnswers: it was answered.
+	issuerAnswers
+	// issuerSilent: it was not. No router's need is passed on until FillUp has an answer:
+	// a router would wait no longer than this relay, and be granted nothing.
+	issuerSilent
+)
+
 // routerContact is the last request of a router.
 type routerContact struct {
 	at clock.Instant
@@ -96,16 +105,16 @@
 }
 
 // Acquire grants credit to a router: from the unspent, or, for an immediate need
-// that it does not cover, from the issuer. While that is out of contact nothing is
-// granted, since the router goes on with its own part.
+// that it does not cover, from the issuer. While that is silent it grants what is unspent
+// and the zone's part, without waiting. An error says that the caller waited no longer.
 func (r *Relay) Acquire(ctx context.Context, req AcquireRequest) (AcquireResponse, error) {
 	cfg := r.options.Config()
 	if cfg == nil {
 		return AcquireResponse{}, errkind.Errorf(errkind.NotReady, "no configuration")
 	}
 	if !r.inContact(req) {
-		if _, err := r.issueUnlessDetached(ctx, nil); err != nil {
-			return r.grantDetached(cfg, req), nil
+		if _, err := r.issueUnlessSilent(ctx, nil); err != nil {
+			return r.grantDetached(cfg, req), ctx.Err()
 		}
 	}
 	resp := AcquireResponse{Issuer: true, Routers: int64(r.options.Routers()), Amounts: make([]float64, len(req.Needs))}
@@ -117,9 +126,14 @@
 	for _, part := range uncovered {
 		needs = append(needs, part.rest())
 	}
-	issued, err := r.issueUnlessDetached(ctx, needs)
+	issued, err := r.issueUnlessSilent(ctx, needs)
 	if err != nil {
 		r.putBack(uncovered)
+	}
+	if err != nil && ctx.Err() != nil {
+		return AcquireResponse{}, err
+	}
+	if err != nil {
 		resp.Issuer = false
 		return r.addDetached(cfg, req, resp), nil
 	}
@@ -173,7 +187,7 @@
 		}
 	}
 	r.routers[req.From] = contact
-	return r.isAttached && now.Since(r.contactAt) <= r.options.Policy.HopTimeout()
+	return r.contact == issuerAnswers && now.Since(r.contactAt) <= r.options.Policy.HopTimeout()
 }
 
 // grantUnspent grants what the pools hold. It returns the immediate needs for whose rest
@@ -289,22 +303,23 @@
 	return needs, true
 }
 
-// issueUnlessDetached is issue, but for the time after the issuer did not answer.
-func (r *Relay) issueUnlessDetached(ctx context.Context, needs []Need) ([]float64, error) {
+// issueUnlessSilent is issue, but while the issuer is silent.
+func (r *Relay) issueUnlessSilent(ctx context.Context, needs []Need) ([]float64, error) {
 	r.mu.Lock()
-	isDetached := r.options.Clock.Now().Before(r.detachedUntil)
+	isSilent := r.contact == issuerSilent
 	r.mu.Unlock()
-	if isDetached {
+	if isSilent {
 		return nil, errNoIssuer
 	}
 	return r.issue(ctx, needs)
 }
 
-// issue asks the issuer and returns what it granted of each need.
+// issue asks the issuer and returns what it granted of each need. That the caller waited no
+// longer says nothing of the issuer.
 func (r *Relay) issue(ctx context.Context, needs []Need) ([]float64, error) {
 	req := AcquireRequest{From: r.options.Address, Needs: needs}
 	r.mu.Lock()
-	if r.isAttached {
+	if r.contact == issuerAnswers {
 		req.Routers = r.routersInContact(r.options.Clock.Now())
 	}
 	r.mu.Unlock()
@@ -313,18 +328,26 @@
 	if err == nil && (!resp.Issuer || len(resp.Amounts) != len(needs)) {
 		err = errNoIssuer
 	}
+	if err != nil && ctx.Err() != nil {
+		return nil, err
+	}
+	return resp.Amounts, r.noteContact(err, started)
+}
+
+// noteContact takes over what came of a request to the issuer, and returns its error. The
+// first that fails sets when the zone's part begins.
+func (r *Relay) noteContact(err error, askedAt clock.Instant) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil && r.isAttached {
-		r.ownSince = r.options.Clock.Now().Add(r.options.Policy.DetachTimeout(false))
+	if err == nil {
+		r.contact, r.contactAt = issuerAnswers, max(r.contactAt, askedAt)
+		return nil
 	}
-	r.isAttached = err == nil
-	if err != nil {
-		r.detachedUntil = r.options.Clock.Now().Add(2 * r.options.Policy.Interval())
-		return nil, err
+	if r.contact == issuerAnswers {
+		r.ownSince = r.options.Clock.Now().Add(r.options.Policy.DetachTimeout(false))
 	}
-	r.contactAt, r.detachedUntil = max(r.contactAt, started), 0
-	return resp.Amounts, nil
+	r.contact = issuerSilent
+	return err
 }
 
 // Timeout bounds how long an answer is waited for: the time after which whoever asks
--- /dev/null
+++ b/control/quota/relay_test.go
@@ -0,0 +1,108 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/config"
+)
+
+const relayTenant ids.Tenant = "alpha"
+
+// relayHarness is a relay with an issuer that grants all, is silent, or outlasts its caller.
+type relayHarness struct {
+	clock *clock.Fake
+	relay *Relay
+	// isSilent has the issuer not answer; giveUp, if set, ends the caller's wait meanwhile.
+	isSilent bool
+	giveUp   context.CancelFunc
+	asked    int
+}
+
+func newRelayHarness(t *testing.T) *relayHarness {
+	t.Helper()
+	cfg, err := config.Parse([]byte(`{"customers":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg = cfg.WithTenants([]config.Tenant{{Name: relayTenant, RatePerSecond: 120, Burst: 120}})
+	h := &relayHarness{clock: clock.NewFake()}
+	h.relay = NewRelay(RelayOptions{
+		Clock: h.clock, Address: "relay", Policy: Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, Zones: 1,
+		Config: func() *config.Config { return cfg }, Routers: func() int { return 1 },
+		Issue: func(_ context.Context, req AcquireRequest) (AcquireResponse, error) {
+			h.asked++
+			if h.giveUp != nil {
+				h.giveUp()
+			}
+			if h.isSilent {
+				return AcquireResponse{}, errors.New("no answer")
+			}
+			resp := AcquireResponse{Issuer: true}
+			for _, need := range req.Needs {
+				resp.Amounts = append(resp.Amounts, max(0, need.Amount))
+			}
+			return resp, nil
+		},
+	})
+	return h
+}
+
+// acquire has a router ask for one request's credit, and reports whether the relay answered
+// by its issuer.
+func (h *relayHarness) acquire(t *testing.T, ctx context.Context) (AcquireResponse, error) {
+	t.Helper()
+	return h.relay.Acquire(ctx, AcquireRequest{From: "router", Routers: 1, Needs: []Need{{Tenant: relayTenant, Amount: 1, Immediate: true}}})
+}
+
+// TestRelay_requestsDoNotWaitForSilentIssuer cuts a relay off for longer than any timeout:
+// a router's requests wait for the issuer once at most, since whoever waits is granted
+// nothing in the end, and the router takes this relay for silent, too. Every second one
+// waited before, so that routers never left their parts to the relay.
+func TestRelay_requestsDoNotWaitForSilentIssuer(t *testing.T) {
+	h := newRelayHarness(t)
+	ctx := context.Background()
+	if resp, err := h.acquire(t, ctx); err != nil || !resp.Issuer {
+		t.Fatalf("not granted in contact: %+v, %v", resp, err)
+	}
+	h.isSilent, h.asked = true, 0
+	for range 20 {
+		h.clock.Advance(h.relay.options.Policy.Interval())
+		if resp, err := h.acquire(t, ctx); err != nil || resp.Issuer {
+			t.Fatalf("%+v, %v from a relay whose issuer is silent", resp, err)
+		}
+	}
+	if h.asked > 1 {
+		t.Errorf("%d of 20 requests waited for a silent issuer", h.asked)
+	}
+	h.isSilent = false
+	h.relay.FillUp(ctx)
+	if resp, err := h.acquire(t, ctx); err != nil || !resp.Issuer {
+		t.Errorf("not granted in contact again: %+v, %v", resp, err)
+	}
+}
+
+// TestRelay_callerThatGivesUpSaysNothingOfIssuer ends a router's wait before the issuer's
+// answer: the relay stays in contact, and counts the router in.
+func TestRelay_callerThatGivesUpSaysNothingOfIssuer(t *testing.T) {
+	h := newRelayHarness(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	if _, err := h.acquire(t, ctx); err != nil {
+		t.Fatal(err)
+	}
+	h.isSilent, h.giveUp = true, cancel
+	if resp, err := h.acquire(t, ctx); err == nil {
+		t.Fatalf("%+v for a caller that gave up", resp)
+	}
+	h.isSilent, h.giveUp = false, nil
+	if resp, err := h.acquire(t, context.Background()); err != nil || !resp.Issuer {
+		t.Errorf("out of contact since a caller gave up: %+v, %v", resp, err)
+	}
+	if got := h.relay.routersInContact(h.clock.Now()); got != 1 {
+		t.Errorf("%d routers are counted in, 1 is in contact", got)
+	}
+}
