--- a/control/quota/relay.go
+++ b/control/quota/relay.go
@@ -55,14 +55,13 @@
 	ownSince clock.Instant
 }
 
-// issuerContact is what came of a relay's last request to the issuer.
+// issuerContact is what came of a relay's last request to the issuer; 0 is that there was
+// none.
 type issuerContact int
 
 const (
-	// issuerUnasked: there was none.
-	issuerUnasked issuerContact = iota
 	// issuerAnswers: it was answered.
-	issuerAnswers
+	issuerAnswers issuerContact = iota + 1
 	// issuerSilent: it was not. No router's need is passed on until FillUp has an answer:
 	// a router would wait no longer than this relay, and be granted nothing.
 	issuerSilent
--- a/control/quota/relay_test.go
+++ b/control/quota/relay_test.go
@@ -54,7 +54,7 @@
 
 // acquire has a router ask for one request's credit, and reports whether the relay answered
 // by its issuer.
-func (h *relayHarness) acquire(t *testing.T, ctx context.Context) (AcquireResponse, error) {
+func (h *relayHarness) acquire(ctx context.Context, t *testing.T) (AcquireResponse, error) {
 	t.Helper()
 	return h.relay.Acquire(ctx, AcquireRequest{From: "router", Routers: 1, Needs: []Need{{Tenant: relayTenant, Amount: 1, Immediate: true}}})
 }
@@ -66,13 +66,13 @@
 func TestRelay_requestsDoNotWaitForSilentIssuer(t *testing.T) {
 	h := newRelayHarness(t)
 	ctx := context.Background()
-	if resp, err := h.acquire(t, ctx); err != nil || !resp.Issuer {
+	if resp, err := h.acquire(ctx, t); err != nil || !resp.Issuer {
 		t.Fatalf("not granted in contact: %+v, %v", resp, err)
 	}
 	h.isSilent, h.asked = true, 0
 	for range 20 {
 		h.clock.Advance(h.relay.options.Policy.Interval())
-		if resp, err := h.acquire(t, ctx); err != nil || resp.Issuer {
+		if resp, err := h.acquire(ctx, t); err != nil || resp.Issuer {
 			t.Fatalf("%+v, %v from a relay whose issuer is silent", resp, err)
 		}
 	}
@@ -81,7 +81,7 @@
 	}
 	h.isSilent = false
 	h.relay.FillUp(ctx)
-	if resp, err := h.acquire(t, ctx); err != nil || !resp.Issuer {
+	if resp, err := h.acquire(ctx, t); err != nil || !resp.Issuer {
 		t.Errorf("not granted in contact again: %+v, %v", resp, err)
 	}
 }
@@ -91,15 +91,15 @@
 func TestRelay_callerThatGivesUpSaysNothingOfIssuer(t *testing.T) {
 	h := newRelayHarness(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	if _, err := h.acquire(t, ctx); err != nil {
+	if _, err := h.acquire(ctx, t); err != nil {
 		t.Fatal(err)
 	}
 	h.isSilent, h.giveUp = true, cancel
-	if resp, err := h.acquire(t, ctx); err == nil {
+	if resp, err := h.acquire(ctx, t); err == nil {
 		t.Fatalf("%+v for a caller that gave up", resp)
 	}
 	h.isSilent, h.giveUp = false, nil
-	if resp, err := h.acquire(t, context.Background()); err != nil || !resp.Issuer {
+	if resp, err := h.acquire(context.Background(), t); err != nil || !resp.Issuer {
 		t.Errorf("out of contact since a caller gave up: %+v, %v", resp, err)
 	}
 	if got := h.relay.routersInContact(h.clock.Now()); got != 1 {
