Quotas: intervals of 1/48 of a window; relays hold a fifth of a burst of tokens

Cause: after an issuer or a region is lost, routers' and relays' own parts begin a fixed number of intervals later; until then they have what relays hold.

Change: 48 intervals in a window (104 ms of 5 s); one fifth of the burst at the relays where tokens are counted. The test takes the mean over ten seeds, with the same bound, and checks the worst window on each.

Measured: that test gives 0.976 and 0.979 with two fifths (32 and 48 intervals), passes with one fifth. TestFleet with 2,000 checks passes.

--- a/control/quota/policy.go
+++ b/control/quota/policy.go
@@ -25,7 +25,7 @@
 
 const (
 	// intervalsPerWindow is how often in a window unspent credit is filled up.
-	intervalsPerWindow = 32
+	intervalsPerWindow = 48
 	minInterval        = 100 * time.Millisecond
 	maxInterval        = 500 * time.Millisecond
 	// hopIntervals is after how many intervals of silence a relay counts a router as
@@ -55,10 +55,23 @@
 	grace = 0.15
 )
 
-// relayBurst is the part of a tenant's burst that the relays of all zones hold in advance;
-// the issuer's bucket holds the rest. A request within the quota so finds credit in its own
-// zone, and does not wait for an issuer that may be far away.
-const relayBurst = 0.4
+// relayRequestBurst and relayTokenBurst are the parts of a tenant's burst that the relays of
+// all zones hold in advance, for quotas of requests and of tokens; the issuer's bucket holds
+// the rest. A request within the quota so finds credit in its own zone, and does not wait for
+// an issuer that may be far away, or lost. One long prompt may need more tokens than the
+// relay of a zone holds, so the issuer keeps more of these.
+const (
+	relayRequestBurst = 0.4
+	relayTokenBurst   = 0.2
+)
+
+// relayBurst is the part of a tenant's burst that relays hold in advance.
+func relayBurst(tenant *config.Tenant) float64 {
+	if tenant.Unit == config.Tokens {
+		return relayTokenBurst
+	}
+	return relayRequestBurst
+}
 
 // PolicyOf takes the policy from the settings' bounds.
 func PolicyOf(bounds settings.Bounds) Policy {
@@ -105,7 +118,7 @@
 // RelayStock is how much unspent credit the relay of one zone of several may hold: a part
 // of the burst, which the issuer's bucket lacks (IssueLimit), and of what is tolerated.
 func (p Policy) RelayStock(tenant *config.Tenant, zones int) float64 {
-	return (relayBurst*tenant.Burst + relayStock*p.tolerated(tenant)) / float64(max(1, zones))
+	return (relayBurst(tenant)*tenant.Burst + relayStock*p.tolerated(tenant)) / float64(max(1, zones))
 }
 
 // RouterStock is how much unspent credit one router of several may hold.
@@ -133,7 +146,7 @@
 func (p Policy) IssueLimit(tenant *config.Tenant, part float64) Limit {
 	tolerated := p.tolerated(tenant) / p.Window.Seconds()
 	rate := min(tenant.RatePerSecond, part*tenant.RatePerSecond+detachedReserve*tolerated)
-	return Limit{RatePerSecond: rate + surplus*tolerated, Burst: (1 - relayBurst) * tenant.Burst}
+	return Limit{RatePerSecond: rate + surplus*tolerated, Burst: (1 - relayBurst(tenant)) * tenant.Burst}
 }
 
 // Wait is how long a request may wait for the answer of a relay: half of its latency
--- a/data/ratelimit/fleet_test.go
+++ b/data/ratelimit/fleet_test.go
@@ -311,18 +311,26 @@
 	return float64(admitted) / float64(max(1, sent))
 }
 
+// calmSeeds is over how many seeds the requests of a calm time are counted: a small tenant
+// sends some hundred in one, of which single large ones decide.
+const calmSeeds = 10
+
 // TestFleet_admitsWhatIsWithinQuota has nothing fail: what the quota allows is
 // admitted, and what exceeds it is not.
 func TestFleet_admitsWhatIsWithinQuota(t *testing.T) {
 	for _, q := range fleetQuotas {
-		f := newFleet(7, q.policy, q.tenant, q.routers)
-		q.run(f, 3*time.Second, 0.8)
-		if got := q.run(f, 20*time.Second, 0.8); got < 0.98 {
-			t.Errorf("%s: %.3f of the requests at 0.8 of the quota are admitted", q.name, got)
+		admitted := 0.0
+		for seed := range uint64(calmSeeds) {
+			f := newFleet(seed, q.policy, q.tenant, q.routers)
+			q.run(f, 3*time.Second, 0.8)
+			admitted += q.run(f, 20*time.Second, 0.8) / calmSeeds
+			q.run(f, 20*time.Second, 6)
+			if got := f.excess(); got > -0.02 {
+				t.Errorf("%s, seed %d: a hot tenant's worst window is %+.3f of what may run in one", q.name, seed, got)
+			}
 		}
-		q.run(f, 20*time.Second, 6)
-		if got := f.excess(); got > -0.02 {
-			t.Errorf("%s: a hot tenant's worst window is %+.3f of what may run in one", q.name, got)
+		if admitted < 0.98 {
+			t.Errorf("%s: %.4f of the requests at 0.8 of the quota are admitted", q.name, admitted)
 		}
 	}
 }
