Usage: windows of zones that are cut off wait for the healing, where merge_ms is set

Cause: such a window falls due merge_ms and usage_late_s after the healing, for both sides together; it was decided at the usual time, without the cut zones' counts.

Change: a window that is late for a silent zone waits, for a minute of silence at most, and for merge_ms and a quarter of usage_late_s after the zone spoke again.

Measured: TestUsage_cutZones (miscounted without it), TestUsage_zoneLostForGood.

--- a/control/controller/dutyusage.go
+++ b/control/controller/dutyusage.go
@@ -18,6 +18,7 @@
 	c.duties.usage = usage.NewCollector(usage.Options{
 		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
 		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
+		Merge:  settings.Milliseconds(bounds.MergeMS),
 		Held:   func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
 		Update: c.commands.Update, Copies: func(ctx context.Context) []usage.ZoneCounts { return c.usageCopies(ctx, copies) },
 		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -40,6 +40,9 @@
 	Synced func() bool
 	// Window is the length of windows; Late is how long after its end a report is due.
 	Window, Late time.Duration
+	// Merge is how long after a cut the counts of both sides may take to come together; 0
+	// is that zones which are cut off are not waited for.
+	Merge time.Duration
 	// Zones are all zones of the deployment.
 	Zones []ids.Zone
 	// Held returns the fence of the part of usage, if it is held here.
@@ -72,28 +75,6 @@
 	stats        Stats
 }
 
-// zoneState is what a collector knows of one zone.
-type zoneState struct {
-	// tally has what its relays sent, copied what a controller kept of it.
-	tally  *tally
-	copied counts
-	// closed is the last window that its routers have closed; known says that a relay told.
-	closed int64
-	known  bool
-}
-
-// sum returns the counts of a window: each is as high as anybody knows.
-func (z *zoneState) sum(window int64) map[ids.Tenant]int64 {
-	sum := z.tally.sum(window)
-	for tenant, count := range z.copied[window] {
-		sum[tenant] = max(sum[tenant], count)
-	}
-	return sum
-}
-
-// isClosed reports whether its routers have closed a window.
-func (z *zoneState) isClosed(window int64) bool { return z.known && z.closed >= window }
-
 // Stats count what a collector did.
 type Stats struct {
 	// Decided and Reported count windows; Incomplete those that were decided without all
@@ -105,7 +86,7 @@
 func NewCollector(options Options) *Collector {
 	c := &Collector{options: options, zones: map[ids.Zone]*zoneState{}}
 	for _, zone := range options.Zones {
-		c.zones[zone] = &zoneState{tally: newTally(), copied: counts{}}
+		c.zones[zone] = newZoneState()
 	}
 	return c
 }
@@ -125,6 +106,7 @@
 	for _, report := range req.Routers {
 		zone.tally.merge(report)
 	}
+	zone.heard(c.options.Clock.Now())
 	if req.Through > 0 {
 		zone.closed, zone.known = req.Through, true
 	}
@@ -142,7 +124,7 @@
 	}
 	c.fence, c.loaded, c.beganAt, c.retryAt, c.acknowledged = fence, false, c.options.Clock.Now(), 0, 0
 	for _, zone := range c.zones {
-		zone.closed, zone.known = 0, false
+		zone.begin(c.beganAt)
 	}
 }
 
@@ -305,7 +287,7 @@
 		end := time.Duration(window+1) * c.options.Window
 		complete := c.isClosed(window)
 		late := now >= end+time.Duration(decideLate*float64(c.options.Late)) && c.options.Clock.Now().Since(c.beganAt) >= c.options.Late/8
-		if now < end || (!complete && !late) {
+		if now < end || (!complete && (!late || c.awaitsCutZone(window))) {
 			return next, incomplete
 		}
 		body, err := json.Marshal(report{Window: window, Counts: c.sum(window)})
