--- a/control/quota/policy.go
+++ b/control/quota/policy.go
@@ -90,6 +90,10 @@
 // issuer a relay, as out of contact; a relay counts the issuer so likewise.
 func (p Policy) HopTimeout() time.Duration { return hopIntervals * p.Interval() }
 
+// Timeout bounds how long an answer is waited for: the time after which whoever asks
+// counts as out of contact.
+func (p Policy) Timeout() time.Duration { return p.HopTimeout() }
+
 // DetachTimeout is how long the issuer may count a router in after a request of it
 // failed: only then does the router's own part of the rate begin, so that contact which
 // comes and goes doubles nothing. A request whose fate is unknown may have reached a
--- a/control/quota/relay.go
+++ b/control/quota/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"onyxwell/base/clock"
 	"onyxwell/base/errkind"
@@ -20,9 +19,6 @@
 	idleIntervals = 8
 )
 
-// errNoIssuer says that no issuer answered.
-var errNoIssuer = errkind.Errorf(errkind.NotReady, "no issuer of quotas")
-
 // RelayOptions configure a Relay. All are required.
 type RelayOptions struct {
 	Clock   clock.Clock
@@ -55,18 +51,6 @@
 	ownSince clock.Instant
 }
 
-// issuerContact is what came of a relay's last request to the issuer; 0 is that there was
-// none.
-type issuerContact int
-
-const (
-	// issuerAnswers: it was answered.
-	issuerAnswers issuerContact = iota + 1
-	// issuerSilent: it was not. No router's need is passed on until FillUp has an answer:
-	// a router would wait no longer than this relay, and be granted nothing.
-	issuerSilent
-)
-
 // routerContact is the last request of a router.
 type routerContact struct {
 	at clock.Instant
@@ -247,108 +231,3 @@
 	defer r.mu.Unlock()
 	r.pool(need.Tenant, now).denial.Extend(need.Amount, now.Add(r.options.Policy.Interval()/denialDivisor), now)
 }
-
-// FillUp asks the issuer for credit to be kept, for each tenant in use. It asks for
-// none but to be in contact, too, while routers ask here. Run calls it.
-func (r *Relay) FillUp(ctx context.Context) {
-	cfg := r.options.Config()
-	if cfg == nil {
-		return
-	}
-	needs, active := r.missingCredit(cfg)
-	if !active {
-		return
-	}
-	issued, err := r.issue(ctx, needs)
-	if err != nil {
-		return
-	}
-	now := r.options.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for index, need := range needs {
-		if issued[index] > 0 {
-			r.pool(need.Tenant, now).Tokens += issued[index]
-		}
-	}
-}
-
-// missingCredit returns what the pools of tenants in use lack or have to give back,
-// and whether any router asks here. Pools that were not used for long are given back
-// whole.
-func (r *Relay) missingCredit(cfg *config.Config) (needs []Need, active bool) {
-	now := r.options.Clock.Now()
-	idle := idleIntervals * r.options.Policy.Interval()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.routersInContact(now)
-	if len(r.routers) == 0 {
-		return nil, false
-	}
-	for name, p := range r.pools {
-		tenant := cfg.Tenant(name)
-		switch {
-		case tenant == nil || !tenant.Limited():
-			delete(r.pools, name)
-		case now.Since(p.usedAt) > r.options.Policy.IdleTimeout():
-			delete(r.pools, name)
-			needs = append(needs, Need{Tenant: name, Amount: -p.Tokens})
-		case now.Since(p.usedAt) <= idle:
-			if missing, due := p.Missing(r.options.Policy.RelayStock(tenant, r.options.Zones)); due {
-				needs = append(needs, Need{Tenant: name, Amount: missing})
-			}
-		}
-	}
-	return needs, true
-}
-
-// issueUnlessSilent is issue, but while the issuer is silent.
-func (r *Relay) issueUnlessSilent(ctx context.Context, needs []Need) ([]float64, error) {
-	r.mu.Lock()
-	isSilent := r.contact == issuerSilent
-	r.mu.Unlock()
-	if isSilent {
-		return nil, errNoIssuer
-	}
-	return r.issue(ctx, needs)
-}
-
-// issue asks the issuer and returns what it granted of each need. That the caller waited no
-// longer says nothing of the issuer.
-func (r *Relay) issue(ctx context.Context, needs []Need) ([]float64, error) {
-	req := AcquireRequest{From: r.options.Address, Needs: needs}
-	r.mu.Lock()
-	if r.contact == issuerAnswers {
-		req.Routers = r.routersInContact(r.options.Clock.Now())
-	}
-	r.mu.Unlock()
-	started := r.options.Clock.Now()
-	resp, err := r.options.Issue(ctx, req)
-	if err == nil && (!resp.Issuer || len(resp.Amounts) != len(needs)) {
-		err = errNoIssuer
-	}
-	if err != nil && ctx.Err() != nil {
-		return nil, err
-	}
-	return resp.Amounts, r.noteContact(err, started)
-}
-
-// noteContact takes over what came of a request to the issuer, and returns its error. The
-// first that fails sets when the zone's part begins.
-func (r *Relay) noteContact(err error, askedAt clock.Instant) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err == nil {
-		r.contact, r.contactAt = issuerAnswers, max(r.contactAt, askedAt)
-		return nil
-	}
-	if r.contact == issuerAnswers {
-		r.ownSince = r.options.Clock.Now().Add(r.options.Policy.DetachTimeout(false))
-	}
-	r.contact = issuerSilent
-	return err
-}
-
-// Timeout bounds how long an answer is waited for: the time after which whoever asks
-// counts as out of contact.
-func (p Policy) Timeout() time.Duration { return p.HopTimeout() }
