Usage: relays send the changed sums of their zone

Change: a new message with the sums over the zone's routers that changed since the holder took the last one; everything after a change of holder or a failure. The holder merges by maximum. An older holder answers that it does not know the message and gets the reports.

Measured: TestUsage_countsEveryRequestInCalm with both kinds of holder; the tests under faults pass unchanged.

--- a/control/controller/dutyusage.go
+++ b/control/controller/dutyusage.go
@@ -26,6 +26,7 @@
 		},
 		Log: c.log,
 	})
+	transport.Handle(c.daemon.Calls, usage.SumsMessage, c.duties.usage.TakeSums)
 	transport.Handle(c.daemon.Calls, usage.CollectMessage, c.duties.usage.Collect)
 	for result, read := range map[string]func(usage.Stats) int64{
 		"decided": func(s usage.Stats) int64 { return s.Decided }, "incomplete": func(s usage.Stats) int64 { return s.Incomplete },
--- a/control/daemon/usage.go
+++ b/control/daemon/usage.go
@@ -38,7 +38,7 @@
 	d.usage = &usageContext{time: timesync.New(timesync.Options{Clock: d.clock, Wall: time.Now, Peers: d.otherControllers, Ask: d.askTime})}
 	d.usage.relay = usage.NewRelay(usage.RelayOptions{
 		Zone: d.settings.Zone, Routers: d.zoneRouters, Now: d.syncedUnixNanos,
-		Term: d.usageTerm, Collect: d.collectUsage, Copy: d.copyUsage,
+		Term: d.usageTerm, SendSums: d.sendUsageSums, Collect: d.collectUsage, Copy: d.copyUsage,
 	})
 	transport.Handle(d.Calls, usage.ReportMessage, d.usage.relay.Report)
 	d.AddService("usage relay", func(ctx context.Context) error {
@@ -117,7 +117,14 @@
 	return usage.Term{Holder: holder, Fence: fence}
 }
 
-// collectUsage sends the counts of the zone to the holder of the part of usage.
+// sendUsageSums sends the sums of the zone to the holder of the part of usage.
+func (d *Daemon) sendUsageSums(ctx context.Context, holder ids.Address, req usage.SumsRequest) (usage.CollectResponse, error) {
+	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
+	defer cancel()
+	return transport.Send[usage.CollectResponse](limited, d.Transport, holder, usage.SumsMessage, req)
+}
+
+// collectUsage sends the reports of the zone's routers to a holder of an older build.
 func (d *Daemon) collectUsage(ctx context.Context, holder ids.Address, req usage.CollectRequest) (usage.CollectResponse, error) {
 	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
 	defer cancel()
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -91,29 +91,41 @@
 	return c
 }
 
-// Collect takes the counts of a zone over. Two relays of a zone may send what each of them
+// TakeSums takes the sums of a zone over. Two relays of a zone may send what each of them
 // knows: one that has not heard of all routers, whose Through is 0, says nothing of what they
 // have closed.
+func (c *Collector) TakeSums(_ context.Context, req SumsRequest) (CollectResponse, error) {
+	return c.take(req.Zone, req.Through, func(zone *zoneState) { zone.sums.merge(req.Windows, c.log.Decided) }), nil
+}
+
+// Collect takes the reports of a zone's routers over, from a relay of an older build.
 func (c *Collector) Collect(_ context.Context, req CollectRequest) (CollectResponse, error) {
+	return c.take(req.Zone, req.Through, func(zone *zoneState) {
+		for _, report := range req.Routers {
+			zone.tally.merge(report)
+		}
+	}), nil
+}
+
+// take merges what a zone's relay sent.
+func (c *Collector) take(name ids.Zone, through int64, merge func(*zoneState)) CollectResponse {
 	fence, held := c.options.Held()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	zone := c.zones[req.Zone]
+	zone := c.zones[name]
 	if !held || zone == nil {
-		return CollectResponse{}, nil
+		return CollectResponse{}
 	}
 	c.begin(fence)
-	for _, report := range req.Routers {
-		zone.tally.merge(report)
-	}
+	merge(zone)
 	zone.heard(c.options.Clock.Now())
-	if req.Through > 0 {
-		zone.closed, zone.known = req.Through, true
+	if through > 0 {
+		zone.closed, zone.known = through, true
 	}
 	if !c.loaded {
-		return CollectResponse{Holding: true}, nil
+		return CollectResponse{Holding: true}
 	}
-	return CollectResponse{Holding: true, Decided: c.log.Decided}, nil
+	return CollectResponse{Holding: true, Decided: c.log.Decided}
 }
 
 // begin drops what was stored and acknowledged under another fence. Counts stay: they hold
@@ -190,7 +202,7 @@
 	c.log, c.loaded = stored, true
 	for _, copied := range copies {
 		if zone := c.zones[copied.Zone]; zone != nil {
-			zone.copied.merge(copied.Windows, stored.Decided)
+			zone.sums.merge(copied.Windows, stored.Decided)
 		}
 	}
 	c.forget(stored.Decided)
@@ -201,7 +213,7 @@
 func (c *Collector) forget(decided int64) {
 	for _, zone := range c.zones {
 		zone.tally.forget(decided)
-		zone.copied.forget(decided)
+		zone.sums.forget(decided)
 	}
 }
 
--- a/control/usage/collector_test.go
+++ b/control/usage/collector_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"onyxwell/base/clock"
+	"onyxwell/base/errkind"
 	"onyxwell/base/ids"
 	"onyxwell/base/proptest"
 	"onyxwell/control/duty"
@@ -58,6 +59,8 @@
 	// merge is what collectors are given for Merge; zones that are cut reach no holder.
 	merge time.Duration
 	cut   [testZones]bool
+	// olderHolder has the holders not know sums, as in an older build.
+	olderHolder bool
 	// ran has what the runners began.
 	ran map[int64]map[ids.Tenant]int64
 }
@@ -119,10 +122,16 @@
 			return up
 		},
 		Term: func() Term { return Term{Holder: "holder", Fence: f.fence} },
-		Collect: func(ctx context.Context, _ ids.Address, req CollectRequest) (CollectResponse, error) {
+		SendSums: func(ctx context.Context, _ ids.Address, req SumsRequest) (CollectResponse, error) {
 			if f.holder < 0 || f.routers[zone].down || f.cut[zone] {
 				return CollectResponse{}, errLost
 			}
+			if f.olderHolder {
+				return CollectResponse{}, errkind.Errorf(errkind.UnknownCall, "sums")
+			}
+			return f.collectors[f.holder].TakeSums(ctx, req)
+		},
+		Collect: func(ctx context.Context, _ ids.Address, req CollectRequest) (CollectResponse, error) {
 			return f.collectors[f.holder].Collect(ctx, req)
 		},
 		Copy: func(ctx context.Context, counts ZoneCounts) {
@@ -280,9 +289,17 @@
 }
 
 // TestUsage_countsEveryRequestInCalm has nothing fail: every window is reported in time,
-// exactly, and with one call.
+// exactly, and with one call; also where the holder knows reports of routers alone.
 func TestUsage_countsEveryRequestInCalm(t *testing.T) {
+	for _, olderHolder := range []bool{false, true} {
+		testCalm(t, olderHolder)
+	}
+}
+
+func testCalm(t *testing.T, olderHolder bool) {
+	t.Helper()
 	f := newFleet(1)
+	f.olderHolder = olderHolder
 	start := f.now()
 	f.run(60 * time.Second)
 	first, last := windowsBetween(start, f.now())
--- a/control/usage/counts.go
+++ b/control/usage/counts.go
@@ -50,6 +50,19 @@
 	c.forget(newest - windows)
 }
 
+// beyond returns the counts that are above those of another state.
+func (c counts) beyond(other counts) counts {
+	changed := counts{}
+	for window, tenants := range c {
+		for tenant, count := range tenants {
+			if count > other[window][tenant] {
+				changed.of(window)[tenant] = count
+			}
+		}
+	}
+	return changed
+}
+
 // message returns the counts as they are sent, oldest window first.
 func (c counts) message() []WindowCounts {
 	var windows []WindowCounts
--- a/control/usage/forms_test.go
+++ b/control/usage/forms_test.go
@@ -13,6 +13,7 @@
 	transporttest.Golden[ReportResponse](t, "report-response")
 	transporttest.Golden[CollectRequest](t, "collect-request")
 	transporttest.Golden[CollectResponse](t, "collect-response")
+	transporttest.Golden[SumsRequest](t, "sums-request")
 	transporttest.Golden[ZoneCounts](t, "zone-counts")
 	transporttest.Golden[CopyResponse](t, "copy-response")
 	transporttest.Golden[CopiesRequest](t, "copies-request")
--- a/control/usage/messages.go
+++ b/control/usage/messages.go
@@ -6,9 +6,11 @@
 
 // Names of messages and keys. They are stored and sent; they never change.
 const (
-	// ReportMessage goes from a router to its zone's relay, CollectMessage from a relay
-	// to the holder of the part of usage.
+	// ReportMessage goes from a router to its zone's relay, SumsMessage from a relay to the
+	// holder of the part of usage; CollectMessage takes its place where the holder does not
+	// know that, being of an older build.
 	ReportMessage  = "usage-report"
+	SumsMessage    = "usage-sums"
 	CollectMessage = "usage-collect"
 	// CopyMessage goes from a relay to a controller of another region, CopiesMessage from
 	// the holder of the part of usage to all controllers.
@@ -62,6 +64,18 @@
 // SchemaName names the sent form; it must never change.
 func (CollectRequest) SchemaName() string { return "UsageCollectRequest" }
 
+// SumsRequest has the sums over a zone's routers that changed since the holder took the last
+// one, or all.
+type SumsRequest struct {
+	Zone ids.Zone `avro:"Zone"`
+	// Through is the last window that every router of the zone that is up has closed.
+	Through int64          `avro:"Through"`
+	Windows []WindowCounts `avro:"Windows"`
+}
+
+// SchemaName names the sent form; it must never change.
+func (SumsRequest) SchemaName() string { return "UsageSumsRequest" }
+
 // CollectResponse answers a relay. Holding is false where the receiver does not hold the
 // part of usage.
 type CollectResponse struct {
--- a/control/usage/relay.go
+++ b/control/usage/relay.go
@@ -29,8 +29,10 @@
 	Now func() int64
 	// Term returns who holds the part of usage, as was heard last.
 	Term func() Term
-	// Collect sends what is undecided to the holder.
-	Collect func(ctx context.Context, holder ids.Address, req CollectRequest) (CollectResponse, error)
+	// SendSums sends sums to the holder. Its error is of kind UnknownCall where the holder is
+	// of an older build; Collect then sends the reports of all routers.
+	SendSums func(ctx context.Context, holder ids.Address, req SumsRequest) (CollectResponse, error)
+	Collect  func(ctx context.Context, holder ids.Address, req CollectRequest) (CollectResponse, error)
 	// Copy sends the zone's sums to a controller that keeps a copy, where one is needed.
 	Copy func(ctx context.Context, zone ZoneCounts)
 }
@@ -45,14 +47,17 @@
 	// changed and uncopied say that a router has reported since the last message to the
 	// holder, and since the last copy.
 	changed, uncopied bool
-	// term is the one whose holder has got everything but what changed since; failures
-	// counts the messages in a row that were not taken.
+	// term is the one whose holder has taken sent; failures counts the messages in a row that
+	// were not taken.
 	term     Term
+	sent     counts
 	failures int
 }
 
 // NewRelay returns a Relay without counts.
-func NewRelay(options RelayOptions) *Relay { return &Relay{options: options, tally: newTally()} }
+func NewRelay(options RelayOptions) *Relay {
+	return &Relay{options: options, tally: newTally(), sent: counts{}}
+}
 
 // Report takes a router's report over. Its error says that the router should report to
 // another relay, too.
@@ -77,39 +82,54 @@
 	if !ok {
 		return
 	}
-	resp, err := r.options.Collect(ctx, term.Holder, req)
+	resp, err := r.options.SendSums(ctx, term.Holder, req)
+	if errkind.KindOf(err) == errkind.UnknownCall {
+		resp, err = r.options.Collect(ctx, term.Holder, r.reports(req))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil || !resp.Holding {
-		r.changed, r.term = true, Term{}
+		r.changed, r.term, r.sent = true, Term{}, counts{}
 		r.failures++
 		return
 	}
 	r.term, r.failures = term, 0
+	r.sent.merge(req.Windows, resp.Decided)
+	r.sent.forget(resp.Decided)
 	r.tally.forget(resp.Decided)
 }
 
-// request returns what the holder lacks; ok is false where that is nothing.
-func (r *Relay) request(term Term) (req CollectRequest, ok bool) {
+// request returns what the holder lacks; ok is false where no router has reported since.
+func (r *Relay) request(term Term) (req SumsRequest, ok bool) {
 	routers := r.options.Routers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.changed {
-		return CollectRequest{}, false
+		return SumsRequest{}, false
 	}
 	r.changed = false
+	if term != r.term {
+		r.sent = counts{}
+	}
 	up := map[ids.Address]bool{}
-	req = CollectRequest{Zone: r.options.Zone, Through: Forever}
+	req = SumsRequest{Zone: r.options.Zone, Through: Forever}
 	for _, router := range routers {
 		up[router] = true
 		through, _ := r.tally.through(router)
 		req.Through = min(req.Through, through)
 	}
 	r.tally.drop(func(router ids.Address) bool { return !up[router] })
-	req.Routers = r.tally.takeChanged(term != r.term)
+	req.Windows = r.tally.sums().beyond(r.sent).message()
 	return req, true
 }
 
+// reports returns the reports of all routers in place of their sums.
+func (r *Relay) reports(req SumsRequest) CollectRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return CollectRequest{Zone: req.Zone, Through: req.Through, Routers: r.tally.reports()}
+}
+
 // SendCopy sends the zone's sums to a controller that keeps a copy, if any router reported
 // since the last one.
 func (r *Relay) SendCopy(ctx context.Context) {
@@ -118,7 +138,7 @@
 	r.uncopied = false
 	zone := ZoneCounts{Zone: r.options.Zone}
 	if due {
-		zone.Windows = r.tally.sums()
+		zone.Windows = r.tally.sums().message()
 	}
 	r.mu.Unlock()
 	if len(zone.Windows) > 0 {
--- a/control/usage/tally.go
+++ b/control/usage/tally.go
@@ -17,8 +17,6 @@
 type lifeCounts struct {
 	through int64
 	windows counts
-	// changed says that a report was merged since takeChanged.
-	changed bool
 }
 
 // tally merges reports. Its zero value is not ready; see newTally. Its caller locks it.
@@ -37,7 +35,6 @@
 		merged = &lifeCounts{windows: counts{}}
 		t.lives[key] = merged
 	}
-	merged.changed = true
 	merged.through = max(merged.through, report.Through)
 	merged.windows.merge(report.Windows, t.decided)
 }
@@ -67,15 +64,10 @@
 	}
 }
 
-// takeChanged returns everything that is not decided of the lives that reported since the
-// last call, or of all, in a stable order.
-func (t *tally) takeChanged(all bool) []RouterReport {
+// reports returns everything that is not decided, in a stable order.
+func (t *tally) reports() []RouterReport {
 	var reports []RouterReport
 	for key, known := range t.lives {
-		if !all && !known.changed {
-			continue
-		}
-		known.changed = false
 		reports = append(reports, RouterReport{Router: key.router, Life: key.life, Through: known.through, Windows: known.windows.message()})
 	}
 	slices.SortFunc(reports, func(a, b RouterReport) int {
@@ -85,7 +77,7 @@
 }
 
 // sums returns the sums over all routers of everything that is not decided.
-func (t *tally) sums() []WindowCounts {
+func (t *tally) sums() counts {
 	total := counts{}
 	for _, known := range t.lives {
 		for window, tenants := range known.windows {
@@ -94,7 +86,7 @@
 			}
 		}
 	}
-	return total.message()
+	return total
 }
 
 // through returns the last window that a router's newest life has closed; false where
--- a/control/usage/zone.go
+++ b/control/usage/zone.go
@@ -18,9 +18,10 @@
 
 // zoneState is what a collector knows of one zone.
 type zoneState struct {
-	// tally has what its relays sent, copied what a controller kept of it.
-	tally  *tally
-	copied counts
+	// sums has the sums that its relays sent, and those that a controller kept; tally what
+	// relays of an older build sent.
+	sums  counts
+	tally *tally
 	// closed is the last window that its routers have closed; known says that a relay told.
 	closed int64
 	known  bool
@@ -28,7 +29,7 @@
 	heardAt, backAt clock.Instant
 }
 
-func newZoneState() *zoneState { return &zoneState{tally: newTally(), copied: counts{}} }
+func newZoneState() *zoneState { return &zoneState{tally: newTally(), sums: counts{}} }
 
 // begin forgets what the zone's routers told an earlier holder. Its counts stay: they hold
 // under every fence.
@@ -49,7 +50,7 @@
 // sum returns the counts of a window: each is as high as anybody knows.
 func (z *zoneState) sum(window int64) map[ids.Tenant]int64 {
 	sum := z.tally.sum(window)
-	for tenant, count := range z.copied[window] {
+	for tenant, count := range z.sums[window] {
 		sum[tenant] = max(sum[tenant], count)
 	}
 	return sum
