Soak: usage reports are compared with what runners began; reports are paced after an outage

The soak sends half of a tenant's quota while it waits for windows after the last fault, and compares their counts with what runners began: within 5 in 100 and 3. Up to 120 windows that waited for the platform went out one after the other: now half of duties_per_s at most (TestUsage_platformDown).

--- a/control/controller/dutyusage.go
+++ b/control/controller/dutyusage.go
@@ -9,6 +9,10 @@
 	"onyxwell/control/usage"
 )
 
+// dutyRateShare is the part of the calls of duties that the platform takes which reports of
+// usage may use up, also after an outage.
+const dutyRateShare = 0.5
+
 // addUsageCollector adds the holder's side of usage.
 func (c *Controller) addUsageCollector() {
 	agreed, bounds := c.daemon.ServeTime(), c.settings.Bounds
@@ -18,9 +22,10 @@
 	c.duties.usage = usage.NewCollector(usage.Options{
 		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
 		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
-		Merge:  settings.Milliseconds(bounds.MergeMS),
-		Held:   func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
-		Update: c.commands.Update, Copies: func(ctx context.Context) []usage.ZoneCounts { return c.usageCopies(ctx, copies) },
+		CallsPerStep: max(1, int(dutyRateShare*c.settings.Platform.DutiesPerS*dutyStep.Seconds())),
+		Merge:        settings.Milliseconds(bounds.MergeMS),
+		Held:         func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
+		Update:       c.commands.Update, Copies: func(ctx context.Context) []usage.ZoneCounts { return c.usageCopies(ctx, copies) },
 		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
 			return c.duties.client.Call(ctx, duty.UsagePart, fence, call)
 		},
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -51,6 +51,8 @@
 	Update func(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error)
 	// Copies returns the copies that all controllers keep, as far as they answer.
 	Copies func(ctx context.Context) []ZoneCounts
+	// CallsPerStep is how many reports may be sent in one step, at least 1.
+	CallsPerStep int
 	// Call makes a call to the platform.
 	Call func(ctx context.Context, fence int64, call duty.Call) (status int, err error)
 	Log  *log.Logger
@@ -147,7 +149,7 @@
 	}
 }
 
-// Step decides the windows that are complete or late, and reports one that waits. It does
+// Step decides the windows that are complete or late, and reports some that wait. It does
 // nothing where the part is not held.
 func (c *Collector) Step(ctx context.Context) {
 	fence, held := c.options.Held()
@@ -162,7 +164,7 @@
 		return
 	}
 	c.decide(ctx, fence)
-	for c.reportNext(ctx, fence) {
+	for call := 0; call < c.options.CallsPerStep && c.reportNext(ctx, fence); call++ {
 	}
 }
 
--- a/control/usage/collector_test.go
+++ b/control/usage/collector_test.go
@@ -30,6 +30,8 @@
 	testZones   = 3
 	testRouters = 6
 	testStep    = 250 * time.Millisecond
+	// testCallsPerStep is how many reports a holder may send in a step.
+	testCallsPerStep = 2
 	// testEpoch is the agreed time at the clock's zero, the start of a window.
 	testEpoch = time.Duration(1_700_000_000) * time.Second
 )
@@ -145,7 +147,7 @@
 func (f *fleet) startCollector(index int) {
 	f.copies[index] = NewCopies(testZoneNames)
 	f.collectors[index] = NewCollector(Options{
-		Clock: f.clock, Now: f.now, Synced: func() bool { return true }, Window: testWindow, Late: testLate, Zones: testZoneNames, Merge: f.merge,
+		Clock: f.clock, Now: f.now, Synced: func() bool { return true }, Window: testWindow, Late: testLate, Zones: testZoneNames, Merge: f.merge, CallsPerStep: testCallsPerStep,
 		Copies: func(ctx context.Context) []ZoneCounts {
 			resp, _ := f.copies[index].Give(ctx, CopiesRequest{})
 			return resp.Zones
@@ -512,7 +514,13 @@
 	f.platform.down = true
 	f.run(60 * time.Second)
 	f.platform.down = false
-	f.run(15 * time.Second)
+	for range int(15 * time.Second / testStep) {
+		before := f.platform.calls
+		f.run(testStep)
+		if calls := f.platform.calls - before; calls > testCallsPerStep {
+			t.Errorf("%d calls in a step", calls)
+		}
+	}
 	first, last := windowsBetween(start, f.now())
 	for window := first; window <= last; window++ {
 		if _, taken := f.platform.first[window]; !taken {
--- a/soak/duties.go
+++ b/soak/duties.go
@@ -19,8 +19,11 @@
 	// lossEvery is after how many calls of duties the answer to one is lost while faults
 	// are on.
 	lossEvery = 5
-	// calmWindows is how many windows of usage must be reported in a row in the end.
+	// calmWindows is how many windows of usage must be reported in a row in the end, and
+	// with the right counts: off by countError and countSlack at most.
 	calmWindows = 3
+	countError  = 0.05
+	countSlack  = 3
 )
 
 // dutyRecord is what the platform saw of duties. It is safe for concurrent use.
@@ -44,9 +47,10 @@
 
 // dutyDocument is the part of a body that the checks read.
 type dutyDocument struct {
-	Window  int64  `json:"window_number"`
-	Service string `json:"service"`
-	Zone    string `json:"zone"`
+	Window  int64            `json:"window_number"`
+	Counts  map[string]int64 `json:"counts"`
+	Service string           `json:"service"`
+	Zone    string           `json:"zone"`
 }
 
 // recordDuty takes a call. Each lossEvery-th loses its answer while faults are on.
@@ -100,25 +104,28 @@
 	return last
 }
 
-// missing returns a window between two that was not reported, 0 for none.
-func (d *dutyRecord) missing(first int64, last int64) int64 {
+// reported returns the counts of a window; false where it was not reported.
+func (d *dutyRecord) reported(window int64) (counts map[string]int64, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	reported := map[int64]bool{}
 	for _, call := range d.calls {
-		reported[call.window] = true
-	}
-	for window := first; window <= last; window++ {
-		if !reported[window] {
-			return window
+		var doc dutyDocument
+		if call.Path == "/usage" && call.window == window && json.Unmarshal(call.Body, &doc) == nil {
+			return doc.Counts, true
 		}
 	}
-	return 0
+	return nil, false
 }
 
-// checkDuties checks that windows of usage are reported once all faults are over, and that
-// in the whole run the platform saw one holder of each duty at a time.
+// checkDuties checks that windows of usage are reported once all faults are over, with what
+// the runners began, and that in the whole run the platform saw one holder of each duty at a
+// time.
 func (c *cluster) checkDuties(ctx context.Context) {
+	sending, stop := context.WithCancel(ctx)
+	var senders sync.WaitGroup
+	senders.Go(func() { c.sendCalmly(sending) })
+	defer senders.Wait()
+	defer stop()
 	first := int64(0)
 	err := c.eventually(ctx, localcluster.RecoverWithin+localcluster.UsageLate, func() error {
 		last := c.duties.lastWindow()
@@ -132,8 +139,8 @@
 	})
 	if err != nil {
 		c.addFinding("DUTY", "%v after the last fault: %v", localcluster.RecoverWithin+localcluster.UsageLate, err)
-	} else if missing := c.duties.missing(first, first+calmWindows); missing > 0 {
-		c.addFinding("DUTY", "window %d of usage is not reported, later ones are", missing)
+	} else {
+		c.checkWindows(first+1, first+calmWindows)
 	}
 	c.duties.mu.Lock()
 	defer c.duties.mu.Unlock()
@@ -142,6 +149,25 @@
 	}
 }
 
+// checkWindows checks that the windows between two were reported, with the requests of
+// limitedTenant that runners began.
+func (c *cluster) checkWindows(first int64, last int64) {
+	// The daemons' agreed time is that of this machine.
+	origin := time.Now().UnixNano() - int64(c.clock.Now())
+	for window := first; window <= last; window++ {
+		counts, ok := c.duties.reported(window)
+		if !ok {
+			c.addFinding("DUTY", "window %d of usage is not reported, later ones are", window)
+			continue
+		}
+		from := clock.Instant(window*int64(localcluster.UsageWindow) - origin)
+		ran, told := c.quota.ranBetween(from, from.Add(localcluster.UsageWindow)), counts[limitedTenant.Name]
+		if off := float64(told) - float64(ran); off > countError*float64(ran)+countSlack || -off > countError*float64(ran)+countSlack {
+			c.addFinding("DUTY", "window %d of usage tells %d requests of a tenant, runners began %d", window, told, ran)
+		}
+	}
+}
+
 // brokenDuties returns what the calls that a platform saw, in their order, break of one
 // holder at a time, where it ignores fences.
 func brokenDuties(calls []dutyCall) (broken []string) {
--- a/soak/quota.go
+++ b/soak/quota.go
@@ -62,6 +62,18 @@
 	return worst
 }
 
+// ranBetween returns how many requests ran from one instant to before another.
+func (q *quotaRecord) ranBetween(from clock.Instant, to clock.Instant) (count int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, at := range q.ran {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
 // runHotClient sends requests of limitedTenant until ctx ends, its part of hotFactor
 // times the quota.
 func (c *cluster) runHotClient(ctx context.Context) {
@@ -93,18 +105,26 @@
 	return resp.StatusCode, err
 }
 
-// checkQuota checks that half of the quota is served once all faults are over, and
-// that in no window of the whole run more ran than may.
-func (c *cluster) checkQuota(ctx context.Context) {
+// sendCalmly sends calmPart of limitedTenant's quota until ctx ends, and returns how many
+// requests were rejected.
+func (c *cluster) sendCalmly(ctx context.Context) (rejected int) {
 	interval := time.Duration(float64(time.Second) / (calmPart * limitedTenant.RatePerSecond))
 	sender := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer sender.CloseIdleConnections()
-	rejected := 0
-	for start := c.clock.Now(); c.clock.Now().Since(start) < calmTime && c.wait(ctx, interval); {
-		if status, _ := c.sendLimited(ctx, sender); status == http.StatusTooManyRequests {
+	for c.wait(ctx, interval) {
+		if status, _ := c.sendLimited(context.WithoutCancel(ctx), sender); status == http.StatusTooManyRequests {
 			rejected++
 		}
 	}
+	return rejected
+}
+
+// checkQuota checks that half of the quota is served once all faults are over, and
+// that in no window of the whole run more ran than may.
+func (c *cluster) checkQuota(ctx context.Context) {
+	calm, end := c.clock.WithTimeout(ctx, calmTime)
+	defer end()
+	rejected := c.sendCalmly(calm)
 	if rejected > calmLosses {
 		c.addFinding("QUOTA", "%d requests of a tenant at %g of its quota are rejected in calm", rejected, calmPart)
 	}
