--- a/control/controller/dutysizes.go
+++ b/control/controller/dutysizes.go
@@ -6,6 +6,7 @@
 
 	"onyxwell/base/ids"
 	"onyxwell/base/settings"
+	"onyxwell/control/config"
 	"onyxwell/control/planning/autoscaler"
 	"onyxwell/control/sizing"
 )
@@ -45,39 +46,40 @@
 	lost := c.lostZones()
 	var scaled []autoscaler.ScaledService
 	for _, service := range cfg.Services {
-		if service.Scaling == nil {
-			continue
+		if service.Scaling != nil {
+			scaled = append(scaled, c.scaledService(service, lost))
 		}
-		zones := map[ids.Zone]*autoscaler.ScaledZone{}
-		result := autoscaler.ScaledService{
-			Service: service.Name, Horizon: settings.Seconds(service.Scaling.StartupSeconds+service.WarmupSeconds) + metricStep,
-			TolerateRegion: c.settings.Tolerate.Regions > 0, TolerateZone: c.settings.Tolerate.Zones > 0,
+	}
+	return scaled
+}
+
+// scaledService returns a service with the zones in which it has runners.
+func (c *Controller) scaledService(service config.Service, lost map[ids.Zone]bool) autoscaler.ScaledService {
+	result := autoscaler.ScaledService{
+		Service: service.Name, Horizon: settings.Seconds(service.Scaling.StartupSeconds+service.WarmupSeconds) + metricStep,
+		TolerateRegion: c.settings.Tolerate.Regions > 0, TolerateZone: c.settings.Tolerate.Zones > 0,
+	}
+	present, known := map[ids.Zone]int64{}, map[ids.Zone]bool{}
+	for _, runner := range c.view.Runners() {
+		if runner.Service != service.Name {
+			continue
 		}
-		for _, runner := range c.view.Runners() {
-			if runner.Service != service.Name {
-				continue
-			}
-			result.Slots = max(result.Slots, float64(runner.Capacity))
-			zone := zones[runner.Zone]
-			if zone == nil {
-				zone = &autoscaler.ScaledZone{
-					Zone: runner.Zone, Region: c.settings.Zones[runner.Zone], Min: service.Scaling.Min, Max: service.Scaling.Max,
-					Usable: !lost[runner.Zone] && !c.zoneEvacuated(runner.Zone),
-				}
-				zones[runner.Zone] = zone
-			}
-			if !runner.Draining {
-				zone.Present++
-			}
+		known[runner.Zone] = true
+		result.Slots = max(result.Slots, float64(runner.Capacity))
+		if !runner.Draining {
+			present[runner.Zone]++
 		}
-		for _, name := range c.settings.ZoneNames() {
-			if zone := zones[name]; zone != nil {
-				result.Zones = append(result.Zones, *zone)
-			}
+	}
+	for _, name := range c.settings.ZoneNames() {
+		if !known[name] {
+			continue
 		}
-		scaled = append(scaled, result)
+		result.Zones = append(result.Zones, autoscaler.ScaledZone{
+			Zone: name, Region: c.settings.Zones[name], Min: service.Scaling.Min, Max: service.Scaling.Max,
+			Present: present[name], Usable: !lost[name] && !c.zoneEvacuated(name),
+		})
 	}
-	return scaled
+	return result
 }
 
 // lostZones returns the zones of whose backbone nobody answers.
--- /dev/null
+++ b/control/usage/decide.go
@@ -0,0 +1,214 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/transport"
+)
+
+const (
+	// decideLate is the part of the time in which a window falls due after which it is
+	// decided with what is known: it leaves time for another holder and two tries.
+	decideLate = 0.25
+	// horizonWindows is how many windows before the present may be decided: a holder that
+	// finds an older log starts there.
+	horizonWindows = maxWindows
+	// maxPending bounds the decided windows that wait for the platform; the oldest are
+	// dropped.
+	maxPending = 120
+)
+
+// errOtherLog says that another holder has stored decisions.
+var errOtherLog = errors.New("usage: the stored log is another than expected")
+
+// load reads the log, and the copies of zones that may be lost. A log that was never written, or is older than the horizon, starts
+// there.
+func (c *Collector) load(ctx context.Context, fence int64) bool {
+	present := int64(c.options.Now() / c.options.Window)
+	value, err := c.options.Update(ctx, LogKey, func(current []byte) ([]byte, error) {
+		stored, err := decodeLog(current)
+		if err != nil {
+			return nil, err
+		}
+		first := present - horizonWindows
+		if stored.Decided == 0 {
+			// Nothing ran before the deployment did.
+			first = present - 1
+		}
+		stored.Decided = max(stored.Decided, first)
+		return transport.Marshal(stored)
+	})
+	if err != nil {
+		return false
+	}
+	stored, err := decodeLog(value)
+	if err != nil {
+		return false
+	}
+	copies := c.options.Copies(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fence != fence {
+		return false
+	}
+	c.log, c.loaded = stored, true
+	for _, copied := range copies {
+		if zone := c.zones[copied.Zone]; zone != nil {
+			zone.sums.merge(copied.Windows, stored.Decided)
+		}
+	}
+	c.forget(stored.Decided)
+	return true
+}
+
+// forget drops the counts of decided windows. The caller holds c.mu.
+func (c *Collector) forget(decided int64) {
+	for _, zone := range c.zones {
+		zone.tally.forget(decided)
+		zone.sums.forget(decided)
+	}
+}
+
+func decodeLog(value []byte) (Log, error) {
+	if len(value) == 0 {
+		return Log{}, nil
+	}
+	stored, err := transport.Unmarshal[Log](value)
+	if err != nil {
+		return Log{}, transport.NewStoredValueError(LogKey, err)
+	}
+	return stored, nil
+}
+
+// decide stores the decisions of all windows that are complete or late.
+func (c *Collector) decide(ctx context.Context, fence int64) {
+	next, incomplete := c.decisions()
+	if len(next.Pending) == 0 {
+		return
+	}
+	expected := c.expectedDecided()
+	value, err := c.options.Update(ctx, LogKey, func(current []byte) ([]byte, error) {
+		stored, err := decodeLog(current)
+		if err != nil {
+			return nil, err
+		}
+		if stored.Decided != expected {
+			return nil, errOtherLog
+		}
+		return transport.Marshal(c.append(stored, next))
+	})
+	if err != nil {
+		c.mu.Lock()
+		// What is stored may be either: it is read again.
+		c.loaded = false
+		c.mu.Unlock()
+		return
+	}
+	stored, err := decodeLog(value)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fence != fence {
+		return
+	}
+	c.log = stored
+	c.forget(stored.Decided)
+	c.stats.Decided += int64(len(next.Pending))
+	c.stats.Incomplete += incomplete
+}
+
+func (c *Collector) expectedDecided() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.Decided
+}
+
+// append adds decisions to a stored log, without the windows that the platform has taken.
+func (c *Collector) append(stored Log, next Log) Log {
+	c.mu.Lock()
+	acknowledged := c.acknowledged
+	c.mu.Unlock()
+	result := Log{Decided: next.Decided}
+	for _, decision := range append(stored.Pending, next.Pending...) {
+		if decision.Window > acknowledged {
+			result.Pending = append(result.Pending, decision)
+		}
+	}
+	result.Pending = result.Pending[max(0, len(result.Pending)-maxPending):]
+	return result
+}
+
+// decisions returns the windows to decide now, in order, and how many of them lack the
+// counts of some zone.
+func (c *Collector) decisions() (next Log, incomplete int64) {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next.Decided = c.log.Decided
+	for window := c.log.Decided + 1; ; window++ {
+		end := time.Duration(window+1) * c.options.Window
+		complete := c.isClosed(window)
+		late := now >= end+time.Duration(decideLate*float64(c.options.Late)) && c.options.Clock.Now().Since(c.beganAt) >= c.options.Late/8
+		if now < end || (!complete && (!late || c.awaitsCutZone(window))) {
+			return next, incomplete
+		}
+		body, err := json.Marshal(report{Window: window, Counts: c.sum(window)})
+		if err != nil {
+			return next, incomplete
+		}
+		if !complete {
+			incomplete++
+			c.logIncomplete(window)
+		}
+		next.Decided, next.Pending = window, append(next.Pending, Decision{Window: window, Body: body})
+	}
+}
+
+// logIncomplete names the zones without whose counts a window is decided. The caller holds
+// c.mu.
+func (c *Collector) logIncomplete(window int64) {
+	if c.options.Log == nil {
+		return
+	}
+	var missing []string
+	for _, zone := range c.options.Zones {
+		if !c.zones[zone].isClosed(window) {
+			missing = append(missing, string(zone))
+		}
+	}
+	c.options.Log.Info().Str("part", "usage").Int64("window", window).Strs("missing_zones", missing).Int64("fence", c.fence).Msg("window decided without all zones")
+}
+
+// isClosed reports whether the routers of all zones have closed a window. The caller
+// holds c.mu.
+func (c *Collector) isClosed(window int64) bool {
+	for _, zone := range c.zones {
+		if !zone.isClosed(window) {
+			return false
+		}
+	}
+	return true
+}
+
+// sum adds the counts of a window up over all zones. The caller holds c.mu.
+func (c *Collector) sum(window int64) map[ids.Tenant]int64 {
+	total := map[ids.Tenant]int64{}
+	for _, zone := range c.zones {
+		for tenant, count := range zone.sum(window) {
+			total[tenant] += count
+		}
+	}
+	return total
+}
+
+// report is the platform's document.
+type report struct {
+	Window int64                `json:"window_number"`
+	Counts map[ids.Tenant]int64 `json:"counts"`
+}
