Usage: a new holder gets what former ones took, and takes counts before it may act

Change: controllers answer with the counts they took as holders, too; counts are taken from the assignment on. Relays log when the holder takes no counts, and when it does again.

Measured: TestUsage_zoneLostThenHolderChanges fails without it; TestCollector_takesCountsBeforeItMayAct.

--- a/control/controller/dutyusage.go
+++ b/control/controller/dutyusage.go
@@ -18,12 +18,18 @@
 	agreed, bounds := c.daemon.ServeTime(), c.settings.Bounds
 	copies := usage.NewCopies(c.settings.ZoneNames())
 	transport.Handle(c.daemon.Calls, usage.CopyMessage, copies.Take)
-	transport.Handle(c.daemon.Calls, usage.CopiesMessage, copies.Give)
+	transport.Handle(c.daemon.Calls, usage.CopiesMessage, func(ctx context.Context, req usage.CopiesRequest) (usage.CopiesResponse, error) {
+		resp, err := copies.Give(ctx, req)
+		// A holder whose session ended has what lost zones told it.
+		resp.Zones = append(resp.Zones, c.duties.usage.Known()...)
+		return resp, err
+	})
 	c.duties.usage = usage.NewCollector(usage.Options{
 		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
 		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
 		CallsPerStep: max(1, int(dutyRateShare*c.settings.Platform.DutiesPerS*dutyStep.Seconds())),
 		Merge:        settings.Milliseconds(bounds.MergeMS),
+		Assigned:     func() (int64, bool) { return c.duties.session.Assigned(duty.UsagePart) },
 		Held:         func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
 		Update:       c.commands.Update, Copies: func(ctx context.Context) []usage.ZoneCounts { return c.usageCopies(ctx, copies) },
 		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
--- a/control/daemon/usage.go
+++ b/control/daemon/usage.go
@@ -38,7 +38,7 @@
 	d.usage = &usageContext{time: timesync.New(timesync.Options{Clock: d.clock, Wall: time.Now, Peers: d.otherControllers, Ask: d.askTime})}
 	d.usage.relay = usage.NewRelay(usage.RelayOptions{
 		Zone: d.settings.Zone, Routers: d.zoneRouters, Now: d.syncedUnixNanos,
-		Term: d.usageTerm, SendSums: d.sendUsageSums, Collect: d.collectUsage, Copy: d.copyUsage,
+		Term: d.usageTerm, SendSums: d.sendUsageSums, Collect: d.collectUsage, Copy: d.copyUsage, Log: d.log,
 	})
 	transport.Handle(d.Calls, usage.ReportMessage, d.usage.relay.Report)
 	d.AddService("usage relay", func(ctx context.Context) error {
--- a/control/duty/session.go
+++ b/control/duty/session.go
@@ -260,6 +260,18 @@
 	return held.fence, true
 }
 
+// Assigned returns the fence under which a part is, or soon will be, held: from the moment
+// the assigner told of it, while nothing may be sent yet.
+func (s *Session) Assigned(part Part) (fence int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil {
+		return 0, false
+	}
+	return held.fence, true
+}
+
 // Allowed reports whether a call under a fence may be made, or go on, now.
 func (s *Session) Allowed(part Part, fence int64) bool {
 	current, ok := s.Held(part)
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -26,8 +26,9 @@
 	Merge time.Duration
 	// Zones are all zones of the deployment.
 	Zones []ids.Zone
-	// Held returns the fence of the part of usage, if it is held here.
-	Held func() (fence int64, ok bool)
+	// Assigned returns the fence of the part of usage, if it is assigned here; Held does once
+	// its holder may act, which is some time later.
+	Assigned, Held func() (fence int64, ok bool)
 	// Update stores the log.
 	Update func(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error)
 	// Copies returns the copies that all controllers keep, as far as they answer.
@@ -90,13 +91,14 @@
 	}), nil
 }
 
-// take merges what a zone's relay sent.
+// take merges what a zone's relay sent. Counts are taken before the part may be acted for,
+// since who has them may be lost meanwhile.
 func (c *Collector) take(name ids.Zone, through int64, merge func(*zoneState)) CollectResponse {
-	fence, held := c.options.Held()
+	fence, assigned := c.options.Assigned()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	zone := c.zones[name]
-	if !held || zone == nil {
+	if !assigned || zone == nil {
 		return CollectResponse{}
 	}
 	c.begin(fence)
@@ -111,6 +113,20 @@
 	return CollectResponse{Holding: true, Decided: c.log.Decided}
 }
 
+// Known returns the counts of all zones that are known here and not decided, also those
+// that an earlier holder took.
+func (c *Collector) Known() []ZoneCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var known []ZoneCounts
+	for _, name := range c.options.Zones {
+		if windows := c.zones[name].all().message(); len(windows) > 0 {
+			known = append(known, ZoneCounts{Zone: name, Windows: windows})
+		}
+	}
+	return known
+}
+
 // begin drops what was stored and acknowledged under another fence. Counts stay: they hold
 // under every fence. The caller holds c.mu.
 func (c *Collector) begin(fence int64) {
--- a/control/usage/collector_test.go
+++ b/control/usage/collector_test.go
@@ -135,6 +135,37 @@
 	}
 }
 
+// TestUsage_zoneLostThenHolderChanges loses a zone, and then has the part go to another
+// controller, whose hand-over time begins: it asks the former holder for what the zone told.
+// On a benchmark day 767 of 3,819 requests of such a window were missing.
+func TestUsage_zoneLostThenHolderChanges(t *testing.T) {
+	f := newFleet(10)
+	start := f.now()
+	f.run(13 * time.Second)
+	for _, router := range f.routers {
+		router.down = router.zone == 0
+	}
+	f.run(time.Second)
+	f.hold(1)
+	f.mayActAt = f.clock.Now().Add(3 * time.Second)
+	f.run(30 * time.Second)
+	first, last := windowsBetween(start, f.now())
+	if wrong := f.wrong(first, last, 8); len(wrong) > 0 {
+		t.Errorf("%v", wrong)
+	}
+}
+
+// TestCollector_takesCountsBeforeItMayAct has a part be assigned to a controller that may not
+// act yet: it takes counts all the same.
+func TestCollector_takesCountsBeforeItMayAct(t *testing.T) {
+	f := newFleet(11)
+	f.mayActAt = f.clock.Now().Add(time.Hour)
+	resp, err := f.collectors[0].TakeSums(context.Background(), SumsRequest{Zone: "0", Through: 1})
+	if err != nil || !resp.Holding {
+		t.Errorf("%+v, %v", resp, err)
+	}
+}
+
 // TestUsage_cutZones cuts a zone off for 20 s. Where the settings tell how long the sides
 // take to come together, its windows wait for it, and are whole; else they are decided at the
 // usual time.
--- a/control/usage/harness_test.go
+++ b/control/usage/harness_test.go
@@ -59,6 +59,8 @@
 	// merge is what collectors are given for Merge; zones that are cut reach no holder.
 	merge time.Duration
 	cut   [testZones]bool
+	// mayActAt is when the holder may act.
+	mayActAt clock.Instant
 	// olderHolder has the holders not know sums, as in an older build.
 	olderHolder bool
 	// ran has what the runners began.
@@ -148,9 +150,10 @@
 		Clock: f.clock, Now: f.now, Synced: func() bool { return true }, Window: testWindow, Late: testLate, Zones: testZoneNames, Merge: f.merge, CallsPerStep: testCallsPerStep,
 		Copies: func(ctx context.Context) []ZoneCounts {
 			resp, _ := f.copies[index].Give(ctx, CopiesRequest{})
-			return resp.Zones
+			return append(resp.Zones, f.collectors[1-index].Known()...)
 		},
-		Held: func() (int64, bool) { return f.fence, f.holder == index }, Update: f.update, Call: f.call,
+		Assigned: func() (int64, bool) { return f.fence, f.holder == index },
+		Held:     func() (int64, bool) { return f.fence, f.holder == index && !f.clock.Now().Before(f.mayActAt) }, Update: f.update, Call: f.call,
 	})
 }
 
--- a/control/usage/relay.go
+++ b/control/usage/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/phuslu/log"
+
 	"onyxwell/base/errkind"
 	"onyxwell/base/ids"
 )
@@ -20,7 +22,7 @@
 	Fence  int64
 }
 
-// RelayOptions configure a Relay. All are required.
+// RelayOptions configure a Relay. All but Log are required.
 type RelayOptions struct {
 	Zone ids.Zone
 	// Routers returns the routers of the zone that are up.
@@ -35,6 +37,9 @@
 	Collect  func(ctx context.Context, holder ids.Address, req CollectRequest) (CollectResponse, error)
 	// Copy sends the zone's sums to a controller that keeps a copy, where one is needed.
 	Copy func(ctx context.Context, zone ZoneCounts)
+	// Log is told when the holder takes no counts from here, and when it does again. It may be
+	// nil.
+	Log *log.Logger
 }
 
 // Relay passes the counts of a zone's routers on. Every daemon has one; it works while
@@ -91,14 +96,27 @@
 	if err != nil || !resp.Holding {
 		r.changed, r.term, r.sent = true, Term{}, counts{}
 		r.failures++
+		if r.failures == maxForwardFailures {
+			r.log(term, "holder takes no counts", err)
+		}
 		return
 	}
+	if r.failures >= maxForwardFailures {
+		r.log(term, "holder takes counts again", nil)
+	}
 	r.term, r.failures = term, 0
 	r.sent.merge(req.Windows, resp.Decided)
 	r.sent.forget(resp.Decided)
 	r.tally.forget(resp.Decided)
 }
 
+// log logs how the holder answers.
+func (r *Relay) log(term Term, message string, err error) {
+	if r.options.Log != nil {
+		r.options.Log.Info().Str("part", "usage").Str("holder", string(term.Holder)).Int64("fence", term.Fence).Int("failures", r.failures).Err(err).Msg(message)
+	}
+}
+
 // request returns what the holder lacks; ok is false where no router has reported since.
 func (r *Relay) request(term Term) (req SumsRequest, ok bool) {
 	routers := r.options.Routers()
--- a/control/usage/zone.go
+++ b/control/usage/zone.go
@@ -56,6 +56,14 @@
 	return sum
 }
 
+// all returns the counts of all windows: each is as high as anybody knows.
+func (z *zoneState) all() counts {
+	all := z.tally.sums()
+	all.merge(z.sums.message(), 0)
+	all.keepNewest(maxWindows)
+	return all
+}
+
 // isClosed reports whether its routers have closed a window.
 func (z *zoneState) isClosed(window int64) bool { return z.known && z.closed >= window }
 
