Time of day: a clock that is set while its controller runs is believed after a minute

Change: a controller tells its clock as it was before it was set, for a minute; small changes are followed at once.

Measured: TestClock_thirdOfClocksStep with all clocks set for ten seconds fails without it; TestClock_believesStepThatStays.

--- a/control/timesync/timesync.go
+++ b/control/timesync/timesync.go
@@ -3,8 +3,10 @@
 //
 // A controller takes the offset from the clocks of all controllers, its own among them,
 // by round trips, and of these the median: as long as fewer than half of the clocks are
-// wrong, the median lies between right ones. A router takes over the time of its zone's
-// relay. What the machine's own clock does after that has no effect.
+// wrong, the median lies between right ones. A clock that is set while its controller runs
+// counts as it was for stepPersistence, so that also more than half of them may be set for
+// some seconds. A router takes over the time of its zone's relay. What the machine's own
+// clock does after that has no effect.
 package timesync
 
 import (
@@ -47,6 +49,11 @@
 	// minRounds is after how many rounds the time is agreed on though fewer than three clocks
 	// are known: there are no more controllers, or no others that tell their time.
 	minRounds = 5
+	// maxSlew is by how much a clock may move against the monotonic one between two rounds;
+	// what moves further was set.
+	maxSlew = 20 * time.Millisecond
+	// stepPersistence is after how long a clock that was set is believed.
+	stepPersistence = time.Minute
 	// maxRoundTrip is the longest round trip whose sample counts.
 	maxRoundTrip = interval / 2
 )
@@ -70,6 +77,10 @@
 	offset time.Duration
 	synced bool
 	rounds int
+	// steady is the offset of the machine's own clock, as it was before it was set at steppedAt;
+	// 0 is that it was not.
+	steady    time.Duration
+	steppedAt clock.Instant
 	// samples are the offsets of other controllers' clocks.
 	samples map[ids.Address]sample
 }
@@ -83,7 +94,8 @@
 // New returns a Clock that follows the machine's own until it is synchronized.
 func New(options Options) *Clock {
 	c := &Clock{options: options, samples: map[ids.Address]sample{}}
-	c.offset = c.ownOffset()
+	c.steady = c.ownOffset()
+	c.offset = c.steady
 	return c
 }
 
@@ -107,7 +119,24 @@
 
 // Own answers a sample with the machine's own time of day.
 func (c *Clock) Own(context.Context, SampleRequest) (SampleResponse, error) {
-	return SampleResponse{UnixNanos: c.options.Wall().UnixNano()}, nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.followWall()
+	return SampleResponse{UnixNanos: int64(c.steady) + int64(c.options.Clock.Now())}, nil
+}
+
+// followWall takes over what the machine's own clock says, unless it was set of late. The
+// caller holds c.mu.
+func (c *Clock) followWall() {
+	now, offset := c.options.Clock.Now(), c.ownOffset()
+	switch {
+	case (offset - c.steady).Abs() <= maxSlew:
+		c.steady, c.steppedAt = offset, 0
+	case c.steppedAt == 0:
+		c.steppedAt = max(now, 1)
+	case now.Since(c.steppedAt) > stepPersistence:
+		c.steady, c.steppedAt = offset, 0
+	}
 }
 
 // Run takes samples until ctx ends.
@@ -149,12 +178,12 @@
 // setMedian sets the offset to the median of the known clocks: of an even number, the
 // lower one of the middle, so that it is always some clock's.
 func (c *Clock) setMedian() {
-	own := c.ownOffset()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.followWall()
 	now := c.options.Clock.Now()
 	c.rounds++
-	offsets := []time.Duration{own}
+	offsets := []time.Duration{c.steady}
 	for peer, known := range c.samples {
 		if now.Since(known.at) > maxSampleAge {
 			delete(c.samples, peer)
--- a/control/timesync/timesync_test.go
+++ b/control/timesync/timesync_test.go
@@ -68,6 +68,38 @@
 	steps[0], steps[4] = 0, 0
 	fake.Advance(time.Second)
 	check("all right again")
+	for index := range steps {
+		steps[index] = 1400 * time.Millisecond
+	}
+	fake.Advance(time.Second)
+	check("all ahead")
+	for range 9 {
+		fake.Advance(time.Second)
+		check("all ahead for some seconds")
+	}
+	steps = make([]time.Duration, len(steps))
+	fake.Advance(time.Second)
+	check("all right once more")
+}
+
+// TestClock_believesStepThatStays sets the only clock for good: it is believed after a while.
+func TestClock_believesStepThatStays(t *testing.T) {
+	fake := clock.NewFake()
+	start, step := time.Unix(1_700_000_000, 0), time.Duration(0)
+	alone := New(Options{Clock: fake, Wall: func() time.Time { return start.Add(time.Duration(fake.Now()) + step) }, Peers: func() []ids.Address { return nil }})
+	offBy := func() time.Duration {
+		resp, _ := alone.Own(context.Background(), SampleRequest{})
+		return time.Duration(resp.UnixNanos - start.Add(time.Duration(fake.Now())).UnixNano())
+	}
+	fake.Advance(time.Second)
+	step = 5 * time.Second
+	if got := offBy(); got != 0 {
+		t.Errorf("moved by %v at once", got)
+	}
+	fake.Advance(stepPersistence + time.Second)
+	if got := offBy(); got != step {
+		t.Errorf("moved by %v after %v, want %v", got, stepPersistence, step)
+	}
 }
 
 // TestClock_fewClocks has one controller alone, and two: their time is agreed on after some
