Duties: heartbeats ask controllers that do not answer last

Change: who did not answer is asked after all others. A hand-over by the command line bounds each controller that it asks.

Measured: TestSession_assignerWithoutPower fails without it.

--- a/control/controller/duties.go
+++ b/control/controller/duties.go
@@ -189,5 +189,8 @@
 	if to == c.daemon.Address {
 		return c.duties.assigner.HandOver(req, c.clock.Now()), nil
 	}
+	// One that is without power must not take the time of those after it.
+	ctx, cancel := c.clock.WithTimeout(ctx, c.timing.ConnectTimeout)
+	defer cancel()
 	return transport.Send[duty.HandOverResponse](ctx, c.daemon.Transport, to, duty.HandOverMessage, req)
 }
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -382,6 +382,43 @@
 	}
 }
 
+// TestSession_assignerWithoutPower has the assigner's machine lose power: whoever asks it waits
+// for as long as a heartbeat may take. The session must find the next assigner all the same,
+// though the others still name the lost one. On a benchmark day no part moved for the 20 s
+// until the machine was back.
+func TestSession_assignerWithoutPower(t *testing.T) {
+	fake := clock.NewFake()
+	lost := false
+	session := NewSession(SessionOptions{
+		Clock: fake, Wall: func() time.Time { return time.Unix(0, int64(fake.Now())) }, Address: "c", TTL: testTTL, MaxDrift: time.Second,
+		Eligible:      func() bool { return true },
+		Assigner:      func() []ids.Address { return []ids.Address{"a", "b", "c"} },
+		AssignerLease: func(clock.Instant) (int64, bool) { return 0, false },
+		ProbePlatform: func(context.Context) bool { return true },
+		Send: func(ctx context.Context, to ids.Address, _ SessionRequest) (SessionResponse, error) {
+			switch {
+			case to == "a" && lost:
+				// Nothing answers until the time is up.
+				fake.Advance(testTTL)
+				return SessionResponse{}, context.Cause(ctx)
+			case to == "a":
+				return SessionResponse{Assigning: true, Assigner: "a", Epoch: 1}, nil
+			case to == "b" && lost:
+				return SessionResponse{Assigning: true, Assigner: "b", Epoch: 2, Grants: []Grant{{Part: UsagePart, Fence: 2}}}, nil
+			}
+			return SessionResponse{Assigner: "a"}, nil
+		},
+	})
+	session.Renew(context.Background())
+	lost = true
+	for range 2 {
+		session.Renew(context.Background())
+	}
+	if fence, ok := session.Assigned(UsagePart); !ok || fence != 2 {
+		t.Errorf("part held: %v, fence %d, after two heartbeats", ok, fence)
+	}
+}
+
 // TestCluster_partsAreSharedEvenly starts controllers one after another: each ends up with
 // an even share, a zone's part with the zone's controller, and few parts move.
 func TestCluster_partsAreSharedEvenly(t *testing.T) {
--- a/control/duty/session.go
+++ b/control/duty/session.go
@@ -1,7 +1,9 @@
 package duty
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +57,10 @@
 	// epoch is that of the assigner that answered last.
 	epoch    int64
 	assigner ids.Address
-	parts    map[Part]*heldPart
+	// silent are controllers that did not answer last; they are asked after all others, since
+	// one whose machine is without power takes the whole time of a heartbeat.
+	silent map[ids.Address]bool
+	parts  map[Part]*heldPart
 	// ended has the highest fence of each part that was given up or refused: it is never
 	// taken up again. rejected are those that the assigner granted all the same.
 	ended    map[Part]int64
@@ -88,7 +93,7 @@
 // NewSession returns a Session that holds nothing.
 func NewSession(options SessionOptions) *Session {
 	return &Session{
-		options: options, parts: map[Part]*heldPart{}, ended: map[Part]int64{}, rejected: map[Part]int64{},
+		options: options, silent: map[ids.Address]bool{}, parts: map[Part]*heldPart{}, ended: map[Part]int64{}, rejected: map[Part]int64{},
 		acts: map[Part]Act{}, failingSince: map[Part]clock.Instant{},
 	}
 }
@@ -138,6 +143,7 @@
 		asked[address] = true
 		started, wall := s.options.Clock.Now(), s.options.Wall()
 		resp, err := s.options.Send(ctx, address, req)
+		s.noteAnswer(address, err)
 		switch {
 		case err != nil:
 			continue
@@ -145,17 +151,45 @@
 			s.take(address, resp, started, wall)
 			return
 		case resp.Assigner != "":
-			candidates = append([]ids.Address{resp.Assigner}, candidates...)
+			candidates = s.silentLast(append([]ids.Address{resp.Assigner}, candidates...))
 		}
 	}
 }
 
+// noteAnswer remembers whether a controller answered.
+func (s *Session) noteAnswer(address ids.Address, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		delete(s.silent, address)
+		return
+	}
+	s.silent[address] = true
+}
+
 // candidates returns whom to ask: who answered last goes first.
 func (s *Session) candidates() []ids.Address {
 	s.mu.Lock()
 	last := s.assigner
 	s.mu.Unlock()
-	return append([]ids.Address{last}, s.options.Assigner()...)
+	return s.silentLast(append([]ids.Address{last}, s.options.Assigner()...))
+}
+
+// silentLast moves those that did not answer last to the end.
+func (s *Session) silentLast(candidates []ids.Address) []ids.Address {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ordered := slices.Clone(candidates)
+	slices.SortStableFunc(ordered, func(a, b ids.Address) int { return cmp.Compare(rank(s.silent[a]), rank(s.silent[b])) })
+	return ordered
+}
+
+// rank orders false before true.
+func rank(late bool) int {
+	if late {
+		return 1
+	}
+	return 0
 }
 
 // request returns the next heartbeat.
