Quotas: one late answer denies one need, and does not detach the zone

Change: the relay's own request, one an interval, decides alone whether the issuer is lost. A request that finds contact to be older than its time-out, and fails, does so too. The zone's part is not used while the issuer answers.

--- a/control/quota/detached.go
+++ b/control/quota/detached.go
@@ -60,7 +60,7 @@
 // takeOwn takes an amount out of what accrued of the zone's part for a tenant. The caller
 // holds r.mu.
 func (r *Relay) takeOwn(p *pool, tenant *config.Tenant, amount float64, part float64, now clock.Instant) bool {
-	if now.Before(r.ownSince) {
+	if r.contact == issuerAnswers || now.Before(r.ownSince) {
 		return false
 	}
 	if p.own.FilledAt < r.ownSince {
--- a/control/quota/relay.go
+++ b/control/quota/relay.go
@@ -96,8 +96,11 @@
 		return AcquireResponse{}, errkind.Errorf(errkind.NotReady, "no configuration")
 	}
 	if !r.inContact(req) {
-		if _, err := r.issueUnlessSilent(ctx, nil); err != nil {
-			return r.grantDetached(cfg, req), ctx.Err()
+		if _, err := r.issueUnlessSilent(ctx, nil); err != nil && ctx.Err() != nil {
+			return AcquireResponse{}, ctx.Err()
+		} else if err != nil {
+			r.noteSilence()
+			return r.grantDetached(cfg, req), nil
 		}
 	}
 	resp := AcquireResponse{Issuer: true, Routers: int64(r.options.Routers()), Amounts: make([]float64, len(req.Needs))}
@@ -112,13 +115,7 @@
 	issued, err := r.issueUnlessSilent(ctx, needs)
 	if err != nil {
 		r.putBack(uncovered)
-	}
-	if err != nil && ctx.Err() != nil {
-		return AcquireResponse{}, err
-	}
-	if err != nil {
-		resp.Issuer = false
-		return r.addDetached(cfg, req, resp), nil
+		return r.withoutIssuer(ctx, cfg, req, resp)
 	}
 	for position, part := range uncovered {
 		if issued[position] > 0 {
@@ -131,6 +128,19 @@
 	return resp, nil
 }
 
+// withoutIssuer completes a response where the issuer granted nothing of the rest: while it
+// is not known to be silent the rest is denied, and the routers stay in contact.
+func (r *Relay) withoutIssuer(ctx context.Context, cfg *config.Config, req AcquireRequest, resp AcquireResponse) (AcquireResponse, error) {
+	if ctx.Err() != nil {
+		return AcquireResponse{}, ctx.Err()
+	}
+	if !r.isSilent() {
+		return resp, nil
+	}
+	resp.Issuer = false
+	return r.addDetached(cfg, req, resp), nil
+}
+
 // uncoveredNeed is an immediate need that the pool covers in part: what it had is taken
 // out until the issuer has answered for the rest.
 type uncoveredNeed struct {
--- a/control/quota/relay_test.go
+++ b/control/quota/relay_test.go
@@ -59,24 +59,26 @@
 	return h.relay.Acquire(ctx, AcquireRequest{From: "router", Routers: 1, Needs: []Need{{Tenant: relayTenant, Amount: 1, Immediate: true}}})
 }
 
-// TestRelay_requestsDoNotWaitForSilentIssuer cuts a relay off for longer than any timeout:
-// a router's requests wait for the issuer once at most, since whoever waits is granted
-// nothing in the end, and the router takes this relay for silent, too. Every second one
-// waited before, so that routers never left their parts to the relay.
+// TestRelay_requestsDoNotWaitForSilentIssuer cuts a relay off: once its own request failed, no
+// router's waits for the issuer, since whoever waits is granted nothing in the end, and the
+// router takes this relay for silent, too. Every second one waited before, so that routers
+// never left their parts to the relay.
 func TestRelay_requestsDoNotWaitForSilentIssuer(t *testing.T) {
 	h := newRelayHarness(t)
 	ctx := context.Background()
 	if resp, err := h.acquire(ctx, t); err != nil || !resp.Issuer {
 		t.Fatalf("not granted in contact: %+v, %v", resp, err)
 	}
-	h.isSilent, h.asked = true, 0
+	h.isSilent = true
+	h.relay.FillUp(ctx)
+	h.asked = 0
 	for range 20 {
 		h.clock.Advance(h.relay.options.Policy.Interval())
 		if resp, err := h.acquire(ctx, t); err != nil || resp.Issuer {
 			t.Fatalf("%+v, %v from a relay whose issuer is silent", resp, err)
 		}
 	}
-	if h.asked > 1 {
+	if h.asked > 0 {
 		t.Errorf("%d of 20 requests waited for a silent issuer", h.asked)
 	}
 	h.isSilent = false
@@ -86,6 +88,63 @@
 	}
 }
 
+// TestRelay_lateAnswerDeniesOneNeed has one answer of the issuer come too late, as that over a
+// new connection to another region may: the need is denied, and the zone's routers stay in
+// contact. They all went on with their own parts before, for several intervals.
+func TestRelay_lateAnswerDeniesOneNeed(t *testing.T) {
+	h := newRelayHarness(t)
+	ctx := context.Background()
+	if _, err := h.acquire(ctx, t); err != nil {
+		t.Fatal(err)
+	}
+	h.isSilent = true
+	if resp, err := h.acquire(ctx, t); err != nil || !resp.Issuer || resp.Amounts[0] != 0 {
+		t.Errorf("%+v, %v for a need whose answer is late", resp, err)
+	}
+	h.isSilent = false
+	if resp, err := h.acquire(ctx, t); err != nil || resp.Amounts[0] != 1 {
+		t.Errorf("%+v, %v afterwards", resp, err)
+	}
+}
+
+// TestRelay_ownPartWaitsAfterEachLoss loses the issuer twice, the second time long after the
+// first: the zone's part must not be used at once, though it was free after the first loss.
+func TestRelay_ownPartWaitsAfterEachLoss(t *testing.T) {
+	h := newRelayHarness(t)
+	ctx := context.Background()
+	// More than the relay holds unspent, and less than its part makes in a second.
+	need := AcquireRequest{From: "router", Routers: Delegating, Needs: []Need{{Tenant: relayTenant, Amount: 100, Immediate: true}}}
+	for range 2 {
+		h.isSilent = false
+		h.relay.FillUp(ctx)
+		if resp, err := h.acquire(ctx, t); err != nil || !resp.Issuer {
+			t.Fatalf("not granted in contact: %+v, %v", resp, err)
+		}
+		// Longer than the contact lasts, so that the next request finds the loss.
+		h.clock.Advance(time.Minute)
+		h.isSilent = true
+		for range 3 {
+			resp, err := h.relay.Acquire(ctx, need)
+			if err != nil || resp.Issuer || resp.Amounts[0] > 0 {
+				t.Fatalf("%+v, %v right after the loss", resp, err)
+			}
+		}
+		// The part is free after a while.
+		granted := 0.0
+		for range 40 {
+			h.clock.Advance(h.relay.options.Policy.Interval())
+			resp, err := h.relay.Acquire(ctx, need)
+			if err != nil {
+				t.Fatal(err)
+			}
+			granted += resp.Amounts[0]
+		}
+		if granted == 0 {
+			t.Error("the zone's part is never used")
+		}
+	}
+}
+
 // TestRelay_callerThatGivesUpSaysNothingOfIssuer ends a router's wait before the issuer's
 // answer: the relay stays in contact, and counts the router in.
 func TestRelay_callerThatGivesUpSaysNothingOfIssuer(t *testing.T) {
--- a/control/quota/relayfill.go
+++ b/control/quota/relayfill.go
@@ -19,6 +19,7 @@
 	}
 	issued, err := r.issue(ctx, needs)
 	if err != nil {
+		r.noteSilence()
 		return
 	}
 	now := r.options.Clock.Now()
--- a/control/quota/relayissuer.go
+++ b/control/quota/relayissuer.go
@@ -24,17 +24,15 @@
 
 // issueUnlessSilent is issue, but while the issuer is silent.
 func (r *Relay) issueUnlessSilent(ctx context.Context, needs []Need) ([]float64, error) {
-	r.mu.Lock()
-	isSilent := r.contact == issuerSilent
-	r.mu.Unlock()
-	if isSilent {
+	if r.isSilent() {
 		return nil, errNoIssuer
 	}
 	return r.issue(ctx, needs)
 }
 
-// issue asks the issuer and returns what it granted of each need. That the caller waited no
-// longer says nothing of the issuer.
+// issue asks the issuer and returns what it granted of each need. That it failed says nothing
+// of the issuer yet: a request that needs a new connection to another region may take as long
+// as a router waits. FillUp, which asks all the time, decides.
 func (r *Relay) issue(ctx context.Context, needs []Need) ([]float64, error) {
 	req := AcquireRequest{From: r.options.Address, Needs: needs}
 	r.mu.Lock()
@@ -47,24 +45,34 @@
 	if err == nil && (!resp.Issuer || len(resp.Amounts) != len(needs)) {
 		err = errNoIssuer
 	}
-	if err != nil && ctx.Err() != nil {
+	if err != nil {
 		return nil, err
 	}
-	return resp.Amounts, r.noteContact(err, started)
+	r.noteAnswer(started)
+	return resp.Amounts, nil
 }
 
-// noteContact takes over what came of a request to the issuer, and returns its error. The
-// first that fails sets when the zone's part begins.
-func (r *Relay) noteContact(err error, askedAt clock.Instant) error {
+// noteAnswer takes over that the issuer answered a request.
+func (r *Relay) noteAnswer(askedAt clock.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contact, r.contactAt = issuerAnswers, max(r.contactAt, askedAt)
+}
+
+// noteSilence takes over that the issuer did not answer. The first time sets when the zone's
+// part begins.
+func (r *Relay) noteSilence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.contact, r.contactAt = issuerAnswers, max(r.contactAt, askedAt)
-		return nil
-	}
 	if r.contact == issuerAnswers {
 		r.ownSince = r.options.Clock.Now().Add(r.options.Policy.DetachTimeout(false))
 	}
 	r.contact = issuerSilent
-	return err
+}
+
+// isSilent reports whether the issuer did not answer FillUp.
+func (r *Relay) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contact == issuerSilent
 }
