Duties: overviews keep their order where the assignment is read again under one epoch

Cause: where an answer of the store is lost, the assigner reads the assignment again under the same epoch, and counted its overviews from 0 again. Their versions were older than what was gossiped, so nobody took them over: relays sent counts to a former holder for good.

Change: the counter begins anew with a new epoch alone.

--- a/control/duty/assigner.go
+++ b/control/duty/assigner.go
@@ -49,9 +49,10 @@
 	mu sync.Mutex
 	// epoch is the one under which the rest was begun; ready says that the stored
 	// assignment was read under it.
-	epoch     int64
-	begunAt   clock.Instant
-	ready     bool
+	epoch   int64
+	begunAt clock.Instant
+	ready   bool
+	// counter orders the overviews that were published under epoch.
 	counter   int64
 	sessions  map[ids.Address]*assignerSession
 	parts     map[Part]*partState
@@ -144,7 +145,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.epoch, a.begunAt, a.ready, a.counter, a.published = epoch, started, true, 0, nil
+	if a.epoch != epoch {
+		a.counter = 0
+	}
+	a.epoch, a.begunAt, a.ready, a.published = epoch, started, true, nil
 	a.sessions, a.parts = map[ids.Address]*assignerSession{}, map[Part]*partState{}
 	for _, part := range a.options.Parts {
 		a.parts[part] = &partState{record: PartRecord{Part: part}}
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -382,6 +382,61 @@
 	}
 }
 
+// TestAssigner_publishesAfterLostAnswer loses the answer of the store, so that the assigner
+// reads the assignment again under the same epoch: what it publishes then must be newer than
+// before, or nobody takes it over. In the soak relays sent counts to a former holder for good.
+func TestAssigner_publishesAfterLostAnswer(t *testing.T) {
+	fake := clock.NewFake()
+	var stored []byte
+	var published []gossip.Item
+	loseAnswer := false
+	assigner := NewAssigner(AssignerOptions{
+		Clock: fake, Wall: func() time.Time { return time.Unix(0, int64(fake.Now())) }, Address: "a", Parts: testParts, TTL: testTTL, HandOver: testHandOver,
+		Held: func(clock.Instant) (int64, bool) { return 1, true },
+		Update: func(_ context.Context, _ string, update UpdateFunc) ([]byte, error) {
+			next, err := update(slices.Clone(stored))
+			if err != nil {
+				return nil, err
+			}
+			stored = next
+			if loseAnswer {
+				return nil, errUnreachable
+			}
+			return next, nil
+		},
+		Publish:   func(item gossip.Item) { published = append(published, item) },
+		NewSerial: func(epoch, counter int64) ids.Version { return ids.Version(epoch<<32 | counter) },
+	})
+	run := func(addresses ...ids.Address) {
+		for range int(2 * testHandOver / testStep) {
+			fake.Advance(testStep)
+			for number, address := range addresses {
+				assigner.Renew(SessionRequest{From: address, Incarnation: int64(number + 1), Eligible: true}, fake.Now())
+			}
+			assigner.Step(context.Background())
+		}
+	}
+	run("a", "b")
+	loseAnswer = true
+	run("a")
+	loseAnswer = false
+	run("a")
+	for index := 1; index < len(published); index++ {
+		if published[index].Version <= published[index-1].Version {
+			t.Fatalf("overview %d has version %d after %d", index, published[index].Version, published[index-1].Version)
+		}
+	}
+	overview, err := transport.Unmarshal[Overview](published[len(published)-1].Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range overview.Parts {
+		if part.Holder != "a" {
+			t.Errorf("%s is told to be held by %s", part.Part, part.Holder)
+		}
+	}
+}
+
 // TestSession_assignerWithoutPower has the assigner's machine lose power: whoever asks it waits
 // for as long as a heartbeat may take. The session must find the next assigner all the same,
 // though the others still name the lost one. On a benchmark day no part moved for the 20 s
