Usage, duties: one piece where the change had written twice

Reading the change again: copies of counts were a store of their own beside the collector's sums, with a second path for the controller's own; the collector takes and gives them now. The decoding of a stored value that may be empty stood four times (transport.UnmarshalStored), a bounded send five times (sendBounded), a shuffle beside random.Shuffle, and silent controllers were sorted by a rank where two lists do.

--- a/control/controller/dutyusage.go
+++ b/control/controller/dutyusage.go
@@ -16,14 +16,6 @@
 // addUsageCollector adds the holder's side of usage.
 func (c *Controller) addUsageCollector() {
 	agreed, bounds := c.daemon.ServeTime(), c.settings.Bounds
-	copies := usage.NewCopies(c.settings.ZoneNames())
-	transport.Handle(c.daemon.Calls, usage.CopyMessage, copies.Take)
-	transport.Handle(c.daemon.Calls, usage.CopiesMessage, func(ctx context.Context, req usage.CopiesRequest) (usage.CopiesResponse, error) {
-		resp, err := copies.Give(ctx, req)
-		// A holder whose session ended has what lost zones told it.
-		resp.Zones = append(resp.Zones, c.duties.usage.Known()...)
-		return resp, err
-	})
 	c.duties.usage = usage.NewCollector(usage.Options{
 		Clock: c.clock, Now: agreed.Now, Synced: agreed.Synced,
 		Window: settings.Seconds(bounds.UsageWindowS), Late: settings.Seconds(bounds.UsageLateS), Zones: c.settings.ZoneNames(),
@@ -31,7 +23,7 @@
 		Merge:        settings.Milliseconds(bounds.MergeMS),
 		Assigned:     func() (int64, bool) { return c.duties.session.Assigned(duty.UsagePart) },
 		Held:         func() (int64, bool) { return c.duties.session.Held(duty.UsagePart) },
-		Update:       c.commands.Update, Copies: func(ctx context.Context) []usage.ZoneCounts { return c.usageCopies(ctx, copies) },
+		Update:       c.commands.Update, Copies: c.daemon.UsageCopies,
 		Call: func(ctx context.Context, fence int64, call duty.Call) (int, error) {
 			return c.duties.client.Call(ctx, duty.UsagePart, fence, call)
 		},
@@ -39,6 +31,8 @@
 	})
 	transport.Handle(c.daemon.Calls, usage.SumsMessage, c.duties.usage.TakeSums)
 	transport.Handle(c.daemon.Calls, usage.CollectMessage, c.duties.usage.Collect)
+	transport.Handle(c.daemon.Calls, usage.CopyMessage, c.duties.usage.TakeCopy)
+	transport.Handle(c.daemon.Calls, usage.CopiesMessage, c.duties.usage.GiveCopies)
 	for result, read := range map[string]func(usage.Stats) int64{
 		"decided": func(s usage.Stats) int64 { return s.Decided }, "incomplete": func(s usage.Stats) int64 { return s.Incomplete },
 		"reported": func(s usage.Stats) int64 { return s.Reported }, "failed": func(s usage.Stats) int64 { return s.Failed },
@@ -48,13 +42,3 @@
 	}
 	c.daemon.AddService("usage", func(ctx context.Context) error { c.duties.usage.Run(ctx, dutyStep); return nil })
 }
-
-// usageCopies returns the copies of zones' counts that this controller and all others keep.
-func (c *Controller) usageCopies(ctx context.Context, own *usage.Copies) []usage.ZoneCounts {
-	copies := c.daemon.UsageCopies(ctx)
-	kept, err := own.Give(ctx, usage.CopiesRequest{From: c.daemon.Address})
-	if err != nil {
-		return copies
-	}
-	return append(copies, kept.Zones...)
-}
--- a/control/daemon/usage.go
+++ b/control/daemon/usage.go
@@ -106,9 +106,15 @@
 	if relay == d.Address {
 		return d.usage.relay.Report(ctx, report)
 	}
+	return sendBounded[usage.ReportResponse](ctx, d, relay, usage.ReportMessage, report)
+}
+
+// sendBounded is transport.Send, for no longer than connecting may take: a machine without
+// power must not hold up those that are asked after it.
+func sendBounded[Response, Request any](ctx context.Context, d *Daemon, to ids.Address, message string, req Request) (Response, error) {
 	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
 	defer cancel()
-	return transport.Send[usage.ReportResponse](limited, d.Transport, relay, usage.ReportMessage, report)
+	return transport.Send[Response](limited, d.Transport, to, message, req)
 }
 
 // usageTerm returns who holds the part of usage, as was gossiped last.
@@ -119,16 +125,12 @@
 
 // sendUsageSums sends the sums of the zone to the holder of the part of usage.
 func (d *Daemon) sendUsageSums(ctx context.Context, holder ids.Address, req usage.SumsRequest) (usage.CollectResponse, error) {
-	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
-	defer cancel()
-	return transport.Send[usage.CollectResponse](limited, d.Transport, holder, usage.SumsMessage, req)
+	return sendBounded[usage.CollectResponse](ctx, d, holder, usage.SumsMessage, req)
 }
 
 // collectUsage sends the reports of the zone's routers to a holder of an older build.
 func (d *Daemon) collectUsage(ctx context.Context, holder ids.Address, req usage.CollectRequest) (usage.CollectResponse, error) {
-	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
-	defer cancel()
-	return transport.Send[usage.CollectResponse](limited, d.Transport, holder, usage.CollectMessage, req)
+	return sendBounded[usage.CollectResponse](ctx, d, holder, usage.CollectMessage, req)
 }
 
 // copyUsage sends the counts of the zone to a controller that is not lost together with
@@ -138,10 +140,8 @@
 	if keeper == "" {
 		return
 	}
-	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
-	defer cancel()
 	// One that does not know the message, of an older build, keeps nothing.
-	_, _ = transport.Send[usage.CopyResponse](limited, d.Transport, keeper, usage.CopyMessage, counts)
+	_, _ = sendBounded[usage.CopyResponse](ctx, d, keeper, usage.CopyMessage, counts)
 }
 
 // usageKeeper returns the controller that keeps a copy of a zone's counts: the first of
@@ -173,14 +173,12 @@
 // UsageCopies asks all other controllers for the copies of zones' counts that they keep,
 // and returns those of who answers.
 func (d *Daemon) UsageCopies(ctx context.Context) []usage.ZoneCounts {
-	limited, cancel := d.clock.WithTimeout(ctx, d.timing.ConnectTimeout)
-	defer cancel()
 	var mu sync.Mutex
 	var copies []usage.ZoneCounts
 	var asked sync.WaitGroup
 	for _, controller := range d.otherControllers() {
 		asked.Go(func() {
-			resp, err := transport.Send[usage.CopiesResponse](limited, d.Transport, controller, usage.CopiesMessage, usage.CopiesRequest{From: d.Address})
+			resp, err := sendBounded[usage.CopiesResponse](ctx, d, controller, usage.CopiesMessage, usage.CopiesRequest{From: d.Address})
 			if err != nil {
 				return
 			}
@@ -226,10 +224,7 @@
 			controllers = append(controllers, member.Address)
 		}
 	}
-	for index := range controllers {
-		other := int(random.Int64N(int64(index + 1)))
-		controllers[index], controllers[other] = controllers[other], controllers[index]
-	}
+	random.Shuffle(controllers)
 	return controllers
 }
 
--- a/control/duty/assigner.go
+++ b/control/duty/assigner.go
@@ -125,7 +125,7 @@
 	started := a.options.Clock.Now()
 	former := ids.Address("")
 	value, err := a.options.Update(ctx, AssignmentKey, func(current []byte) ([]byte, error) {
-		assignment, err := decodeAssignment(current)
+		assignment, err := transport.UnmarshalStored[Assignment](AssignmentKey, current)
 		if err != nil {
 			return nil, err
 		}
@@ -139,7 +139,7 @@
 	if err != nil {
 		return
 	}
-	assignment, err := decodeAssignment(value)
+	assignment, err := transport.UnmarshalStored[Assignment](AssignmentKey, value)
 	if err != nil || assignment.Epoch != epoch || assignment.Assigner != a.options.Address {
 		return
 	}
@@ -175,17 +175,6 @@
 // errSuperseded ends an update of an assigner whose lease has passed to another.
 var errSuperseded = errors.New("duty: another assigner has taken over")
 
-func decodeAssignment(value []byte) (Assignment, error) {
-	if len(value) == 0 {
-		return Assignment{}, nil
-	}
-	assignment, err := transport.Unmarshal[Assignment](value)
-	if err != nil {
-		return Assignment{}, transport.NewStoredValueError(AssignmentKey, err)
-	}
-	return assignment, nil
-}
-
 // Renew answers a heartbeat.
 func (a *Assigner) Renew(req SessionRequest, now clock.Instant) SessionResponse {
 	epoch, held := a.options.Held(now)
@@ -263,7 +252,7 @@
 // store writes changed records on a majority, and takes them over once they are there.
 func (a *Assigner) store(ctx context.Context, epoch int64, changes []PartRecord) {
 	value, err := a.options.Update(ctx, AssignmentKey, func(current []byte) ([]byte, error) {
-		assignment, err := decodeAssignment(current)
+		assignment, err := transport.UnmarshalStored[Assignment](AssignmentKey, current)
 		if err != nil {
 			return nil, err
 		}
@@ -281,7 +270,7 @@
 	if a.epoch != epoch {
 		return
 	}
-	stored, decodeErr := decodeAssignment(value)
+	stored, decodeErr := transport.UnmarshalStored[Assignment](AssignmentKey, value)
 	if err != nil || decodeErr != nil || stored.Epoch != epoch || stored.Assigner != a.options.Address {
 		// What is stored may be either: it is read again.
 		a.ready = false
--- a/control/duty/cluster_test.go
+++ b/control/duty/cluster_test.go
@@ -172,7 +172,7 @@
 // withoutParts returns a stored assignment without its parts, if another assigner is to
 // read it.
 func (c *cluster) withoutParts(value []byte) []byte {
-	assignment, err := decodeAssignment(value)
+	assignment, err := transport.UnmarshalStored[Assignment](AssignmentKey, value)
 	if err != nil || assignment.Epoch == c.leaseEpoch {
 		return value
 	}
--- a/control/duty/session.go
+++ b/control/duty/session.go
@@ -1,9 +1,7 @@
 package duty
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -179,17 +177,15 @@
 func (s *Session) silentLast(candidates []ids.Address) []ids.Address {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ordered := slices.Clone(candidates)
-	slices.SortStableFunc(ordered, func(a, b ids.Address) int { return cmp.Compare(rank(s.silent[a]), rank(s.silent[b])) })
-	return ordered
-}
-
-// rank orders false before true.
-func rank(late bool) int {
-	if late {
-		return 1
+	var answering, silent []ids.Address
+	for _, address := range candidates {
+		if s.silent[address] {
+			silent = append(silent, address)
+		} else {
+			answering = append(answering, address)
+		}
 	}
-	return 0
+	return append(answering, silent...)
 }
 
 // request returns the next heartbeat.
--- a/control/sizing/sizing.go
+++ b/control/sizing/sizing.go
@@ -171,7 +171,7 @@
 func (o *Orderer) store(ctx context.Context, zone ids.Zone, state *zoneOrders, wanted []Order) bool {
 	key := keyPrefix + string(zone)
 	value, err := o.options.Update(ctx, key, func(current []byte) ([]byte, error) {
-		orders, err := decodeOrders(key, current)
+		orders, err := transport.UnmarshalStored[Orders](key, current)
 		if err != nil {
 			return nil, err
 		}
@@ -184,7 +184,7 @@
 		state.retryAt = o.options.Clock.Now().Add(o.options.RetryPause)
 		return false
 	}
-	orders, err := decodeOrders(key, value)
+	orders, err := transport.UnmarshalStored[Orders](key, value)
 	if err != nil {
 		return false
 	}
@@ -192,17 +192,6 @@
 	return true
 }
 
-func decodeOrders(key string, value []byte) (Orders, error) {
-	if len(value) == 0 {
-		return Orders{}, nil
-	}
-	orders, err := transport.Unmarshal[Orders](value)
-	if err != nil {
-		return Orders{}, transport.NewStoredValueError(key, err)
-	}
-	return orders, nil
-}
-
 // document is the platform's.
 type document struct {
 	Service ids.Service `json:"service"`
--- a/control/sizing/sizing_test.go
+++ b/control/sizing/sizing_test.go
@@ -12,6 +12,7 @@
 	"onyxwell/control/config"
 	"onyxwell/control/duty"
 	"onyxwell/control/planning/autoscaler"
+	"onyxwell/control/transport"
 	"onyxwell/control/transport/transporttest"
 )
 
@@ -76,7 +77,7 @@
 func TestOrderer_ordersOnceWithinBounds(t *testing.T) {
 	f := newFixture(t)
 	f.expect(t, "first", `{"service":"s","zone":"a","wanted":5}`)
-	if orders, err := decodeOrders("", f.atCalls[0]); err != nil || !slices.Contains(orders.Orders, Order{Service: "s", Wanted: 5}) {
+	if orders, err := transport.UnmarshalStored[Orders]("", f.atCalls[0]); err != nil || !slices.Contains(orders.Orders, Order{Service: "s", Wanted: 5}) {
 		t.Errorf("at the call %+v, %v was stored", orders, err)
 	}
 	f.expect(t, "unchanged")
--- a/control/state/command/epoch.go
+++ b/control/state/command/epoch.go
@@ -33,12 +33,9 @@
 // nextEpoch returns the update of the EpochRecord under a key.
 func nextEpoch(key string) register.UpdateFunc {
 	return func(current []byte) ([]byte, error) {
-		var record EpochRecord
-		if len(current) > 0 {
-			var err error
-			if record, err = transport.Unmarshal[EpochRecord](current); err != nil {
-				return nil, transport.NewStoredValueError(key, err)
-			}
+		record, err := transport.UnmarshalStored[EpochRecord](key, current)
+		if err != nil {
+			return nil, err
 		}
 		return transport.Marshal(EpochRecord{Number: record.Number + 1})
 	}
--- a/control/transport/stored.go
+++ b/control/transport/stored.go
@@ -19,6 +19,20 @@
 	return errkind.Errorf(errkind.Internal, "%w", &StoredValueError{Key: key, Err: err})
 }
 
+// UnmarshalStored decodes the value of a register's key; one that was never written is the
+// zero value.
+func UnmarshalStored[Value any](key string, stored []byte) (Value, error) {
+	var value Value
+	if len(stored) == 0 {
+		return value, nil
+	}
+	value, err := Unmarshal[Value](stored)
+	if err != nil {
+		return value, NewStoredValueError(key, err)
+	}
+	return value, nil
+}
+
 // Error names the key, what is wrong with its value, and what to do.
 func (s *StoredValueError) Error() string {
 	reason := errkind.DetailOf(s.Err)
--- a/control/usage/collector.go
+++ b/control/usage/collector.go
@@ -31,7 +31,7 @@
 	Assigned, Held func() (fence int64, ok bool)
 	// Update stores the log.
 	Update func(ctx context.Context, key string, update duty.UpdateFunc) ([]byte, error)
-	// Copies returns the copies that all controllers keep, as far as they answer.
+	// Copies returns what GiveCopies of all other controllers gives, as far as they answer.
 	Copies func(ctx context.Context) []ZoneCounts
 	// CallsPerStep is how many reports may be sent in one step, at least 1.
 	CallsPerStep int
@@ -113,18 +113,32 @@
 	return CollectResponse{Holding: true, Decided: c.log.Decided}
 }
 
-// Known returns the counts of all zones that are known here and not decided, also those
-// that an earlier holder took.
-func (c *Collector) Known() []ZoneCounts {
+// TakeCopy keeps the sums of a zone in whose region the holder is, too: where that region is
+// lost, nobody else has them. Every controller takes what relays of other regions send it.
+func (c *Collector) TakeCopy(_ context.Context, copied ZoneCounts) (CopyResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var known []ZoneCounts
+	zone := c.zones[copied.Zone]
+	if zone == nil {
+		return CopyResponse{}, nil
+	}
+	zone.sums.merge(copied.Windows, 0)
+	zone.sums.keepNewest(maxWindows)
+	return CopyResponse{Kept: true}, nil
+}
+
+// GiveCopies returns the counts of all zones that are known here: copies, and what this
+// controller took while it held the part.
+func (c *Collector) GiveCopies(context.Context, CopiesRequest) (CopiesResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var resp CopiesResponse
 	for _, name := range c.options.Zones {
 		if windows := c.zones[name].all().message(); len(windows) > 0 {
-			known = append(known, ZoneCounts{Zone: name, Windows: windows})
+			resp.Zones = append(resp.Zones, ZoneCounts{Zone: name, Windows: windows})
 		}
 	}
-	return known
+	return resp, nil
 }
 
 // begin drops what was stored and acknowledged under another fence. Counts stay: they hold
--- a/control/usage/decide.go
+++ b/control/usage/decide.go
@@ -30,7 +30,7 @@
 func (c *Collector) load(ctx context.Context, fence int64) bool {
 	present := int64(c.options.Now() / c.options.Window)
 	value, err := c.options.Update(ctx, LogKey, func(current []byte) ([]byte, error) {
-		stored, err := decodeLog(current)
+		stored, err := transport.UnmarshalStored[Log](LogKey, current)
 		if err != nil {
 			return nil, err
 		}
@@ -45,7 +45,7 @@
 	if err != nil {
 		return false
 	}
-	stored, err := decodeLog(value)
+	stored, err := transport.UnmarshalStored[Log](LogKey, value)
 	if err != nil {
 		return false
 	}
@@ -73,17 +73,6 @@
 	}
 }
 
-func decodeLog(value []byte) (Log, error) {
-	if len(value) == 0 {
-		return Log{}, nil
-	}
-	stored, err := transport.Unmarshal[Log](value)
-	if err != nil {
-		return Log{}, transport.NewStoredValueError(LogKey, err)
-	}
-	return stored, nil
-}
-
 // decide stores the decisions of all windows that are complete or late.
 func (c *Collector) decide(ctx context.Context, fence int64) {
 	next, incomplete := c.decisions()
@@ -92,7 +81,7 @@
 	}
 	expected := c.expectedDecided()
 	value, err := c.options.Update(ctx, LogKey, func(current []byte) ([]byte, error) {
-		stored, err := decodeLog(current)
+		stored, err := transport.UnmarshalStored[Log](LogKey, current)
 		if err != nil {
 			return nil, err
 		}
@@ -108,7 +97,7 @@
 		c.mu.Unlock()
 		return
 	}
-	stored, err := decodeLog(value)
+	stored, err := transport.UnmarshalStored[Log](LogKey, value)
 	if err != nil {
 		return
 	}
--- a/control/usage/harness_test.go
+++ b/control/usage/harness_test.go
@@ -44,9 +44,6 @@
 	routers    []*testRouter
 	relays     [testZones]*Relay
 	collectors [2]*Collector
-	// copies are those that the collectors' controllers keep; that of the holder is lost
-	// with it.
-	copies [2]*Copies
 	// holder is the collector that holds the part, under fence; -1 is none.
 	holder int
 	fence  int64
@@ -140,19 +137,18 @@
 		},
 		Copy: func(ctx context.Context, counts ZoneCounts) {
 			if f.holder >= 0 && f.oneRegion {
-				_, _ = f.copies[1-f.holder].Take(ctx, counts)
+				_, _ = f.collectors[1-f.holder].TakeCopy(ctx, counts)
 			}
 		},
 	})
 }
 
 func (f *fleet) startCollector(index int) {
-	f.copies[index] = NewCopies(testZoneNames)
 	f.collectors[index] = NewCollector(Options{
 		Clock: f.clock, Now: f.now, Synced: func() bool { return true }, Window: testWindow, Late: testLate, Zones: testZoneNames, Merge: f.merge, CallsPerStep: testCallsPerStep,
 		Copies: func(ctx context.Context) []ZoneCounts {
-			resp, _ := f.copies[index].Give(ctx, CopiesRequest{})
-			return append(resp.Zones, f.collectors[1-index].Known()...)
+			resp, _ := f.collectors[1-index].GiveCopies(ctx, CopiesRequest{})
+			return resp.Zones
 		},
 		Assigned: func() (int64, bool) { return f.fence, f.holder == index },
 		Held:     func() (int64, bool) { return f.fence, f.holder == index && !f.clock.Now().Before(f.mayActAt) }, Update: f.update, Call: f.call,
@@ -170,7 +166,7 @@
 
 // forgetDecisions has the store lose the last decisions.
 func (f *fleet) forgetDecisions() {
-	stored, err := decodeLog(f.stored)
+	stored, err := transport.UnmarshalStored[Log](LogKey, f.stored)
 	if err != nil || stored.Decided == 0 {
 		return
 	}
