--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -79,6 +79,13 @@
 	AddUndecided
 	// CountersFull is an add beyond the IDs that the counters can remember.
 	CountersFull
+	// UnknownService is a service that the configuration doesn't have, or one without a
+	// rollout.
+	UnknownService
+	// RolloutConflict is an order of a rollout that can't be taken as things stand.
+	RolloutConflict
+	// InvalidOrder is an order of a rollout that can't be read.
+	InvalidOrder
 	// kindCount is the number of kinds.
 	kindCount
 )
@@ -125,6 +132,9 @@
 	QuotaExceeded:        {Status: 429, Name: "over-quota", Text: "the tenant's quota is used up", NotRun: true},
 	AddUndecided:         {Status: 504, Name: "undecided", Text: "the add may count; send it again"},
 	CountersFull:         {Status: 503, Name: "counters-full", Text: "the counters remember all the IDs that they can", NotRun: true},
+	UnknownService:       {Status: 404, Name: "unknown-service", Text: "there is no such service"},
+	RolloutConflict:      {Status: 409, Name: "rollout-conflict", Text: "the rollout can't be begun as things stand"},
+	InvalidOrder:         {Status: 400, Name: "bad-order", Text: "the order can't be read"},
 	EarlyRequest:         {Status: 503, Name: "sent-ahead", Text: "the request came before the answer to the one before it", NotRun: true, CloseConnection: true},
 }
 
--- a/base/errkind/errkind_test.go
+++ b/base/errkind/errkind_test.go
@@ -42,6 +42,9 @@
 		{QuotaExceeded, "over-quota", 429},
 		{AddUndecided, "undecided", 504},
 		{CountersFull, "counters-full", 503},
+		{UnknownService, "unknown-service", 404},
+		{RolloutConflict, "rollout-conflict", 409},
+		{InvalidOrder, "bad-order", 400},
 	}
 	if len(wire) != int(kindCount) {
 		t.Fatalf("%d kinds are listed of %d", len(wire), kindCount)
--- a/base/settings/settings.go
+++ b/base/settings/settings.go
@@ -208,6 +208,13 @@
 	UsageWindowS float64 `toml:"usage_window_s"`
 	UsageLateS   float64 `toml:"usage_late_s"`
 	UsageError   float64 `toml:"usage_error"`
+	// BadShare and BadSlack bound the exposure to a bad version: of the requests that reach
+	// a service between the order of a rollout and its term, the part that may go to it, and
+	// so many more. RollbackMS is the time in which requests stop going to it once it has
+	// given bad responses; permits to send to a new version are fractions of it.
+	BadShare   float64 `toml:"bad_share"`
+	BadSlack   float64 `toml:"bad_slack"`
+	RollbackMS float64 `toml:"rollback_ms"`
 	// ColdExcess and ColdSlack bound the requests in a second to a runner that is
 	// warming up: its rate times ColdExcess, and ColdSlack more. Unused.
 	ColdExcess float64 `toml:"cold_excess"`
@@ -250,6 +257,12 @@
 	ScalingDuty = "scaling"
 )
 
+// RolloutRule is the part of the service level rules that has rollouts of new versions.
+const RolloutRule = "rollout"
+
+// HasRule reports whether a part of the service level rules is in force.
+func (s *Settings) HasRule(name string) bool { return slices.Contains(s.Rules, name) }
+
 // HasDuty reports whether the boot file asks for a duty.
 func (s *Settings) HasDuty(name string) bool { return slices.Contains(s.Platform.Duties, name) }
 
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -20,6 +20,7 @@
 	"onyxwell/control/gossip"
 	"onyxwell/control/membership"
 	"onyxwell/control/planning/autoscaler"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/command"
 	"onyxwell/control/state/lease"
 	"onyxwell/control/state/quorum"
@@ -65,6 +66,8 @@
 	view       *discovery.View
 	leases     []*lease.Holder
 	duties     *duties
+	// director is nil where no rollouts are ordered.
+	director *rollout.Director
 }
 
 // New assembles a controller and loads its state from the disk. It opens the
--- a/control/controller/dutysizes.go
+++ b/control/controller/dutysizes.go
@@ -17,7 +17,7 @@
 // addOrderer adds the orders of zones' sizes.
 func (c *Controller) addOrderer() {
 	orderer := sizing.New(sizing.Options{
-		Clock: c.clock, Zones: c.settings.ZoneNames(), Config: c.daemon.Config, Planned: c.plannedSizes,
+		Clock: c.clock, Zones: c.settings.ZoneNames(), Config: c.daemon.Config, Planned: c.plannedSizes, Frozen: c.isChangingVersion,
 		Held: c.duties.session.Held, Update: c.commands.Update, Call: c.duties.client.Call, RetryPause: orderRetryPause, Log: c.log,
 	})
 	c.daemon.AddService("sizing", func(ctx context.Context) error { orderer.Run(ctx, dutyStep); return nil })
@@ -37,7 +37,8 @@
 }
 
 // scaledServices returns the services whose runners are ordered, with their zones as they
-// are now. It is empty while the list of runners is stale.
+// are now, without those that change their version. It is empty while the list of runners is
+// stale.
 func (c *Controller) scaledServices() []autoscaler.ScaledService {
 	cfg := c.daemon.Config()
 	if cfg == nil || !c.view.Complete() {
@@ -46,7 +47,7 @@
 	lost := c.lostZones()
 	var scaled []autoscaler.ScaledService
 	for _, service := range cfg.Services {
-		if service.Scaling != nil {
+		if service.Scaling != nil && !c.isChangingVersion(service.Name) {
 			scaled = append(scaled, c.scaledService(service, lost))
 		}
 	}
--- /dev/null
+++ b/control/controller/rollouts.go
@@ -0,0 +1,162 @@
+package controller
+
+import (
+	"context"
+
+	"onyxwell/base/errkind"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+	"onyxwell/base/settings"
+	"onyxwell/control/admin"
+	"onyxwell/control/config"
+	"onyxwell/control/config/store"
+	"onyxwell/control/rollout"
+	"onyxwell/control/state/command"
+	"onyxwell/control/state/lease"
+)
+
+// addRollouts adds the singleton that takes rollouts through their stages, where the
+// settings have rollouts.
+func (c *Controller) addRollouts() {
+	if !c.settings.HasRule(settings.RolloutRule) {
+		return
+	}
+	c.addSingleton(singleton{lease: rolloutLease, newService: c.newDirector})
+}
+
+func (c *Controller) newDirector(holder *lease.Holder) func(context.Context) {
+	c.director = rollout.NewDirector(rollout.DirectorOptions{
+		Clock: c.clock, Address: c.daemon.Address, Policy: rollout.PolicyOf(c.settings.Bounds), Zones: c.settings.Zones,
+		Held: holder.Held, Updates: c.daemon.Updates, Runners: c.runnersForRollout, HasRouters: c.zoneHasRouters,
+		Update: func(ctx context.Context, key string, update func([]byte) ([]byte, error)) ([]byte, error) {
+			return c.commands.Update(ctx, key, update)
+		},
+		UnixMS: c.agreedUnixMS, Log: c.log,
+	})
+	c.daemon.ServeRolloutDirector(func(req rollout.ExchangeRequest) rollout.ExchangeResponse {
+		return c.director.Exchange(req, c.clock.Now())
+	})
+	for _, condition := range []rollout.Condition{rollout.Serving, rollout.Finished, rollout.Reverted} {
+		c.daemon.Metrics.GaugeFunc("rollouts", "Services by the condition of their newest rollout.",
+			map[string]string{"condition": condition.String()}, func() float64 { return float64(c.countRollouts(condition)) })
+	}
+	return c.director.Run
+}
+
+// runnersForRollout returns the runners of a service that may get requests.
+func (c *Controller) runnersForRollout(service ids.Service) []rollout.Runner {
+	var runners []rollout.Runner
+	for _, runner := range c.view.Runners() {
+		if runner.Service == service && !runner.Draining && !c.zoneEvacuated(runner.Zone) {
+			runners = append(runners, rollout.Runner{ID: runner.ID, Region: c.settings.Zones[runner.Zone], Version: runner.Version})
+		}
+	}
+	return runners
+}
+
+// isChangingVersion reports whether a rollout of a service is in progress, or has left
+// runners of more than one version.
+func (c *Controller) isChangingVersion(service ids.Service) bool {
+	if c.director == nil || !c.director.Knows(service) {
+		return false
+	}
+	if c.director.InProgress(service) {
+		return true
+	}
+	versions := map[string]bool{}
+	for _, runner := range c.view.Runners() {
+		if runner.Service == service && !runner.Draining {
+			versions[runner.Version] = true
+		}
+	}
+	return len(versions) > 1
+}
+
+// awaitsRunners reports whether a rollout waits for runners of its target version.
+func (c *Controller) awaitsRunners() bool { return c.director != nil && c.director.AwaitsRunners() }
+
+// zoneHasRouters reports whether a zone may have routers: one of unknown size may.
+func (c *Controller) zoneHasRouters(zone ids.Zone) bool {
+	for _, size := range c.daemon.Zones.Sizes() {
+		if size.Zone == zone {
+			return size.Routers > 0
+		}
+	}
+	return true
+}
+
+// agreedUnixMS returns the agreed time in milliseconds since the start of 1970, 0 where it
+// is not known.
+func (c *Controller) agreedUnixMS() int64 {
+	agreed := c.daemon.AgreedTime()
+	if agreed == nil || !agreed.Synced() {
+		return 0
+	}
+	return agreed.Now().Milliseconds()
+}
+
+func (c *Controller) rolloutStatuses() []rollout.Status {
+	if c.director == nil {
+		return nil
+	}
+	return c.director.Statuses()
+}
+
+func (c *Controller) countRollouts(condition rollout.Condition) int {
+	count := 0
+	for _, status := range c.rolloutStatuses() {
+		if status.Condition == condition.String() {
+			count++
+		}
+	}
+	return count
+}
+
+// serveRollouts serves the operators' calls for rollouts, where the settings have them.
+func (c *Controller) serveRollouts(mux *httpcall.Mux) {
+	if c.director != nil {
+		admin.ServeRollouts(mux, c)
+	}
+}
+
+// OrderRollout implements admin.Rollouts.
+func (c *Controller) OrderRollout(ctx context.Context, order rollout.Order) error {
+	if err := c.checkService(ctx, order.Service); err != nil {
+		return err
+	}
+	order.UnixMS = c.agreedUnixMS()
+	return c.commands.OrderRollout(ctx, order)
+}
+
+// checkService returns an error for a service that the configuration in force doesn't have.
+// The configuration that was gossiped may be behind: only a majority can tell that a service
+// is unknown.
+func (c *Controller) checkService(ctx context.Context, service ids.Service) error {
+	if known := c.daemon.Config(); known != nil && known.Service(service) != nil {
+		return nil
+	}
+	value, err := c.commands.Dispatch(ctx, command.Command{Key: config.Key, Verb: command.VerbRead})
+	if err != nil {
+		return err
+	}
+	record, err := store.Decode(value)
+	if err != nil {
+		return err
+	}
+	if record.Version == 0 {
+		return errkind.Errorf(errkind.NotReady, "no spec was taken yet")
+	}
+	parsed, err := config.Parse(record.Document)
+	if err != nil {
+		return err
+	}
+	if parsed.Service(service) == nil {
+		return errkind.Errorf(errkind.UnknownService, "service: %q", service)
+	}
+	return nil
+}
+
+// ReadRollout implements admin.Rollouts.
+func (c *Controller) ReadRollout(ctx context.Context, service ids.Service) (rollout.Record, error) {
+	return c.commands.ReadRollout(ctx, service)
+}
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -9,6 +9,7 @@
 	"onyxwell/control/directory"
 	"onyxwell/control/discovery"
 	"onyxwell/control/quota"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/lease"
 )
 
@@ -17,6 +18,7 @@
 	discoveryLease = "census"
 	planningLease  = "plan"
 	quotaLease     = quota.LeaseName
+	rolloutLease   = rollout.LeaseName
 )
 
 const (
@@ -40,6 +42,7 @@
 	c.addSingleton(singleton{lease: planningLease, newService: c.newAutoscaler})
 	c.addSingleton(singleton{lease: quotaLease, newService: c.newQuotaIssuer, eligible: c.KnowsRouters})
 	c.addDuties()
+	c.addRollouts()
 	c.addAdminAPI()
 	c.addDirectory()
 }
@@ -75,7 +78,8 @@
 		Resign: func(ctx context.Context) {
 			holder.StandDown(ctx, c.timing.LeaseDuration)
 		},
-		Interval: c.timing.DiscoveryInterval, HeartbeatInterval: heartbeatPolls * c.timing.DiscoveryInterval,
+		Expecting: c.awaitsRunners,
+		Interval:  c.timing.DiscoveryInterval, HeartbeatInterval: heartbeatPolls * c.timing.DiscoveryInterval,
 		Clock: c.clock, Log: c.log, RatePerS: c.settings.Platform.RatePerS,
 	}
 	return func(ctx context.Context) { publisher.Run(ctx) }
@@ -98,6 +102,7 @@
 	admin.ServeHeadroom(mux, c.daemon.Updates)
 	admin.ServeCounters(mux, c.counters)
 	admin.ServeParts(mux, c.handOverPart)
+	c.serveRollouts(mux)
 	c.serveStatus(mux)
 	c.addListener("control", mux)
 }
--- a/control/controller/status.go
+++ b/control/controller/status.go
@@ -14,6 +14,7 @@
 	"onyxwell/control/counter"
 	"onyxwell/control/membership"
 	"onyxwell/control/membership/zonesummary"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/quorum"
 	"onyxwell/control/state/register"
 )
@@ -37,13 +38,15 @@
 	// Counters is this controller's replica of the applications' counters.
 	Counters counter.Status `json:"counters"`
 	// Duties are the parts of the duties at the platform; nil where there are none.
-	Duties       *dutiesStatus `json:"duties,omitempty"`
-	Pushed       int64         `json:"pushed"`
-	PushesFailed int64         `json:"pushes_failed"`
-	Relayed      int64         `json:"relayed"`
-	MessagesSent int64         `json:"messages_sent"`
-	BytesOut     int64         `json:"bytes_out"`
-	BytesIn      int64         `json:"bytes_in"`
+	Duties *dutiesStatus `json:"duties,omitempty"`
+	// Rollouts are those known here; the director knows most of them.
+	Rollouts     []rollout.Status `json:"rollouts,omitempty"`
+	Pushed       int64            `json:"pushed"`
+	PushesFailed int64            `json:"pushes_failed"`
+	Relayed      int64            `json:"relayed"`
+	MessagesSent int64            `json:"messages_sent"`
+	BytesOut     int64            `json:"bytes_out"`
+	BytesIn      int64            `json:"bytes_in"`
 	// MessagesRejected counts messages of other daemons that were dropped, by reason.
 	MessagesRejected map[string]int64 `json:"messages_refused"`
 }
@@ -78,7 +81,7 @@
 	return status{
 		Address: c.daemon.Address, Regions: c.daemon.Zones.Regions(), Voters: c.Voters().Members,
 		Quorum: c.quorum.Status(c.clock.Now()), Redundancy: c.voter.QueryRedundancy(ctx),
-		Counters: c.counters.Status(), Duties: c.dutiesStatus(),
+		Counters: c.counters.Status(), Duties: c.dutiesStatus(), Rollouts: c.rolloutStatuses(),
 		Pushed: gossiped.Pushed.Load(), PushesFailed: gossiped.Failed.Load(), Relayed: gossiped.Relayed.Load(),
 		MessagesSent: traffic.Messages.Load(), BytesOut: traffic.BytesOut.Load(), BytesIn: traffic.BytesIn.Load(),
 		MessagesRejected: c.daemon.Transport.Guard.Totals(),
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -80,6 +80,7 @@
 	quotaRelay *quota.Relay
 	quotas     quotaContext
 	usage      *usageContext
+	rollouts   *rolloutContext
 	outliers   outlier.Detector
 
 	mu sync.Mutex
@@ -189,6 +190,7 @@
 	d.addReports()
 	d.addQuotaRelay(options.Config)
 	d.addUsage()
+	d.addRollouts()
 	d.addMetrics()
 	if options.View != nil {
 		d.addListFallback(options.View)
--- /dev/null
+++ b/control/daemon/rollout.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+
+	"onyxwell/base/errkind"
+	"onyxwell/base/ids"
+	"onyxwell/base/settings"
+	"onyxwell/control/rollout"
+	"onyxwell/control/transport"
+)
+
+// rolloutContext is what a daemon knows of rollouts; it is nil where none are ordered.
+type rolloutContext struct {
+	policy rollout.Policy
+	relay  *rollout.Relay
+	// direct is set where this daemon may be the director.
+	direct func(rollout.ExchangeRequest) rollout.ExchangeResponse
+}
+
+// addRollouts has this daemon relay reports and permits of rollouts for the routers of its
+// zone, where the settings have rollouts.
+func (d *Daemon) addRollouts() {
+	if !d.settings.HasRule(settings.RolloutRule) {
+		return
+	}
+	d.rollouts = &rolloutContext{policy: rollout.PolicyOf(d.settings.Bounds)}
+	d.rollouts.relay = rollout.NewRelay(rollout.RelayOptions{
+		Clock: d.clock, Address: d.Address, Zone: d.settings.Zone, Policy: d.rollouts.policy,
+		Routers: d.zoneRouters, Send: d.sendToDirector,
+	})
+	transport.Handle(d.Calls, rollout.RelayMessage, d.rollouts.relay.Exchange)
+	d.AddService("rollout relay", func(ctx context.Context) error { d.rollouts.relay.Run(ctx); return nil })
+}
+
+// ServeRolloutDirector has this daemon answer relays by direct.
+func (d *Daemon) ServeRolloutDirector(direct func(rollout.ExchangeRequest) rollout.ExchangeResponse) {
+	d.rollouts.direct = direct
+	transport.Handle(d.Calls, rollout.DirectMessage, func(_ context.Context, req rollout.ExchangeRequest) (rollout.ExchangeResponse, error) {
+		return direct(req), nil
+	})
+}
+
+// ExchangeRollouts reports to the first of the zone's relays that answers in contact with
+// the director, and returns the permits that it grants.
+func (d *Daemon) ExchangeRollouts(ctx context.Context, req rollout.ExchangeRequest) (rollout.ExchangeResponse, error) {
+	req.From, req.Zone = d.Address, d.settings.Zone
+	err := errkind.Errorf(errkind.NotReady, "no relay is known")
+	for _, relay := range d.Membership.Relays(d.settings.Zone, d.timing.RelaysPerZone) {
+		var resp rollout.ExchangeResponse
+		if resp, err = d.askRolloutRelay(ctx, relay.Address, req); err == nil && resp.Directing {
+			return resp, nil
+		}
+		if err == nil {
+			// The report was taken; another relay is asked for permits alone.
+			req = req.WithoutCounts()
+		}
+	}
+	return rollout.ExchangeResponse{}, err
+}
+
+func (d *Daemon) askRolloutRelay(ctx context.Context, relay ids.Address, req rollout.ExchangeRequest) (rollout.ExchangeResponse, error) {
+	if relay == d.Address {
+		return d.rollouts.relay.Exchange(ctx, req)
+	}
+	limited, cancel := d.clock.WithTimeout(ctx, d.rollouts.policy.ExchangeInterval)
+	defer cancel()
+	return transport.Send[rollout.ExchangeResponse](limited, d.Transport, relay, rollout.RelayMessage, req)
+}
+
+// sendToDirector sends a relay's message to the director that was announced last.
+func (d *Daemon) sendToDirector(ctx context.Context, req rollout.ExchangeRequest) (rollout.ExchangeResponse, error) {
+	director := d.rolloutDirector()
+	switch {
+	case director == "":
+		return rollout.ExchangeResponse{}, errkind.Errorf(errkind.NotReady, "no director is known")
+	case director == d.Address && d.rollouts.direct != nil:
+		return d.rollouts.direct(req), nil
+	}
+	limited, cancel := d.clock.WithTimeout(ctx, d.rollouts.policy.PermitTTL/2)
+	defer cancel()
+	return transport.Send[rollout.ExchangeResponse](limited, d.Transport, director, rollout.DirectMessage, req)
+}
+
+func (d *Daemon) rolloutDirector() ids.Address {
+	item, ok := d.Updates.Get(rollout.DirectorKey)
+	if !ok {
+		return ""
+	}
+	announced, err := transport.Unmarshal[rollout.DirectorItem](item.Body)
+	if err != nil {
+		return ""
+	}
+	return announced.Address
+}
--- a/control/discovery/publisher.go
+++ b/control/discovery/publisher.go
@@ -48,6 +48,9 @@
 	// Interval is the time from one poll to the next. It doubles while nothing
 	// changes, unless the list is read by zone.
 	Interval time.Duration
+	// Expecting reports whether runners are about to be added, so that the interval does not
+	// double; nil is never.
+	Expecting func() bool
 	// HeartbeatInterval is the time between two heartbeats of an unchanged list.
 	HeartbeatInterval time.Duration
 
@@ -82,7 +85,8 @@
 // as much as the pages of one poll need under the platform's rate limit.
 func (p *Publisher) delay() time.Duration {
 	delay := p.Interval
-	if p.unchanged >= unchangedThreshold && !p.Platform.ByZone() {
+	expecting := p.Expecting != nil && p.Expecting()
+	if p.unchanged >= unchangedThreshold && !p.Platform.ByZone() && !expecting {
 		delay *= unchangedBackoff
 	}
 	if p.RatePerS <= 0 {
--- /dev/null
+++ b/control/rollout/director.go
@@ -0,0 +1,261 @@
+package rollout
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/discovery"
+	"onyxwell/control/gossip"
+	"onyxwell/control/transport"
+)
+
+// DirectorOptions configure a Director. All are required but Log and UnixMS.
+type DirectorOptions struct {
+	Clock   clock.Clock
+	Address ids.Address
+	Policy  Policy
+	// Zones are all zones of the deployment.
+	Zones map[ids.Zone]ids.Region
+	// Held reports whether this controller holds the lease at an instant, and its epoch.
+	Held func(now clock.Instant) (epoch int64, held bool)
+	// Updates has the records, and is where the director is announced.
+	Updates *gossip.Store
+	// Runners returns the runners of a service that may get requests, by the newest list.
+	Runners func(service ids.Service) []Runner
+	// HasRouters reports whether a zone may have routers.
+	HasRouters func(zone ids.Zone) bool
+	// Update stores a record.
+	Update func(ctx context.Context, key string, update func(current []byte) ([]byte, error)) ([]byte, error)
+	// UnixMS returns the agreed time, 0 where it is not known; nil is never.
+	UnixMS func() int64
+	Log    *log.Logger
+}
+
+// Director takes rollouts through their stages while this controller holds the lease. It is
+// safe for concurrent use; Step is called by one goroutine.
+type Director struct {
+	options   DirectorOptions
+	announced int64
+
+	mu     sync.Mutex
+	trials map[ids.Service]*trial
+}
+
+// trial is a rollout in progress, as this controller sees it.
+type trial struct {
+	service ids.Service
+	record  Record
+	// orderedAt is when the order was given, or was first seen here.
+	orderedAt clock.Instant
+	// epoch is the one under which the stage was entered here; 0 is none. Permits are granted
+	// for the stage entered, since enteredAt, unless the version was found bad.
+	epoch     int64
+	enteredAt clock.Instant
+	shape     stageShape
+	rejected  string
+	judge     *Judge
+	zones     map[ids.Zone]map[ids.Address]relayState
+}
+
+// relayState is what a relay said last.
+type relayState struct {
+	unconfirmed int64
+	at          clock.Instant
+}
+
+// NewDirector returns a Director that knows of no rollouts.
+func NewDirector(options DirectorOptions) *Director {
+	return &Director{options: options, trials: map[ids.Service]*trial{}}
+}
+
+// Run takes steps until ctx ends.
+func (d *Director) Run(ctx context.Context) {
+	for clock.Wait(ctx, d.options.Clock, d.options.Policy.ExchangeInterval/2) {
+		d.Step(ctx)
+	}
+}
+
+// Step takes each rollout one step on, if this controller holds the lease.
+func (d *Director) Step(ctx context.Context) {
+	now := d.options.Clock.Now()
+	d.observe(now)
+	epoch, held := d.options.Held(now)
+	if !held {
+		return
+	}
+	d.announce(epoch)
+	for _, step := range d.transitions(epoch, now) {
+		d.store(ctx, step)
+	}
+}
+
+// announce has relays know where the director is.
+func (d *Director) announce(epoch int64) {
+	if epoch == d.announced {
+		return
+	}
+	if body, err := transport.Marshal(DirectorItem{Address: d.options.Address}); err == nil {
+		d.options.Updates.Put(gossip.Item{Key: DirectorKey, Version: discovery.FencedSerial(epoch, 1), Body: body})
+		d.announced = epoch
+	}
+}
+
+// observe takes over the records, also where this controller does not hold the lease: the
+// time of an order counts from when it is first seen.
+func (d *Director) observe(now clock.Instant) {
+	items := d.options.Updates.WithPrefix(KeyPrefix)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, item := range items {
+		service, ok := ServiceOfKey(item.Key)
+		if known := d.trials[service]; !ok || (known != nil && known.record.Version >= item.Version) {
+			continue
+		}
+		if record, err := Decode(service, item.Body); err == nil {
+			d.takeOver(service, record, now)
+		}
+	}
+}
+
+// takeOver takes a newer record over. The caller holds d.mu.
+func (d *Director) takeOver(service ids.Service, record Record, now clock.Instant) {
+	current := d.trials[service]
+	if current == nil || current.record.Order != record.Order {
+		current = &trial{
+			service: service, orderedAt: now.Add(-d.ageOf(record)), judge: NewJudge(), zones: map[ids.Zone]map[ids.Address]relayState{},
+		}
+		d.trials[service] = current
+	}
+	current.record = record
+}
+
+// ageOf returns how long ago an order was given, as far as the agreed time is known.
+func (d *Director) ageOf(record Record) time.Duration {
+	if d.options.UnixMS == nil || record.OrderedUnixMS == 0 {
+		return 0
+	}
+	unixMS := d.options.UnixMS()
+	if unixMS == 0 {
+		return 0
+	}
+	return time.Duration(min(max(unixMS-record.OrderedUnixMS, 0), record.TermMS)) * time.Millisecond
+}
+
+// transitions returns the steps that are due.
+func (d *Director) transitions(epoch int64, now clock.Instant) []Transition {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var due []Transition
+	for _, service := range slices.Sorted(maps.Keys(d.trials)) {
+		trial := d.trials[service]
+		if !trial.record.InProgress() {
+			continue
+		}
+		if step, ok := d.next(trial, epoch, now); ok {
+			step.Service, step.Order, step.Epoch = service, trial.record.Order, epoch
+			due = append(due, step)
+		}
+	}
+	return due
+}
+
+// store stores a step, and takes its outcome over at once. A step that is not stored is due
+// again; one after which the target version is to get less is not waited for: permits end.
+func (d *Director) store(ctx context.Context, step Transition) {
+	value, err := d.options.Update(ctx, Key(step.Service), step.Apply())
+	now := d.options.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	trial := d.trials[step.Service]
+	if err != nil {
+		d.log(trial, "step not stored: "+err.Error())
+		return
+	}
+	record, err := Decode(step.Service, value)
+	if err != nil || trial.record.Order != record.Order || trial.record.Version > record.Version {
+		return
+	}
+	trial.record = record
+	if record.Epoch == step.Epoch && Stage(record.Stage) == step.Stage && step.To == Serving {
+		trial.enter(step.Epoch, d.shape(trial, step.Stage), now)
+	}
+	d.log(trial, step.Reason)
+}
+
+// log logs what became of a rollout, or what it waits for.
+func (d *Director) log(trial *trial, reason string) {
+	if d.options.Log == nil {
+		return
+	}
+	d.options.Log.Info().Str("part", "rollout").Str("service", string(trial.service)).Str("target", trial.record.Target).
+		Int64("order", trial.record.Order).Str("condition", Condition(trial.record.Condition).String()).
+		Str("stage", Stage(trial.record.Stage).String()).Int64("reserved_ms", trial.record.ReservedMS).Str("reason", reason).
+		Any("routes", trial.judge.Routes()).Msg("rollout")
+}
+
+// enter begins a stage, whose permits may be granted from now on.
+func (t *trial) enter(epoch int64, shape stageShape, now clock.Instant) {
+	t.epoch, t.enteredAt, t.shape = epoch, now, shape
+	t.judge.BeginStage(Stage(t.record.Stage))
+}
+
+// Exchange takes a relay's report and grants permits.
+func (d *Director) Exchange(req ExchangeRequest, now clock.Instant) ExchangeResponse {
+	epoch, held := d.options.Held(now)
+	if !held {
+		return ExchangeResponse{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, report := range req.Services {
+		trial := d.trials[report.Service]
+		if trial == nil || trial.record.Order != report.Order {
+			continue
+		}
+		if trial.zones[req.Zone] == nil {
+			trial.zones[req.Zone] = map[ids.Address]relayState{}
+		}
+		trial.zones[req.Zone][req.From] = relayState{unconfirmed: report.Unconfirmed, at: now}
+		trial.judge.Add(report.Routes, now)
+		trial.checkVerdict()
+	}
+	return ExchangeResponse{Directing: true, Permits: d.permits(epoch)}
+}
+
+// checkVerdict withholds permits from a version that is found bad.
+func (t *trial) checkVerdict() {
+	if verdict := t.judge.Verdict(); verdict.Finding == Bad && t.rejected == "" {
+		t.rejected = verdict.Reason
+	}
+}
+
+// permits returns what may be granted under an epoch. The caller holds d.mu.
+func (d *Director) permits(epoch int64) []Permit {
+	var permits []Permit
+	for _, service := range slices.Sorted(maps.Keys(d.trials)) {
+		trial := d.trials[service]
+		if !trial.record.InProgress() || trial.epoch != epoch || trial.rejected != "" || trial.stage() == Waiting {
+			continue
+		}
+		permits = append(permits, Permit{
+			Service: service, Order: trial.record.Order, Stage: trial.record.Stage,
+			RunnersMilli: int64(trial.shape.Part * milli), LoadMilli: int64(trial.shape.Load * milli),
+			TTLMS: d.options.Policy.PermitTTL.Milliseconds(),
+		})
+	}
+	return permits
+}
+
+// milli is the number of thousandths in one.
+const milli = 1000
+
+func (t *trial) stage() Stage { return Stage(t.record.Stage) }
+
+func (t *trial) term() time.Duration { return time.Duration(t.record.TermMS) * time.Millisecond }
--- /dev/null
+++ b/control/rollout/histogram.go
@@ -0,0 +1,103 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// bucketsPerOctave is how many buckets of a Histogram double the time.
+	bucketsPerOctave = 4
+	// bucketCount covers times from a millisecond to a minute.
+	bucketCount = 16 * bucketsPerOctave
+)
+
+// Histogram counts durations by bucket; each begins 19 in 100 above the one before, the
+// first at a millisecond. The zero value is empty.
+type Histogram struct {
+	counts [bucketCount]int64
+	total  int64
+}
+
+func bucketOf(duration time.Duration) int {
+	milliseconds := float64(duration) / float64(time.Millisecond)
+	if milliseconds <= 1 {
+		return 0
+	}
+	return min(int(math.Log2(milliseconds)*bucketsPerOctave), bucketCount-1)
+}
+
+// bucketStart returns where a bucket begins.
+func bucketStart(index int) time.Duration {
+	return time.Duration(math.Exp2(float64(index)/bucketsPerOctave) * float64(time.Millisecond))
+}
+
+// Add counts a duration.
+func (h *Histogram) Add(duration time.Duration) {
+	h.counts[bucketOf(duration)]++
+	h.total++
+}
+
+// Merge adds counted buckets; those out of range are left out.
+func (h *Histogram) Merge(buckets []Bucket) {
+	for _, bucket := range buckets {
+		if bucket.Index >= 0 && bucket.Index < bucketCount && bucket.Count > 0 {
+			h.counts[bucket.Index] += bucket.Count
+			h.total += bucket.Count
+		}
+	}
+}
+
+// Buckets returns the buckets that are not empty.
+func (h *Histogram) Buckets() []Bucket {
+	var buckets []Bucket
+	for index, count := range h.counts {
+		if count > 0 {
+			buckets = append(buckets, Bucket{Index: int64(index), Count: count})
+		}
+	}
+	return buckets
+}
+
+// Total returns how many durations were counted.
+func (h *Histogram) Total() int64 { return h.total }
+
+// Quantile returns the duration that a part of all is not above, to the end of its bucket; 0
+// where none was counted.
+func (h *Histogram) Quantile(part float64) time.Duration {
+	rank := int64(math.Ceil(part * float64(h.total)))
+	for index, count := range h.counts {
+		if rank -= count; rank <= 0 && h.total > 0 {
+			return bucketStart(index + 1)
+		}
+	}
+	return 0
+}
+
+// Above counts the durations in buckets that begin at a limit or later.
+func (h *Histogram) Above(limit time.Duration) int64 {
+	return sum(h.counts[min(bucketOf(limit)+1, bucketCount):])
+}
+
+// Clone returns a copy.
+func (h *Histogram) Clone() *Histogram {
+	clone := *h
+	return &clone
+}
+
+func sum(counts []int64) int64 {
+	total := int64(0)
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+// mergeBuckets returns the sum of two lists of buckets.
+func mergeBuckets(first, second []Bucket) []Bucket {
+	merged := &Histogram{}
+	merged.Merge(first)
+	merged.Merge(second)
+	return slices.Clip(merged.Buckets())
+}
--- /dev/null
+++ b/control/rollout/relay.go
@@ -0,0 +1,207 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+)
+
+const (
+	// relayIdleTime is after how long without a router's message a relay is idle.
+	relayIdleTime = 5 * time.Second
+	// freshExchanges is for how many intervals what a router or a relay said holds.
+	freshExchanges = 3
+)
+
+// RelayOptions configure a Relay. All are required.
+type RelayOptions struct {
+	Clock   clock.Clock
+	Address ids.Address
+	Zone    ids.Zone
+	Policy  Policy
+	// Routers returns the routers of the zone that are up.
+	Routers func() []ids.Address
+	// Send sends a message to the director; its error says that none answered.
+	Send func(ctx context.Context, req ExchangeRequest) (ExchangeResponse, error)
+}
+
+// Relay passes reports of its zone's routers on to the director, and permits to the routers.
+// Every daemon has one; it works while routers ask it. It is safe for concurrent use.
+type Relay struct {
+	options RelayOptions
+
+	mu      sync.Mutex
+	askedAt clock.Instant
+	trials  map[ids.Service]*relayedTrial
+	// permits were granted by the director; they end at expiry.
+	permits []Permit
+	expiry  clock.Instant
+}
+
+// relayedTrial is what a relay keeps of one order.
+type relayedTrial struct {
+	order int64
+	// confirmedAt is when routers last confirmed that they send nothing to old runners.
+	confirmedAt map[ids.Address]clock.Instant
+	counts      routeCounts
+}
+
+// NewRelay returns a Relay without permits.
+func NewRelay(options RelayOptions) *Relay {
+	return &Relay{options: options, trials: map[ids.Service]*relayedTrial{}}
+}
+
+// Run exchanges messages with the director while routers ask, until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	for clock.Wait(ctx, r.options.Clock, r.options.Policy.ExchangeInterval) {
+		r.Forward(ctx)
+	}
+}
+
+// Exchange takes a router's report and grants what is left of the director's permits.
+func (r *Relay) Exchange(_ context.Context, req ExchangeRequest) (ExchangeResponse, error) {
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.askedAt = now
+	for _, report := range req.Services {
+		trial := r.trial(report.Service, report.Order)
+		if trial == nil {
+			continue
+		}
+		trial.counts.merge(report.Routes)
+		if report.Unconfirmed == 0 {
+			trial.confirmedAt[req.From] = now
+		} else {
+			delete(trial.confirmedAt, req.From)
+		}
+	}
+	return r.permitsLeft(now), nil
+}
+
+// trial returns what is kept of an order, nil for one that is outdated.
+func (r *Relay) trial(service ids.Service, order int64) *relayedTrial {
+	trial := r.trials[service]
+	if trial == nil || trial.order < order {
+		trial = &relayedTrial{order: order, confirmedAt: map[ids.Address]clock.Instant{}, counts: routeCounts{}}
+		r.trials[service] = trial
+	}
+	if trial.order != order {
+		return nil
+	}
+	return trial
+}
+
+func (r *Relay) permitsLeft(now clock.Instant) ExchangeResponse {
+	left := r.expiry.Since(now)
+	if left <= 0 {
+		return ExchangeResponse{}
+	}
+	resp := ExchangeResponse{Directing: true}
+	for _, permit := range r.permits {
+		permit.TTLMS = min(permit.TTLMS, left.Milliseconds())
+		resp.Permits = append(resp.Permits, permit)
+	}
+	return resp
+}
+
+// Forward exchanges one message with the director, unless no router asks. What a message
+// that failed had reported goes with the next.
+func (r *Relay) Forward(ctx context.Context) {
+	startedAt := r.options.Clock.Now()
+	req, ok := r.request(startedAt)
+	if !ok {
+		return
+	}
+	resp, err := r.options.Send(ctx, req)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil || !resp.Directing {
+		r.putBack(req)
+		return
+	}
+	r.permits = resp.Permits
+	r.expiry = startedAt.Add(shortestTTL(resp.Permits))
+}
+
+func shortestTTL(permits []Permit) time.Duration {
+	if len(permits) == 0 {
+		return 0
+	}
+	shortest := permits[0].TTLMS
+	for _, permit := range permits {
+		shortest = min(shortest, permit.TTLMS)
+	}
+	return time.Duration(shortest) * time.Millisecond
+}
+
+// request takes what is to be reported; ok is false while no router asks.
+func (r *Relay) request(now clock.Instant) (req ExchangeRequest, ok bool) {
+	routers := r.options.Routers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.askedAt == 0 || now.Since(r.askedAt) > relayIdleTime {
+		r.trials = map[ids.Service]*relayedTrial{}
+		return ExchangeRequest{}, false
+	}
+	req = ExchangeRequest{From: r.options.Address, Zone: r.options.Zone}
+	for service, trial := range r.trials {
+		req.Services = append(req.Services, ServiceReport{
+			Service: service, Order: trial.order, Unconfirmed: r.unconfirmed(trial, routers, now), Routes: trial.counts.message(),
+		})
+		trial.counts = routeCounts{}
+	}
+	return req, true
+}
+
+// unconfirmed counts the routers that have not confirmed of late.
+func (r *Relay) unconfirmed(trial *relayedTrial, routers []ids.Address, now clock.Instant) int64 {
+	count := int64(0)
+	for _, router := range routers {
+		at, ok := trial.confirmedAt[router]
+		if !ok || now.Since(at) > freshExchanges*r.options.Policy.ExchangeInterval {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *Relay) putBack(req ExchangeRequest) {
+	for _, report := range req.Services {
+		if trial := r.trial(report.Service, report.Order); trial != nil {
+			trial.counts.merge(report.Routes)
+		}
+	}
+}
+
+// routeCounts are counts by route and arm.
+type routeCounts map[armKey]RouteCount
+
+type armKey struct {
+	route  string
+	target bool
+}
+
+func (c routeCounts) merge(counts []RouteCount) {
+	for _, count := range counts {
+		key := armKey{route: count.Route, target: count.Target}
+		merged := c[key]
+		merged.Route, merged.Target = count.Route, count.Target
+		merged.Ended += count.Ended
+		merged.Failed += count.Failed
+		merged.FirstByte = mergeBuckets(merged.FirstByte, count.FirstByte)
+		merged.Whole = mergeBuckets(merged.Whole, count.Whole)
+		c[key] = merged
+	}
+}
+
+func (c routeCounts) message() []RouteCount {
+	var counts []RouteCount
+	for _, count := range c {
+		counts = append(counts, count)
+	}
+	return counts
+}
--- /dev/null
+++ b/control/rollout/schedule.go
@@ -0,0 +1,78 @@
+package rollout
+
+import "time"
+
+// stageShape is how a stage divides the traffic, and for how long.
+type stageShape struct {
+	// Part is the part of the target version's runners that get requests, Load how much each
+	// gets, in parts of what an old one gets.
+	Part, Load float64
+	// Least is how long the stage lasts at least, Longest how long it may last without a
+	// finding.
+	Least, Longest time.Duration
+	// Exposure is how long the whole traffic would have to go to the target version for as
+	// many requests as the stage may send there; it ends before without a finding.
+	Exposure time.Duration
+}
+
+// A stage's figures: parts of the runners, loads, and times in parts of the term.
+const (
+	// A canary runner carries more than an old one, so that what shows under load shows.
+	canaryLoad    = 1.25
+	minCanaryPart = 0.04
+	maxCanaryPart = 0.15
+	// canaryTime and canaryLongest are counted from when runners of the target version are
+	// listed: what goes wrong some seconds after a start is to show, too.
+	canaryTime    = 0.3
+	canaryLongest = 0.55
+	minCanaryTime = 4 * time.Second
+	maxCanaryTime = 30 * time.Second
+	partialPart   = 0.3
+	partialTime   = 0.04
+	minPartial    = 400 * time.Millisecond
+	maxPartial    = 30 * time.Second
+	fullTime      = 0.04
+	minFull       = 400 * time.Millisecond
+	// timedTime is for how long attempts at warm runners are timed at least.
+	timedTime    = 0.05
+	minTimedTime = 600 * time.Millisecond
+	maxTimedTime = 20 * time.Second
+	// canaryBudget is the part of the exposure that the canary may take.
+	canaryBudget = 0.6
+	// startedPart is the part of the target version's runners, of as many as the old one has,
+	// that must be listed for the canary to begin; startTime, in parts of the term, is when it
+	// begins with fewer.
+	startedPart = 0.7
+	startTime   = 0.3
+	// closingTime is how long before the term an undecided rollout is reverted.
+	closingTime = 0.05
+	minClosing  = 500 * time.Millisecond
+)
+
+func bounded(part float64, term, least, most time.Duration) time.Duration {
+	return min(max(time.Duration(part*float64(term)), least), most)
+}
+
+// shapeOf returns the shape of a stage of a rollout with a term. share returns the part of
+// all requests that a part of the runners with a load gets.
+func shapeOf(stage Stage, term, budget time.Duration, share func(part, load float64) float64) stageShape {
+	switch stage {
+	case Canary:
+		shape := stageShape{Load: canaryLoad, Least: bounded(canaryTime, term, minCanaryTime, maxCanaryTime)}
+		shape.Longest = max(shape.Least, time.Duration(canaryLongest*float64(term)))
+		shape.Exposure = time.Duration(canaryBudget * float64(budget))
+		shape.Part = min(max(float64(shape.Exposure)/(canaryLoad*float64(shape.Least)), minCanaryPart), maxCanaryPart)
+		if exposed := time.Duration(share(shape.Part, shape.Load) * float64(shape.Least)); exposed > shape.Exposure {
+			shape.Load *= float64(shape.Exposure) / float64(exposed)
+		}
+		return shape
+	case Partial:
+		least := bounded(partialTime, term, minPartial, maxPartial)
+		shape := stageShape{Part: partialPart, Load: 1, Least: least, Longest: 2 * least}
+		shape.Exposure = time.Duration(share(shape.Part, shape.Load) * float64(shape.Longest))
+		return shape
+	case Full:
+		return stageShape{Part: 1, Load: 1, Least: max(minFull, time.Duration(fullTime*float64(term)))}
+	}
+	return stageShape{}
+}
--- /dev/null
+++ b/control/rollout/spread.go
@@ -0,0 +1,105 @@
+package rollout
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+
+	"onyxwell/base/ids"
+)
+
+// Runner is what a rollout needs to know of a runner that may get requests.
+type Runner struct {
+	ID      ids.RunnerID
+	Region  ids.Region
+	Version string
+}
+
+// Spread is how the traffic of a service is divided under a permit.
+type Spread struct {
+	// Active are the runners of the target version that get requests.
+	Active map[ids.RunnerID]bool
+	// Share is the part of a region's requests that goes to them.
+	Share map[ids.Region]float64
+	// HasOld says that there are runners of other versions.
+	HasOld bool
+}
+
+// NewSpread divides the traffic among the runners of a service. Each active runner gets
+// load times what an old one would; where the target version is to have everything, part
+// and load are 1 and full is true. All that have the same list divide it alike.
+func NewSpread(runners []Runner, target string, order int64, part, load float64, full bool) Spread {
+	old, targets := map[ids.Region]int{}, map[ids.Region][]Runner{}
+	spread := Spread{Active: map[ids.RunnerID]bool{}, Share: map[ids.Region]float64{}}
+	for _, runner := range runners {
+		if runner.Version == target {
+			targets[runner.Region] = append(targets[runner.Region], runner)
+			continue
+		}
+		old[runner.Region]++
+		spread.HasOld = true
+	}
+	active := map[ids.Region]int{}
+	for _, runner := range firstRunners(targets, order, part, full) {
+		spread.Active[runner.ID] = true
+		active[runner.Region]++
+	}
+	for region, count := range active {
+		spread.Share[region] = 1
+		if !full && old[region] > 0 {
+			spread.Share[region] = min(1, load*float64(count)/float64(old[region]))
+		}
+	}
+	return spread
+}
+
+// MeanShare returns the part of all requests that goes to the target version, where each of
+// the regions has as many.
+func (s Spread) MeanShare(regions int) float64 {
+	total := 0.0
+	for _, share := range s.Share {
+		total += share
+	}
+	return total / float64(max(1, regions))
+}
+
+// rankedRunner is a runner with its place among those of its region, from 0 to 1.
+type rankedRunner struct {
+	Runner
+	rank float64
+	hash uint64
+}
+
+// firstRunners returns the part of the target's runners that is active, at least one: in an
+// order that takes regions in turn, and differs from rollout to rollout.
+func firstRunners(targets map[ids.Region][]Runner, order int64, part float64, full bool) []rankedRunner {
+	var all []rankedRunner
+	for _, region := range slices.Sorted(maps.Keys(targets)) {
+		all = append(all, rankRegion(targets[region], order)...)
+	}
+	slices.SortFunc(all, func(a, b rankedRunner) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+	})
+	if full {
+		return all
+	}
+	count := max(1, int(math.Round(part*float64(len(all)))))
+	return all[:min(count, len(all))]
+}
+
+func rankRegion(runners []Runner, order int64) []rankedRunner {
+	var ranked []rankedRunner
+	for _, runner := range runners {
+		digest := fnv.New64a()
+		_, _ = digest.Write([]byte(strconv.FormatInt(order, 10) + "/" + string(runner.ID)))
+		ranked = append(ranked, rankedRunner{Runner: runner, hash: digest.Sum64()})
+	}
+	slices.SortFunc(ranked, func(a, b rankedRunner) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID)) })
+	for position := range ranked {
+		ranked[position].rank = (float64(position) + 0.5) / float64(len(ranked))
+	}
+	return ranked
+}
--- a/control/sizing/sizing.go
+++ b/control/sizing/sizing.go
@@ -55,6 +55,9 @@
 	Config func() *config.Config
 	// Planned returns what the planner has decided last.
 	Planned func() autoscaler.Sizes
+	// Frozen reports whether the size of a service must stay as it is: the platform would take
+	// runners of one of two versions away. It may be nil.
+	Frozen func(service ids.Service) bool
 	// Held returns the fence of a part, if it is held here.
 	Held func(part duty.Part) (fence int64, ok bool)
 	// Update stores the orders of a zone.
@@ -114,17 +117,23 @@
 			state = &zoneOrders{fence: fence, acknowledged: map[ids.Service]int64{}}
 			o.zones[zone] = state
 		}
-		steps.Go(func() { o.stepZone(ctx, zone, state, wantedIn(cfg, planned, zone)) })
+		steps.Go(func() { o.stepZone(ctx, zone, state, o.wantedIn(cfg, planned, zone)) })
 	}
 	steps.Wait()
 }
 
-// wantedIn returns the planned orders of a zone within the bounds of the configuration.
-func wantedIn(cfg *config.Config, planned autoscaler.Sizes, zone ids.Zone) []Order {
+// isFrozen reports whether nothing is to be ordered of a service now.
+func (o *Orderer) isFrozen(service ids.Service) bool {
+	return o.options.Frozen != nil && o.options.Frozen(service)
+}
+
+// wantedIn returns the planned orders of a zone within the bounds of the configuration, for
+// the services whose size may change.
+func (o *Orderer) wantedIn(cfg *config.Config, planned autoscaler.Sizes, zone ids.Zone) []Order {
 	var wanted []Order
 	for _, size := range planned.Sizes {
 		service := cfg.Service(size.Service)
-		if size.Zone != zone || service == nil || service.Scaling == nil {
+		if size.Zone != zone || service == nil || service.Scaling == nil || o.isFrozen(size.Service) {
 			continue
 		}
 		wanted = append(wanted, Order{Service: size.Service, Wanted: service.Scaling.Clamp(size.Wanted)})
@@ -142,7 +151,8 @@
 		}
 	}
 	for _, order := range state.stored.Orders {
-		if acknowledged, ok := state.acknowledged[order.Service]; ok && acknowledged == order.Wanted {
+		acknowledged, ok := state.acknowledged[order.Service]
+		if (ok && acknowledged == order.Wanted) || o.isFrozen(order.Service) {
 			continue
 		}
 		if !o.send(ctx, zone, state, order) {
--- a/control/state/command/dispatcher.go
+++ b/control/state/command/dispatcher.go
@@ -30,6 +30,7 @@
 	"onyxwell/control/config/store"
 	"onyxwell/control/gossip"
 	"onyxwell/control/membership"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/quorum"
 	"onyxwell/control/state/register"
 	"onyxwell/control/transport"
@@ -100,11 +101,12 @@
 	return &Dispatcher{options: options, owners: newOwnerHealth(4 * options.ForwardTimeout)}
 }
 
-// RegisterHandlers registers the handler of forwarded commands.
+// RegisterHandlers registers the handlers of forwarded commands and orders.
 func (d *Dispatcher) RegisterHandlers(calls *httpcall.Mux) {
 	transport.Handle(calls, forwardMessage, func(ctx context.Context, cmd Command) (Result, error) {
 		return resultOf(d.HandleForwarded(ctx, cmd)), nil
 	})
+	transport.Handle(calls, rollout.OrderMessage, d.handleRollout)
 }
 
 // Dispatch leads a command to the owner of its key and returns the register's
--- a/control/state/command/publish.go
+++ b/control/state/command/publish.go
@@ -7,7 +7,9 @@
 	"onyxwell/control/config/evacuation"
 	"onyxwell/control/config/store"
 	"onyxwell/control/gossip"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/register"
+	"onyxwell/control/transport"
 )
 
 // Publish hands a committed value to gossip, if its key is one that is gossiped.
@@ -41,4 +43,8 @@
 		state, err := evacuation.Decode(value)
 		return gossip.Item{Version: state.Version, Body: value}, err
 	},
+	strings.TrimSuffix(rollout.KeyPrefix, "/"): func(value []byte) (gossip.Item, error) {
+		record, err := transport.Unmarshal[rollout.Record](value)
+		return gossip.Item{Version: record.Version, Body: value}, err
+	},
 }
--- /dev/null
+++ b/control/state/command/rollout.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"context"
+
+	"onyxwell/base/errkind"
+	"onyxwell/base/ids"
+	"onyxwell/control/rollout"
+	"onyxwell/control/transport"
+)
+
+// OrderRollout stores an operator's order of a rollout and returns once a majority has it.
+// An error of kind errkind.NoQuorum leaves open whether the order was stored. Other builds
+// know no such command, so it is not led to the key's owner: this controller takes the key
+// over or, where it does not vote, has a controller that votes do so.
+func (d *Dispatcher) OrderRollout(ctx context.Context, order rollout.Order) error {
+	if !d.options.Acceptor.Voting() {
+		return d.forwardRollout(ctx, order)
+	}
+	_, err := d.Update(ctx, rollout.Key(order.Service), rollout.Begin(order))
+	return err
+}
+
+// forwardRollout has the first voter that answers store an order.
+func (d *Dispatcher) forwardRollout(ctx context.Context, order rollout.Order) error {
+	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
+	defer cancel()
+	err := errkind.Errorf(errkind.NoQuorum, "no voter is known")
+	req := rollout.OrderRequest{Service: order.Service, Target: order.Target, TermMS: order.TermMS, UnixMS: order.UnixMS}
+	for _, member := range d.options.Acceptor.Voters().Members {
+		limited, cancel := d.options.Clock.WithTimeout(ctx, d.options.ForwardTimeout)
+		var resp rollout.OrderResponse
+		resp, err = transport.Send[rollout.OrderResponse](limited, d.options.Transport, member.Address, rollout.OrderMessage, req)
+		cancel()
+		if err == nil {
+			err = orderError(resp)
+		}
+		if kind := errkind.KindOf(err); kind == errkind.None || kind == errkind.RolloutConflict {
+			return err
+		}
+	}
+	return errkind.Errorf(errkind.NoQuorum, "no voter took the order: %w", err)
+}
+
+// handleRollout stores an order that a controller without a vote forwarded.
+func (d *Dispatcher) handleRollout(ctx context.Context, req rollout.OrderRequest) (rollout.OrderResponse, error) {
+	if !d.options.Acceptor.Voting() {
+		return orderResponse(errkind.Errorf(errkind.NoQuorum, "this controller does not vote")), nil
+	}
+	return orderResponse(d.OrderRollout(ctx, rollout.Order{Service: req.Service, Target: req.Target, TermMS: req.TermMS, UnixMS: req.UnixMS})), nil
+}
+
+func orderResponse(err error) rollout.OrderResponse {
+	if err == nil {
+		return rollout.OrderResponse{}
+	}
+	return rollout.OrderResponse{Kind: int64(errkind.KindOf(err)), Detail: errkind.DetailOf(err)}
+}
+
+func orderError(resp rollout.OrderResponse) error {
+	if kind := errkind.Kind(resp.Kind); kind != errkind.None {
+		return errkind.Errorf(kind, "%s", resp.Detail)
+	}
+	return nil
+}
+
+// ReadRollout returns the record of a service's rollout that a majority confirms.
+func (d *Dispatcher) ReadRollout(ctx context.Context, service ids.Service) (rollout.Record, error) {
+	value, err := d.Dispatch(ctx, Command{Key: rollout.Key(service), Verb: VerbRead})
+	if err != nil {
+		return rollout.Record{}, err
+	}
+	return rollout.Decode(service, value)
+}
--- a/data/balancer/admission.go
+++ b/data/balancer/admission.go
@@ -6,6 +6,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/errkind"
 	"onyxwell/base/ids"
+	"onyxwell/data/canary"
 	"onyxwell/data/snapshot"
 	"onyxwell/data/upstream"
 )
@@ -55,6 +56,8 @@
 	// overloaded: every runner has a queue that would make the request late.
 	overloaded bool
 	exclusions Exclusions
+	// arm is the side of a rollout of the service that the request belongs to.
+	arm canary.Arm
 	// rarePrefix: the first shared part is served by a subset of the runners.
 	rarePrefix bool
 }
@@ -113,14 +116,27 @@
 
 // Confirm reports whether the request may still be sent to a runner. It is called
 // right before the first byte is written, and takes the request's place in a slow
-// start.
+// start. Release must follow where it returns true.
 func (a *Admission) Confirm(runner *snapshot.Runner, now clock.Instant) bool {
 	options := a.balancer.options
 	snap := options.Snapshots.Current()
 	if snap.Config == nil || !snap.AvailableByID(a.service, runner.ID) {
 		return false
 	}
-	return options.SlowStart.Admit(runner.ID, a.balancer.slowStartLimit(snap.Config.Service(a.service), runner.Zone), now)
+	if !options.Versions.Begin(a.service, runner, a.arm, now) {
+		return false
+	}
+	if !options.SlowStart.Admit(runner.ID, a.balancer.slowStartLimit(snap.Config.Service(a.service), runner.Zone), now) {
+		options.Versions.End(a.service, runner)
+		return false
+	}
+	return true
+}
+
+// Release ends what a Confirm that returned true began, once the runner has no part in the
+// request any more.
+func (a *Admission) Release(runner *snapshot.Runner) {
+	a.balancer.options.Versions.End(a.service, runner)
 }
 
 // RecordOutcome records what came of sending the request to a runner.
@@ -131,6 +147,8 @@
 	}
 	a.attempts++
 	a.reachedRunner = true
+	// A retry is no sample of a new version.
+	a.arm = canary.Old
 	a.mayHaveRun = a.mayHaveRun || outcome != upstream.Rejected
 	a.garbled = outcome == upstream.Garbled
 }
--- a/data/balancer/balancer.go
+++ b/data/balancer/balancer.go
@@ -16,6 +16,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
 	"onyxwell/control/config"
+	"onyxwell/data/canary"
 	"onyxwell/data/retrybudget"
 	"onyxwell/data/runnerstats"
 	"onyxwell/data/slowstart"
@@ -39,6 +40,8 @@
 	// ZoneLost reports whether a zone seems to be lost: its runners are used only
 	// where there are no others. It may be nil.
 	ZoneLost func(zone ids.Zone) bool
+	// Versions decides between versions of a service; nil allows all.
+	Versions *canary.Gate
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -60,6 +63,7 @@
 func (b *Balancer) Admit(req Request) *Admission {
 	a := &Admission{balancer: b, request: req, tried: map[ids.RunnerID]bool{}}
 	a.service = b.pickService(req.Route)
+	a.arm = b.options.Versions.Assign(a.service, req.Route.Name)
 	a.rarePrefix = b.hasRarePrefix(req)
 	b.options.Stats.AddDemand(a.service, req.homesKey())
 	b.options.RetryBudget.AddRequest(a.service, b.clock.Now())
--- a/data/balancer/exclusions.go
+++ b/data/balancer/exclusions.go
@@ -19,6 +19,8 @@
 	AtConnectionLimit int
 	// SlowStart have had their share of requests for now.
 	SlowStart int
+	// OtherVersion are of a version that the request may not go to now.
+	OtherVersion int
 }
 
 // String lists the counts that are not 0, or "none".
@@ -27,7 +29,7 @@
 	for _, reason := range []struct {
 		name  string
 		count int
-	}{{"tried", e.Tried}, {"closed", e.Draining}, {"away", e.OutsideHomes}, {"silent", e.Unresponsive}, {"full", e.AtConnectionLimit}, {"cold", e.SlowStart}} {
+	}{{"tried", e.Tried}, {"closed", e.Draining}, {"away", e.OutsideHomes}, {"silent", e.Unresponsive}, {"full", e.AtConnectionLimit}, {"cold", e.SlowStart}, {"version", e.OtherVersion}} {
 		if reason.count > 0 {
 			reasons = append(reasons, fmt.Sprintf("%s %d", reason.name, reason.count))
 		}
--- a/data/balancer/selection.go
+++ b/data/balancer/selection.go
@@ -9,6 +9,7 @@
 	"onyxwell/control/config"
 	"onyxwell/control/planning/autoscaler"
 	"onyxwell/control/planning/lengthstats"
+	"onyxwell/data/canary"
 	"onyxwell/data/runnerstats"
 	"onyxwell/data/snapshot"
 )
@@ -48,7 +49,14 @@
 	if snap.Config == nil {
 		return nil, 0
 	}
-	candidates, delay := b.candidates(snap, admission, now)
+	filter := b.options.Versions.Filter(snap, admission.service, admission.arm, now)
+	admission.arm = filter.Arm
+	candidates, delay := b.candidates(snap, admission, filter, now)
+	if len(candidates) == 0 && filter.CanFallBack {
+		admission.arm = canary.Old
+		filter = b.options.Versions.Filter(snap, admission.service, admission.arm, now)
+		candidates, delay = b.candidates(snap, admission, filter, now)
+	}
 	if len(candidates) == 0 {
 		return nil, delay
 	}
@@ -73,7 +81,7 @@
 // ejected or in a lost zone are returned only where there are no others. It
 // counts the runners that it leaves out in the admission's exclusions, and
 // returns after how long one of them may be a candidate, 0 for none.
-func (b *Balancer) candidates(snap *snapshot.Snapshot, admission *Admission, now clock.Instant) ([]candidate, time.Duration) {
+func (b *Balancer) candidates(snap *snapshot.Snapshot, admission *Admission, filter canary.Filter, now clock.Instant) ([]candidate, time.Duration) {
 	check := readiness{
 		balancer: b, service: snap.Config.Service(admission.service), now: now,
 		silenceLimit: max(admission.request.Route.LatencyTarget()/silenceDivisor, minSilenceLimit),
@@ -83,6 +91,10 @@
 	var healthy, unhealthy []candidate
 	delay := time.Duration(0)
 	for _, runner := range snap.Runners[admission.service] {
+		if !filter.Allows(runner) {
+			admission.exclusions.OtherVersion++
+			continue
+		}
 		if !admission.eligible(snap, runner) {
 			continue
 		}
--- /dev/null
+++ b/data/canary/evidence.go
@@ -0,0 +1,79 @@
+package canary
+
+import (
+	"time"
+
+	"onyxwell/base/ids"
+	"onyxwell/control/rollout"
+	"onyxwell/data/snapshot"
+)
+
+// Attempt is an attempt at a runner that has ended, and that says something of it.
+type Attempt struct {
+	Service ids.Service
+	Route   string
+	Runner  *snapshot.Runner
+	Failed  bool
+	// FirstByte and Whole are how long it took up to the head of the response and up to its
+	// end; 0 where there was none, and at a runner that warms up.
+	FirstByte, Whole time.Duration
+}
+
+type countKey struct {
+	route  string
+	target bool
+}
+
+// armCounts are the counts of one route at one arm since the last report.
+type armCounts struct {
+	ended, failed    int64
+	firstByte, whole rollout.Histogram
+}
+
+// Observe counts an attempt, while a rollout of its service is in progress.
+func (g *Gate) Observe(attempt Attempt) {
+	if g == nil {
+		return
+	}
+	snap := g.options.Snapshots.Current()
+	record, ok := snap.Rollouts[attempt.Service]
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.trialOf(snap, attempt.Service)
+	if t == nil {
+		return
+	}
+	key := countKey{route: attempt.Route, target: attempt.Runner.Version == record.Target}
+	counts := t.counts[key]
+	if counts == nil {
+		counts = &armCounts{}
+		t.counts[key] = counts
+	}
+	counts.ended++
+	if attempt.Failed {
+		counts.failed++
+	}
+	if attempt.FirstByte > 0 {
+		counts.firstByte.Add(attempt.FirstByte)
+	}
+	if attempt.Whole > 0 {
+		counts.whole.Add(attempt.Whole)
+	}
+}
+
+// takeCounts returns the counts since the last report. One that is lost on its way is
+// lacking: the judge needs no completeness.
+func (t *trial) takeCounts() []rollout.RouteCount {
+	var routes []rollout.RouteCount
+	for key, counts := range t.counts {
+		routes = append(routes, rollout.RouteCount{
+			Route: key.route, Target: key.target, Ended: counts.ended, Failed: counts.failed,
+			FirstByte: counts.firstByte.Buckets(), Whole: counts.whole.Buckets(),
+		})
+	}
+	t.counts = map[countKey]*armCounts{}
+	return routes
+}
--- a/data/proxy/attempt.go
+++ b/data/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"onyxwell/base/invariant"
 	"onyxwell/control/planning/lengthstats"
 	"onyxwell/data/balancer"
+	"onyxwell/data/canary"
 	"onyxwell/data/runnerstats"
 	"onyxwell/data/snapshot"
 	"onyxwell/data/upstream"
@@ -22,6 +23,8 @@
 	runner    *snapshot.Runner
 	number    uint64
 	startedAt clock.Instant
+	// firstByte is how long the head of the response took; 0 where there was none.
+	firstByte time.Duration
 	// resumes says that the rest of a stream is asked for.
 	resumes bool
 	// began says that the runner's response began, slow that it did so late.
@@ -63,6 +66,7 @@
 func (e *exchange) responseBegan(a *attempt) {
 	now := e.proxy.clock.Now()
 	a.began = true
+	a.firstByte = now.Since(a.startedAt)
 	a.slow = now.Since(e.arrivedAt) > e.route.LatencyTarget()/slowResponseDivisor
 	tokens := e.balancerRequest.PartTokens
 	e.proxy.stats.ResponseBegan(a.runner.ID, a.number, tokens, now)
@@ -93,6 +97,22 @@
 	late := e.clientGone || e.req.Context().Err() != nil || !now.Before(e.deadline)
 	ended.RunnerFailed = !ended.Completed && runnerFailed(result, late, ended, e.route.LatencyTarget())
 	stats.RequestEnded(a.runner.ID, ended, now)
+	e.observeVersion(a, result, ended, now)
+}
+
+// observeVersion counts an attempt for or against its runner's version. One that did not
+// run, or that its client or its deadline ended, says nothing of it.
+func (e *exchange) observeVersion(a *attempt, result upstream.Result, ended runnerstats.EndedRequest, now clock.Instant) {
+	serverError := result.Response != nil && result.Response.StatusCode >= http.StatusInternalServerError
+	failed := ended.RunnerFailed || (ended.Completed && serverError)
+	if result.Outcome == upstream.Unsent || result.Outcome == upstream.Rejected || !(failed || ended.Completed) {
+		return
+	}
+	observed := canary.Attempt{Service: a.admission.Service(), Route: e.route.Name, Runner: a.runner, Failed: failed}
+	if !failed && !a.resumes && !e.proxy.slowStart.Active(a.runner.ID, now) {
+		observed.FirstByte, observed.Whole = a.firstByte, ended.Duration
+	}
+	e.proxy.versions.Observe(observed)
 }
 
 // completionTotals is what a completed attempt adds to the statistics of
--- a/data/proxy/exchange.go
+++ b/data/proxy/exchange.go
@@ -241,6 +241,7 @@
 	if !admission.Confirm(runner, startedAt) {
 		return false
 	}
+	defer admission.Release(runner)
 	a := e.startAttempt(admission, runner, startedAt)
 	result := e.proxy.upstream.Send(ctx, a.request)
 	e.readRunnerHeaders(runner, result.Response)
--- a/data/proxy/proxy.go
+++ b/data/proxy/proxy.go
@@ -31,6 +31,7 @@
 	"onyxwell/base/telemetry"
 	"onyxwell/control/config"
 	"onyxwell/data/balancer"
+	"onyxwell/data/canary"
 	"onyxwell/data/ratelimit"
 	"onyxwell/data/runnerstats"
 	"onyxwell/data/slowstart"
@@ -50,6 +51,8 @@
 	SlowStart *slowstart.Tracker
 	Upstream  *upstream.Client
 	Limiter   *ratelimit.Limiter
+	// Versions is told of each attempt's outcome; it may be nil.
+	Versions *canary.Gate
 	// QuotaRetryAfter is when a client whose tenant's quota is used up may come back.
 	QuotaRetryAfter time.Duration
 	// Began is told of each request that a runner began, and how long ago; it may be nil.
@@ -72,6 +75,7 @@
 	slowStart *slowstart.Tracker
 	upstream  *upstream.Client
 	limiter   *ratelimit.Limiter
+	versions  *canary.Gate
 	// quotaRetryAfter is Options.QuotaRetryAfter.
 	quotaRetryAfter time.Duration
 	// began is Options.Began.
@@ -102,7 +106,7 @@
 	p := &Proxy{
 		clock: options.Clock, log: options.Log, machine: options.Limits,
 		snapshots: options.Snapshots, balancer: options.Balancer, stats: options.Stats, slowStart: options.SlowStart,
-		upstream: options.Upstream, limiter: options.Limiter, quotaRetryAfter: options.QuotaRetryAfter, began: options.Began, metrics: options.Metrics, monitor: options.Monitor,
+		upstream: options.Upstream, limiter: options.Limiter, versions: options.Versions, quotaRetryAfter: options.QuotaRetryAfter, began: options.Began, metrics: options.Metrics, monitor: options.Monitor,
 	}
 	if memory := p.machine.MemoryMB << 20; memory > 0 {
 		p.bodyQuota = memquota.New(memory/bodyMemoryDivisor, p.monitor)
--- a/data/router/router.go
+++ b/data/router/router.go
@@ -19,8 +19,10 @@
 	"onyxwell/base/settings"
 	"onyxwell/control/config"
 	"onyxwell/control/daemon"
+	"onyxwell/control/rollout"
 	"onyxwell/control/state/readindex"
 	"onyxwell/data/balancer"
+	"onyxwell/data/canary"
 	"onyxwell/data/proxy"
 	"onyxwell/data/ratelimit"
 	"onyxwell/data/retrybudget"
@@ -53,6 +55,8 @@
 	proxy     *proxy.Proxy
 	limiter   *ratelimit.Limiter
 	usage     *usageReporter
+	// versions is nil where no rollouts are ordered.
+	versions *canary.Gate
 
 	mu sync.Mutex
 	// endpoint is nil until the router is ready for the first time.
@@ -78,7 +82,8 @@
 	}
 	view := daemon.NewView(top)
 	r.snapshots = snapshot.NewStore(snapshot.Options{
-		Clock: r.clock, Log: top.Log, Zones: r.settings.Zones, Region: r.settings.Region, View: view, OnRunners: r.updateSlowStart, Monitor: monitor,
+		Clock: r.clock, Log: top.Log, Zones: r.settings.Zones, Region: r.settings.Region, View: view, OnRunners: r.updateSlowStart,
+		TracksVersions: r.settings.HasRule(settings.RolloutRule), Monitor: monitor,
 	})
 	var err error
 	r.daemon, err = daemon.New(top, daemon.Options{
@@ -91,20 +96,26 @@
 		Clock: r.clock, Policy: r.daemon.QuotaPolicy(), Config: r.config, Routers: r.daemon.Zones.LargestRouterCount,
 		Acquire: r.daemon.AcquireQuota, Random: rand.Float64, Log: top.Log,
 	})
+	if r.settings.HasRule(settings.RolloutRule) {
+		r.versions = canary.New(canary.Options{
+			Clock: r.clock, Policy: rollout.PolicyOf(r.settings.Bounds), Snapshots: r.snapshots, Region: r.settings.Region,
+			Exchange: r.daemon.ExchangeRollouts, Random: rand.Float64,
+		})
+	}
 	r.usage = newUsageReporter(r.clock, r.settings, r.daemon)
 	r.proxy = proxy.New(proxy.Options{
 		Clock: r.clock, Log: top.Log, Limits: r.settings.Limits, Snapshots: r.snapshots, Stats: r.stats, SlowStart: r.slowStart,
 		Balancer: balancer.New(balancer.Options{
 			Clock: r.clock, Snapshots: r.snapshots, Stats: r.stats, SlowStart: r.slowStart,
 			RetryBudget: retrybudget.New(r.retryBudgetOptions()), Region: r.settings.Region,
-			SlowStartRouters: r.daemon.Zones.SlowStartRouters, RouterCount: r.routerCount, ZoneLost: r.lostZones.contains, Random: rand.Float64,
+			SlowStartRouters: r.daemon.Zones.SlowStartRouters, RouterCount: r.routerCount, ZoneLost: r.lostZones.contains, Versions: r.versions, Random: rand.Float64,
 		}),
 		Upstream: upstream.NewClient(upstream.Options{
 			Clock: r.clock, Dialer: r.dialer(),
 			IdleTimeout: upstreamIdleFactor * r.timing.PeerTimeout, MaxIdlePerHost: r.settings.Limits.OpenFiles / idlePerHostDivisor,
 		}),
 		Began:   r.usage.began,
-		Limiter: r.limiter, QuotaRetryAfter: r.daemon.QuotaPolicy().RetryAfter(),
+		Limiter: r.limiter, Versions: r.versions, QuotaRetryAfter: r.daemon.QuotaPolicy().RetryAfter(),
 		Metrics: r.daemon.Metrics, Monitor: r.daemon.Monitor,
 	})
 	r.readIndex = r.daemon.NewReadIndexGate(r.snapshots.Ready(), r.configVersion)
@@ -145,6 +156,9 @@
 	r.daemon.AddService("report", r.sendReports)
 	r.daemon.AddService("quota", r.limiter.Run)
 	r.usage.addService(r.daemon)
+	if r.versions != nil {
+		r.daemon.AddService("rollouts", func(ctx context.Context) error { r.versions.Run(ctx); return nil })
+	}
 	r.daemon.AddService("doubts", r.probeSuspects)
 }
 
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -13,6 +13,7 @@
 	"onyxwell/control/discovery"
 	"onyxwell/control/planning/autoscaler"
 	"onyxwell/control/planning/lengthstats"
+	"onyxwell/control/rollout"
 )
 
 // Runner is a listed runner with the region of its zone.
@@ -38,6 +39,11 @@
 	// RunnerWeights are the runners that the plan weighs apart from their type.
 	RunnerWeights map[ids.RunnerID]autoscaler.RunnerWeight
 	typeWeights   map[runnerType]float64
+	// Rollouts are the newest orders of rollouts, by service.
+	Rollouts map[ids.Service]rollout.Record
+	// Baseline is, for each service with runners of several versions, the version that is
+	// in place where no rollout was ordered; nil where versions are not told apart.
+	Baseline map[ids.Service]string
 	// Lengths is how long responses take in this region; nil is unknown.
 	Lengths *lengthstats.Table
 }
--- a/data/snapshot/store.go
+++ b/data/snapshot/store.go
@@ -23,6 +23,7 @@
 	"onyxwell/control/outlier"
 	"onyxwell/control/planning/autoscaler"
 	"onyxwell/control/planning/lengthstats"
+	"onyxwell/control/rollout"
 )
 
 // Options are what a Store is made from.
@@ -38,6 +39,8 @@
 	// OnRunners is called with each snapshot that has a new list of runners, before
 	// it is current; nil is not called. It must not call the store.
 	OnRunners func(next *Snapshot)
+	// TracksVersions has a new version of a service be told from the one in place.
+	TracksVersions bool
 	// Monitor may be nil.
 	Monitor *invariant.Monitor
 }
@@ -109,11 +112,13 @@
 	case strings.HasPrefix(key, gossip.LostPrefix):
 		return applyLostZones
 	}
-	zone, ok := evacuation.ZoneFromKey(key)
-	if !ok {
-		return nil
+	if service, ok := rollout.ServiceOfKey(key); ok {
+		return func(next *Snapshot, body []byte) bool { return applyRollout(next, service, body) }
 	}
-	return func(next *Snapshot, body []byte) bool { return applyEvacuation(next, zone, body) }
+	if zone, ok := evacuation.ZoneFromKey(key); ok {
+		return func(next *Snapshot, body []byte) bool { return applyEvacuation(next, zone, body) }
+	}
+	return nil
 }
 
 // ApplyRunners takes over a list of runners that was not gossiped.
@@ -196,6 +201,9 @@
 		}
 	}
 	s.zones = zones
+	if s.options.TracksVersions {
+		next.Baseline = baselines(next.Runners, next.Baseline)
+	}
 	s.options.OnRunners(next)
 	return true
 }
@@ -220,6 +228,18 @@
 	return true
 }
 
+func applyRollout(next *Snapshot, service ids.Service, body []byte) bool {
+	record, err := rollout.Decode(service, body)
+	if err != nil || record.Version <= next.Rollouts[service].Version {
+		return false
+	}
+	rollouts := map[ids.Service]rollout.Record{}
+	maps.Copy(rollouts, next.Rollouts)
+	rollouts[service] = record
+	next.Rollouts = rollouts
+	return true
+}
+
 // applyEjections takes over the ejected runners; they are gossiped in the zone
 // alone. An ejection ends by itself, by this router's clock.
 func (s *Store) applyEjections(next *Snapshot, body []byte) bool {
