--- a/base/program/program.go
+++ b/base/program/program.go
@@ -97,7 +97,8 @@
 		return printCheck(daemon, line.Boot, node)
 	}
 	for _, named := range daemon.Commands {
-		if command.Command() == named.Name {
+		// Kong appends a command's arguments to its name.
+		if name, _, _ := strings.Cut(command.Command(), " "); name == named.Name {
 			return named.Run(node)
 		}
 	}
--- a/cmd/fleet-controller/main.go
+++ b/cmd/fleet-controller/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	parts := &partsFlags{}
+	parts, rollouts := &partsFlags{}, &rolloutFlags{}
 	os.Exit(program.Main(program.Daemon{
 		Name:              controller.Role,
 		Description:       "Replicates onyxwell's control state, serves the admin and the directory API, discovers runners and plans.",
@@ -21,6 +21,8 @@
 		Serve:             serve,
 		Commands: []program.Command{{
 			Name: "parts", Help: "Show who holds the parts of the duties at the platform, or hand one over.", Flags: parts, Run: parts.run,
+		}, {
+			Name: "rollout", Help: "Order, show or watch rollouts of new versions.", Flags: rollouts, Run: rollouts.run,
 		}},
 	}, os.Args[1:]))
 }
--- /dev/null
+++ b/control/admin/rollouts_test.go
@@ -0,0 +1,99 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/errkind"
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+	"onyxwell/control/rollout"
+)
+
+// fakeRollouts remembers the orders that it took.
+type fakeRollouts struct {
+	orders []rollout.Order
+	record rollout.Record
+	err    error
+}
+
+func (f *fakeRollouts) OrderRollout(_ context.Context, order rollout.Order) error {
+	if f.err == nil {
+		f.orders = append(f.orders, order)
+	}
+	return f.err
+}
+
+func (f *fakeRollouts) ReadRollout(context.Context, ids.Service) (rollout.Record, error) {
+	return f.record, f.err
+}
+
+func callRollouts(rollouts *fakeRollouts, method, path, body string) *httptest.ResponseRecorder {
+	mux := httpcall.NewMux(clock.NewFake(), 1<<20)
+	ServeRollouts(mux, rollouts)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder
+}
+
+func TestRollouts_ordersAreChecked(t *testing.T) {
+	cases := []struct {
+		name, body, names string
+		status            int
+	}{
+		{"as documented", `{"service":"readers","target_version":"v2","over_s":12}`, "", 200},
+		{"a version that is a number", `{"service":"readers","target_version":3,"over_s":1.5}`, "", 200},
+		{"no JSON", `{"service"`, "body", 400},
+		{"no object", `[1]`, "body", 400},
+		{"no service", `{"target_version":"v2","over_s":12}`, "service", 400},
+		{"service of another type", `{"service":7,"target_version":"v2","over_s":12}`, "service", 400},
+		{"no version", `{"service":"readers","over_s":12}`, "target_version", 400},
+		{"empty version", `{"service":"readers","target_version":"","over_s":12}`, "target_version", 400},
+		{"version of another type", `{"service":"readers","target_version":["v2"],"over_s":12}`, "target_version", 400},
+		{"long version", `{"service":"readers","target_version":"` + strings.Repeat("v", maxVersionLength) + `","over_s":12}`, "target_version", 400},
+		{"no term", `{"service":"readers","target_version":"v2"}`, "over_s", 400},
+		{"term of another type", `{"service":"readers","target_version":"v2","over_s":"12"}`, "over_s", 400},
+		{"negative term", `{"service":"readers","target_version":"v2","over_s":-1}`, "over_s", 400},
+		{"term too short for anything to end", `{"service":"readers","target_version":"v2","over_s":0.5}`, "over_s", 400},
+		{"term beyond all bounds", `{"service":"readers","target_version":"v2","over_s":1e9}`, "over_s", 400},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			rollouts := &fakeRollouts{}
+			answer := callRollouts(rollouts, http.MethodPost, "/rollouts", test.body)
+			if answer.Code != test.status || !strings.Contains(answer.Body.String(), test.names) {
+				t.Fatalf("%d %s", answer.Code, answer.Body)
+			}
+			if taken := len(rollouts.orders) > 0; taken != (test.status == 200) {
+				t.Errorf("taken: %v", rollouts.orders)
+			}
+		})
+	}
+}
+
+func TestRollouts_errorsAreAnswered(t *testing.T) {
+	for kind, status := range map[errkind.Kind]int{errkind.UnknownService: 404, errkind.RolloutConflict: 409, errkind.NoQuorum: 503} {
+		answer := callRollouts(&fakeRollouts{err: errkind.Errorf(kind, "")}, http.MethodPost, "/rollouts", `{"service":"readers","target_version":"v2","over_s":12}`)
+		if answer.Code != status {
+			t.Errorf("%s: %d", kind, answer.Code)
+		}
+	}
+}
+
+func TestRollouts_tellsCondition(t *testing.T) {
+	rollouts := &fakeRollouts{}
+	if answer := callRollouts(rollouts, http.MethodGet, "/rollouts/readers", ""); answer.Code != 404 {
+		t.Errorf("without an order: %d", answer.Code)
+	}
+	for condition, word := range map[rollout.Condition]string{rollout.Serving: "serving", rollout.Finished: "finished", rollout.Reverted: "reverted"} {
+		rollouts.record = rollout.Record{Order: 1, Target: `"v2"`, Condition: int64(condition)}
+		answer := callRollouts(rollouts, http.MethodGet, "/rollouts/readers", "")
+		if want := `{"condition":"` + word + `","target_version":"v2"}`; answer.Code != 200 || strings.TrimSpace(answer.Body.String()) != want {
+			t.Errorf("%d %s, not %s", answer.Code, answer.Body, want)
+		}
+	}
+}
--- a/control/sizing/sizing_test.go
+++ b/control/sizing/sizing_test.go
@@ -114,3 +114,21 @@
 	next.fence = 0
 	next.expect(t, "not held")
 }
+
+// TestOrderer_frozenService orders nothing of a service whose size must stay, also not what
+// was stored before, and goes on once it may change.
+func TestOrderer_frozenService(t *testing.T) {
+	f := newFixture(t)
+	frozen := true
+	f.options.Frozen = func(service ids.Service) bool { return service == "s" && frozen }
+	f.stored, _ = transport.Marshal(Orders{Orders: []Order{{Service: "s", Wanted: 3}}})
+	f.Step(context.Background())
+	if len(f.bodies) > 0 {
+		t.Fatalf("ordered while frozen: %q", f.bodies)
+	}
+	frozen = false
+	f.Step(context.Background())
+	if len(f.bodies) != 1 {
+		t.Errorf("ordered then: %q", f.bodies)
+	}
+}
--- /dev/null
+++ b/data/canary/gate_test.go
@@ -0,0 +1,124 @@
+package canary
+
+import (
+	"testing"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/config/evacuation"
+	"onyxwell/control/discovery"
+	"onyxwell/control/gossip"
+	"onyxwell/control/rollout"
+	"onyxwell/control/transport"
+	"onyxwell/data/snapshot"
+)
+
+func newGate() (*Gate, *snapshot.Store, *clock.Fake) {
+	fake := clock.NewFake()
+	store := snapshot.NewStore(snapshot.Options{Clock: fake, Zones: map[ids.Zone]ids.Region{"a": "r"}, Region: "r", TracksVersions: true})
+	return New(Options{Clock: fake, Policy: rollout.Policy{}, Snapshots: store, Region: "r", Random: func() float64 { return 0 }}), store, fake
+}
+
+func listOf(versions ...string) discovery.List {
+	var list discovery.List
+	for index, version := range versions {
+		list.Runners = append(list.Runners, discovery.Runner{ID: ids.RunnerID(rune('a' + index)), Service: "s", Zone: "a", Version: version, Capacity: 1})
+	}
+	return list
+}
+
+// allowedVersions returns the versions of the runners that a new request may go to.
+func allowedVersions(gate *Gate, store *snapshot.Store, fake *clock.Fake) map[string]int {
+	snap := store.Current()
+	filter := gate.Filter(snap, "s", gate.Assign("s", "route"), fake.Now())
+	allowed := map[string]int{}
+	for _, runner := range snap.Runners["s"] {
+		if filter.Allows(runner) {
+			allowed[runner.Version]++
+		}
+	}
+	return allowed
+}
+
+func TestGate_unorderedVersionGetsNothing(t *testing.T) {
+	gate, store, fake := newGate()
+	store.ApplyRunners(listOf("v1", "v1"))
+	store.ApplyRunners(listOf("v1", "v1", "v2", "v2", "v2"))
+	if allowed := allowedVersions(gate, store, fake); allowed["v1"] != 2 || allowed["v2"] != 0 {
+		t.Errorf("beside the version in place: %v", allowed)
+	}
+	store.ApplyRunners(listOf("v2", "v2"))
+	if allowed := allowedVersions(gate, store, fake); allowed["v2"] != 2 {
+		t.Errorf("without the version in place: %v", allowed)
+	}
+	gate, store, fake = newGate()
+	store.ApplyRunners(listOf("v10", "v9", "v10", "v9"))
+	if allowed := allowedVersions(gate, store, fake); allowed["v9"] != 2 || allowed["v10"] != 0 {
+		t.Errorf("at the first list: %v", allowed)
+	}
+}
+
+func TestGate_followsVerdict(t *testing.T) {
+	cases := []struct {
+		name      string
+		condition rollout.Condition
+		listed    []string
+		want      map[string]int
+	}{
+		{"in progress without a permit", rollout.Serving, []string{"v1", "v2"}, map[string]int{"v1": 1}},
+		{"reverted", rollout.Reverted, []string{"v1", "v2"}, map[string]int{"v1": 1}},
+		{"reverted, the old gone", rollout.Reverted, []string{"v2"}, map[string]int{}},
+		{"finished", rollout.Finished, []string{"v1", "v2"}, map[string]int{"v2": 1}},
+		{"finished, the new gone", rollout.Finished, []string{"v1"}, map[string]int{"v1": 1}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			gate, store, fake := newGate()
+			store.ApplyRunners(listOf(test.listed...))
+			body, err := transport.Marshal(rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(test.condition)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.Apply(gossip.Item{Key: rollout.Key("s"), Version: 1, Body: body})
+			allowed := allowedVersions(gate, store, fake)
+			if allowed["v1"] != test.want["v1"] || allowed["v2"] != test.want["v2"] {
+				t.Errorf("%v, not %v", allowed, test.want)
+			}
+		})
+	}
+}
+
+// TestGate_evacuatedCanary has no canary be in a zone that is evacuated.
+func TestGate_evacuatedCanary(t *testing.T) {
+	gate, store, fake := newGate()
+	store.ApplyRunners(listOf("v1", "v2"))
+	body, err := transport.Marshal(rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(rollout.Serving)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Apply(gossip.Item{Key: rollout.Key("s"), Version: 1, Body: body})
+	gate.Assign("s", "route")
+	gate.trials["s"].permit = rollout.Permit{Service: "s", Order: 1, Stage: int64(rollout.Canary), RunnersMilli: 100, LoadMilli: 1000}
+	gate.trials["s"].expiry = fake.Now() + 1000
+	if allowed := allowedVersions(gate, store, fake); allowed["v2"] != 1 {
+		t.Fatalf("under a permit: %v", allowed)
+	}
+	drained, err := transport.Marshal(evacuation.State{Version: 1, Drained: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Apply(gossip.Item{Key: evacuation.Key("a"), Version: 1, Body: drained})
+	if allowed := allowedVersions(gate, store, fake); allowed["v2"] != 0 {
+		t.Errorf("in an evacuated zone: %v", allowed)
+	}
+}
+
+func TestGate_nilAllowsAll(t *testing.T) {
+	var gate *Gate
+	runner := &snapshot.Runner{}
+	if gate.Assign("s", "route") != Old || !gate.Filter(&snapshot.Snapshot{}, "s", Old, 0).Allows(runner) || !gate.Begin("s", runner, Old, 0) {
+		t.Error("a gate that is not there decides")
+	}
+	gate.Observe(Attempt{Runner: runner})
+	gate.End("s", runner)
+}
