Rollouts: a larger part with few requests does not revert what the canary found good

Cause: on services with few requests the larger part ended without a finding and good versions were reverted; rare routes held the canary up.

--- a/control/rollout/stages.go
+++ b/control/rollout/stages.go
@@ -31,8 +31,8 @@
 		if verdict.Finding == Good && now.Since(t.enteredAt) >= t.shape.Least {
 			return Transition{To: Serving, Stage: Full, Reason: verdict.Reason}, true
 		}
-		if d.isSpent(t, now) {
-			return t.revert("no finding in the time of the larger part: " + verdict.Reason)
+		if now.Since(t.enteredAt) >= t.shape.Longest {
+			return t.endPartial(verdict)
 		}
 	case Full:
 		if now.Since(t.enteredAt) >= t.shape.Least && d.oldIsUnused(t, now) {
@@ -85,6 +85,15 @@
 	return Transition{To: Serving, Stage: Full, Reason: verdict.Reason}, true
 }
 
+// endPartial returns the step after a larger part that brought too few attempts: the canary's
+// finding stands where nothing speaks against it.
+func (t *trial) endPartial(verdict Verdict) (Transition, bool) {
+	if t.judge.IsDoubtful() {
+		return t.revert("no finding in the time of the larger part: " + verdict.Reason)
+	}
+	return Transition{To: Serving, Stage: Full, Reason: "nothing speaks against it in the larger part"}, true
+}
+
 // isSpent reports whether a stage has lasted for as long, or exposed as much, as it may. What
 // permits still allow, and what was not reported yet, counts as sent.
 func (d *Director) isSpent(t *trial, now clock.Instant) bool {
