Soak: a rollout in each run, good or bad; relays pass withdrawn permits on

Cause: no run of real processes ordered a rollout. A relay answered a withdrawn permit like one out of contact with the director, so routers went on until it lapsed.

--- a/control/rollout/relay.go
+++ b/control/rollout/relay.go
@@ -124,18 +124,17 @@
 		return
 	}
 	r.permits = resp.Permits
-	r.expiry = startedAt.Add(shortestTTL(resp.Permits))
+	r.expiry = startedAt.Add(r.shortestTTL())
 }
 
-func shortestTTL(permits []Permit) time.Duration {
-	if len(permits) == 0 {
-		return 0
-	}
-	shortest := permits[0].TTLMS
-	for _, permit := range permits {
-		shortest = min(shortest, permit.TTLMS)
+// shortestTTL returns for how long the director's answer holds: one without permits withdraws
+// those from before. The caller holds r.mu.
+func (r *Relay) shortestTTL() time.Duration {
+	shortest := r.options.Policy.PermitTTL
+	for _, permit := range r.permits {
+		shortest = min(shortest, time.Duration(permit.TTLMS)*time.Millisecond)
 	}
-	return time.Duration(shortest) * time.Millisecond
+	return shortest
 }
 
 // request takes what is to be reported; ok is false while no router asks.
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -40,6 +40,7 @@
 	c.endFaults()
 	op := newOperator(c, c.random(streamCheck))
 	c.checkRecovery(ctx, op, report)
+	c.checkRollout(ctx)
 	c.checkPropagation(ctx, op, report)
 	c.checkRevocation(ctx, op)
 	c.checkEvacuation(ctx, op)
@@ -216,7 +217,7 @@
 // executionsIn returns how many requests the runners of the zone got.
 func (c *cluster) executionsIn(zone ids.Zone) int64 {
 	executions := int64(0)
-	for _, zr := range c.runners {
+	for _, zr := range c.allRunners() {
 		if zr.zone == zone {
 			executions += zr.executions.Load()
 		}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 	history configHistory
 	quota   quotaRecord
 	duties  dutyRecord
+	rollout rolloutRecord
 	// counters is what the applications know.
 	counters *oracle.CounterLedger
 	// executed holds the attempts that ran, unanswered those whose clients waited and
@@ -67,9 +69,14 @@
 type zoneRunner struct {
 	*runner.Runner
 	zone       ids.Zone
+	version    string
+	first      string
 	executions atomic.Int64
 }
 
+// service returns the service that the runner was started for.
+func (z *zoneRunner) service() string { return z.first }
+
 // newCluster starts everything. Also after an error, close must be called on a
 // cluster that is not nil, once ctx has ended.
 func newCluster(ctx context.Context, clk clock.Clock, options Options) (*cluster, error) {
@@ -88,6 +95,7 @@
 		recorder: rec, options: options, layout: layout, stopPlatform: func() {},
 		counters: oracle.NewCounterLedger(localcluster.MergeWithin, clk.Now().Since(0)),
 	}
+	c.rollout.bad = c.random(streamRollout).IntN(2) == 0
 	if err := c.startRunners(ctx); err != nil {
 		return c, err
 	}
@@ -103,30 +111,41 @@
 func (c *cluster) startRunners(ctx context.Context) error {
 	zones := c.layout.AllZones()
 	for index := range c.options.Runners {
-		zr := &zoneRunner{zone: zones[index%len(zones)].Name}
-		settings := runner.Defaults(serviceNames[index/len(zones)%len(serviceNames)], fmt.Sprintf("i-%d", index+1))
-		settings.Seed, settings.Faults = c.options.Seed, c.options.RunnerFaults
-		settings.Capacity, settings.Queue = runnerSlots, runnerSlots
-		settings.ServiceTime, settings.EventInterval = runnerServiceTime, runnerEventInterval
-		started, err := runner.Start(runner.Options{
-			Scope: c.scope(ctx), Settings: settings, Address: "127.0.0.1:0",
-			OnRequest:  func(run oracle.Run) { c.recordRun(zr, run) },
-			OnLateBody: c.checker.RecordLateBody,
-		})
+		name := serviceNames[index/len(zones)%len(serviceNames)]
+		zr, err := c.startRunner(ctx, name, fmt.Sprintf("i-%d", index+1), zones[index%len(zones)].Name, oldVersion, c.options.RunnerFaults)
 		if err != nil {
 			return err
 		}
-		zr.Runner = started
 		c.runners = append(c.runners, zr)
 	}
 	return nil
 }
 
+// startRunner starts a runner of a service and a version in a zone.
+func (c *cluster) startRunner(ctx context.Context, service, id string, zone ids.Zone, version string, faults runner.FaultRates) (*zoneRunner, error) {
+	zr := &zoneRunner{zone: zone, version: version, first: service}
+	settings := runner.Defaults(service, id)
+	settings.Seed, settings.Faults = c.options.Seed, faults
+	settings.Capacity, settings.Queue = runnerSlots, runnerSlots
+	settings.ServiceTime, settings.EventInterval = runnerServiceTime, runnerEventInterval
+	started, err := runner.Start(runner.Options{
+		Scope: c.scope(ctx), Settings: settings, Address: "127.0.0.1:0",
+		OnRequest:  func(run oracle.Run) { c.recordRun(zr, run) },
+		OnLateBody: c.checker.RecordLateBody,
+	})
+	if err != nil {
+		return nil, err
+	}
+	zr.Runner = started
+	return zr, nil
+}
+
 // recordRun records what a runner got, but for requests of the checks, which no
 // client sent.
 func (c *cluster) recordRun(zr *zoneRunner, run oracle.Run) {
 	zr.executions.Add(1)
 	c.quota.record(run, c.clock.Now())
+	c.countVersion(zr, run)
 	if strings.HasPrefix(run.Attempt, checkAttemptPrefix) {
 		return
 	}
@@ -139,16 +158,28 @@
 // listRunners returns what the platform lists.
 func (c *cluster) listRunners() []localcluster.ListedRunner {
 	var listed []localcluster.ListedRunner
-	for _, zr := range c.runners {
+	for _, zr := range c.allRunners() {
 		incarnation := zr.Incarnation()
 		listed = append(listed, localcluster.ListedRunner{
 			ID: incarnation.ID, Service: incarnation.Service, Address: zr.Address(), Zone: string(zr.zone),
-			Version: "v1", Capacity: runnerSlots, Condition: "ready",
+			Version: zr.version, Capacity: runnerSlots, Condition: "ready",
 		})
 	}
 	return listed
 }
 
+// allRunners returns the runners that are up, those of a new version among them.
+func (c *cluster) allRunners() []*zoneRunner {
+	added, withOld := c.rollout.listed()
+	running := slices.Clone(added)
+	for _, zr := range c.runners {
+		if withOld || zr.service() != rolledService {
+			running = append(running, zr)
+		}
+	}
+	return running
+}
+
 func (c *cluster) startMachines(ctx context.Context) error {
 	for _, place := range c.layout.Machines() {
 		m, err := newMachine(c, place)
@@ -210,6 +241,8 @@
 	// streamFault is the stream of one fault, seeded from streamFaults.
 	streamFault = 3
 	streamCheck = 4
+	// streamRollout is that of the operator that orders a rollout; the next is the check's.
+	streamRollout = 500
 	// streamApplication is that of the first application.
 	streamApplication = 1000
 	// streamOperator is that of the first operator; the others have the next ones.
@@ -234,7 +267,7 @@
 	localcluster.StopAll(processes, gracePeriod+time.Second)
 	c.background.Wait()
 	c.stopPlatform()
-	for _, zr := range c.runners {
+	for _, zr := range c.allRunners() {
 		zr.Close()
 	}
 	for _, m := range c.machines {
--- a/soak/localcluster/settings.go
+++ b/soak/localcluster/settings.go
@@ -43,6 +43,15 @@
 	UsageLate   = 8 * time.Second
 )
 
+// What a bad version of a service may get, as the boot files have it: of the requests between
+// an order and its term this part, and so many more. RollbackWithin is how long after some bad
+// responses it may still get requests.
+const (
+	BadShare       = 0.1
+	BadSlack       = 50.0
+	RollbackWithin = 5 * time.Second
+)
+
 // Bandwidth in Mbit/s that the boot files state.
 const (
 	controllerLinkMbps = 100
@@ -54,7 +63,7 @@
 func (l Layout) Settings(machine Machine, dataDir string, firstStart bool, seeds []string) string {
 	zones := l.AllZones()
 	var text strings.Builder
-	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\", \"apart\", \"leader\"]\n",
+	fmt.Fprintf(&text, "node_name = %q\nzone = %q\nregion = %q\nip = %q\nport_range = [%d, %d]\nfirst_start = %v\ndata_dir = %q\nrules_in_force = [\"base\", \"tenants\", \"quota\", \"apart\", \"leader\", \"rollout\"]\n",
 		machine.Name(), machine.Zone.Name, machine.Zone.Region, machine.IP, FirstPort, LastPort, firstStart, dataDir)
 	fmt.Fprintf(&text, "seed_nodes = [\"%s\"]\n[zones]\n", strings.Join(seeds, `", "`))
 	for _, zone := range zones {
@@ -71,7 +80,8 @@
 	toleratedMachines := min(2, (len(zones)-1)/2)
 	fmt.Fprintf(&text, sharedSettings, l.MemoryMB, linkMbps, toleratedMachines, ApplyWithin.Milliseconds(), CatchUpWithin.Seconds(),
 		EvacuateWithin.Milliseconds(), l.GraceS, QuotaWindowS, QuotaExcess, QuotaSlack, MergeWithin.Milliseconds(), RecoverWithin.Seconds(),
-		LeaseTime.Milliseconds(), UsageWindow.Seconds(), UsageLate.Seconds(), l.PlatformAddress())
+		LeaseTime.Milliseconds(), UsageWindow.Seconds(), UsageLate.Seconds(),
+		BadShare, BadSlack, RollbackWithin.Milliseconds(), l.PlatformAddress())
 	return text.String()
 }
 
@@ -105,6 +115,9 @@
 usage_window_s = %g
 usage_late_s = %g
 usage_error = 0.05
+bad_share = %g
+bad_slack = %g
+rollback_ms = %d
 [cloud_api]
 address = %q
 duties = ["usage_report", "scaling"]
--- a/soak/report.go
+++ b/soak/report.go
@@ -37,6 +37,8 @@
 	// Propagation that from the acknowledgement of the last change until every router
 	// served it.
 	Recovery, Propagation time.Duration
+	// Rollout is what the run's rollout came to.
+	Rollout string
 	// PeakMemoryMB is the most resident memory that a daemon had.
 	PeakMemoryMB float64
 }
@@ -44,9 +46,9 @@
 // Print writes the report; where there are findings, with the command line that
 // runs the seed again.
 func (r Report) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d served; changes: %d acknowledged, %d rejected, %d unknown, longest acknowledgement %.2f s; %d reads; %d processes started; faults %v; ready %.2f s after the last fault, a change in force everywhere after %.2f s; peak memory %.0f MB\n",
+	fmt.Fprintf(out, "seed %d: %d requests, %d served; changes: %d acknowledged, %d rejected, %d unknown, longest acknowledgement %.2f s; %d reads; %d processes started; faults %v; ready %.2f s after the last fault, a change in force everywhere after %.2f s; rollout %s; peak memory %.0f MB\n",
 		r.Options.Seed, r.Requests, r.Served, r.Acknowledged, r.Rejected, r.Unknown, r.LongestAck.Seconds(), r.Reads,
-		r.ProcessStarts, r.Faults, r.Recovery.Seconds(), r.Propagation.Seconds(), r.PeakMemoryMB)
+		r.ProcessStarts, r.Faults, r.Recovery.Seconds(), r.Propagation.Seconds(), r.Rollout, r.PeakMemoryMB)
 	for _, finding := range r.Findings {
 		fmt.Fprintf(out, "  %s: %s\n", finding.Rule, finding.Detail)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -106,6 +106,11 @@
 	for number := range c.options.Applications {
 		workers.Go(func() { newApplication(c, number).run(working) })
 	}
+	workers.Go(func() {
+		if c.wait(working, rolloutDelay) {
+			c.runRollout(working)
+		}
+	})
 	c.injectFaults(ctx, report.Faults, &faults)
 	faults.Wait()
 	c.wait(ctx, settleTime)
@@ -172,6 +177,7 @@
 
 // fillReport sums up what the run recorded.
 func (c *cluster) fillReport(report *Report) {
+	report.Rollout = c.rollout.String()
 	report.Requests, report.Served = c.requests.Load(), c.served.Load()
 	c.history.fillReport(report)
 	for _, m := range c.machines {
