Rollouts: what a router has confirmed stands when permits are withdrawn

Cause: found by the model (takeover while old runners drain, seed 1) in the commit before: a director that had just taken over grants nothing yet, routers went back to old runners while the former director's finished was on its way.

--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -345,9 +345,9 @@
 	for service, t := range g.trials {
 		permit, ok := granted[service]
 		if !ok || permit.Order != t.order {
-			// It was withheld: nothing more goes to the target version, and the director will
-			// not finish the rollout before this router has confirmed again.
-			t.expiry, t.latchedUntil = 0, 0
+			// It was withheld. What this router has confirmed stands all the same: a director
+			// that has just taken over may not know yet that the rollout has finished.
+			t.expiry = 0
 			continue
 		}
 		t.permit, t.expiry = permit, startedAt.Add(time.Duration(permit.TTLMS)*time.Millisecond)
