--- a/base/settings/unsupported.go
+++ b/base/settings/unsupported.go
@@ -9,7 +9,7 @@
 var (
 	// supportedRules are parts of the service level rules.
 	supportedRules = []string{
-		"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "places", "tenants", "quota", "apart", "leader", RolloutRule,
+		"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream", "places", "tenants", "quota", "apart", "leader", "conn", "pressure", RolloutRule,
 	}
 	supportedDuties = []string{UsageDuty, ScalingDuty}
 	// supportedDiscovery and supportedEntry are where the list of runners comes from
