Rollouts: nothing finishes while anything speaks against the version

A rare route needed no evidence, and finished was written in the moment in which 8 of 13 of its attempts failed. Change: relevant routes need evidence or the version is reverted; doubts hold finished back; in stage full the other routes are the control.

--- a/control/rollout/judge.go
+++ b/control/rollout/judge.go
@@ -46,8 +46,7 @@
 	// twice over, and goodFailures; at a bad one it is badFailures higher.
 	goodFailures = 0.03
 	badFailures  = 0.17
-	// Without an old version to compare with, a good one may fail through what befalls all
-	// runners alike.
+	// Without a control, a good version may fail through what befalls all runners alike.
 	goodFailuresAlone = 0.10
 	badFailuresAlone  = 0.25
 	// An attempt is slow where it takes slowFactor times as long as the middle one of the old
@@ -64,13 +63,13 @@
 	minControl = 20
 	// controlWindow is for how long the old version's attempts count, once to twice.
 	controlWindow = 2 * time.Second
-	// relevantRoute is the part of the service's requests, and relevantCount the number in
-	// the stage, from which on a route must have evidence of its own: minEnded attempts, and
-	// minTimed that were timed at warm runners.
-	relevantRoute = 0.03
-	relevantCount = 15
-	minEnded      = 3
-	minTimed      = 3
+	// relevantRoute is the part of the service's requests from which on a route must have
+	// evidence of its own: a sum of failures as of ten attempts without one, and minTimed
+	// that were timed at warm runners. Of ten attempts at a version that fails half of them,
+	// all succeed once in a thousand times.
+	relevantRoute  = 0.03
+	routeAcceptSum = -1.9
+	minTimed       = 3
 )
 
 // sequentialTest weighs attempts that have, or have not, what a bad version shows more
@@ -88,7 +87,7 @@
 	t.cusum = max(0, t.cusum+change)
 }
 
-// control is what the old version showed of late, in two windows.
+// control is what a version showed of late on a route, in two windows.
 type control struct {
 	ended, failed    [2]int64
 	firstByte, whole [2]Histogram
@@ -119,10 +118,12 @@
 // routeEvidence is what is known of one route.
 type routeEvidence struct {
 	old control
+	// target is what the target version showed of late.
+	target control
 	// ended, failed and timed count attempts at the target version since the stage began,
-	// oldStage those at the old one; oldEnded has those of all stages.
+	// oldEnded those at the old one since the rollout did.
 	ended, failed, timed int64
-	oldStage, oldEnded   int64
+	oldEnded             int64
 	failures             sequentialTest
 	slowFirst, slowWhole sequentialTest
 }
@@ -154,7 +155,7 @@
 	j.pooled.sum = 0
 	j.stageTarget, j.stageOld = 0, 0
 	for _, evidence := range j.routes {
-		evidence.ended, evidence.failed, evidence.timed, evidence.oldStage = 0, 0, 0, 0
+		evidence.ended, evidence.failed, evidence.timed = 0, 0, 0
 		evidence.failures.sum = 0
 	}
 }
@@ -172,7 +173,6 @@
 			evidence := j.route(count.Route)
 			evidence.old.add(count)
 			evidence.oldEnded += count.Ended
-			evidence.oldStage += count.Ended
 			j.stageOld += count.Ended
 		}
 	}
@@ -185,6 +185,7 @@
 		j.rotatedAt = now
 		for _, evidence := range j.routes {
 			evidence.old.rotate()
+			evidence.target.rotate()
 		}
 	}
 }
@@ -204,6 +205,7 @@
 	evidence.ended += count.Ended
 	evidence.failed += count.Failed
 	good, bad := j.failureParts(evidence)
+	evidence.target.add(RouteCount{Ended: count.Ended, Failed: count.Failed})
 	evidence.failures.add(count.Failed, count.Ended-count.Failed, good, bad)
 	j.pooled.add(count.Failed, count.Ended-count.Failed, good, bad)
 	var firstByte, whole Histogram
@@ -218,23 +220,40 @@
 }
 
 // failureParts returns the parts of failed attempts that a good and a bad version show on a
-// route: what befalls the old one at the time is no fault of the new one.
+// route: what befalls the control at the time is no fault of the new version.
 func (j *Judge) failureParts(evidence *routeEvidence) (good, bad float64) {
+	least, step := goodFailures, badFailures
+	part, known := j.controlPart(evidence)
+	if !known {
+		least, step = goodFailuresAlone, badFailuresAlone
+	}
+	good = min(max(least, 2*part+goodFailures/2), maxGood)
+	return good, min(good+step, maxBad)
+}
+
+// controlPart returns the part of attempts that fail at the control: the old version, or,
+// where that gets nothing any more, the other routes at the target version; known is false
+// where that has none.
+func (j *Judge) controlPart(evidence *routeEvidence) (part float64, known bool) {
 	ended, failed := int64(0), int64(0)
 	for _, other := range j.routes {
 		routeEnded, routeFailed := other.old.totals()
+		if j.alone {
+			routeEnded, routeFailed = other.target.totals()
+			if other == evidence {
+				continue
+			}
+		}
 		ended, failed = ended+routeEnded, failed+routeFailed
 	}
-	part := partOf(failed, ended)
+	part = partOf(failed, ended)
+	if j.alone {
+		return part, ended >= minControl
+	}
 	if routeEnded, routeFailed := evidence.old.totals(); routeEnded >= minControl {
 		part = max(part, partOf(routeFailed, routeEnded))
 	}
-	least, step := goodFailures, badFailures
-	if j.alone {
-		least, step = goodFailuresAlone, badFailuresAlone
-	}
-	good = min(max(least, 2*part+goodFailures/2), maxGood)
-	return good, min(good+step, maxBad)
+	return part, true
 }
 
 // addSlow weighs how long attempts at the target version took against the old one's.
@@ -304,8 +323,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		evidence := j.routes[name]
-		relevant := partOf(evidence.oldEnded, all) >= relevantRoute && evidence.oldStage+evidence.ended >= relevantCount
-		if evidence.isDoubtful() || (relevant && (evidence.ended < minEnded || evidence.timed < minTimed)) {
+		relevant := partOf(evidence.oldEnded, all) >= relevantRoute
+		if evidence.isDoubtful() || (relevant && (evidence.failures.sum > routeAcceptSum || evidence.timed < minTimed)) {
 			return "route " + name + ": more attempts are needed"
 		}
 	}
--- a/control/rollout/judge_test.go
+++ b/control/rollout/judge_test.go
@@ -91,6 +91,9 @@
 	return judge.Verdict().Finding, lasts
 }
 
+// canaryTimeOfTest is how long the canary of a term of 12 s may last (canaryLongest).
+const canaryTimeOfTest = 6600 * time.Millisecond
+
 // TestJudge_revertsNoGoodVersion bounds how often a version that does as the old one does
 // is found bad, with what befalls all runners alike beside it.
 func TestJudge_revertsNoGoodVersion(t *testing.T) {
@@ -98,7 +101,7 @@
 		wrong, undecided := 0, 0
 		const seeds = 1000
 		for seed := range uint64(seeds) {
-			finding, _ := judgeFor(seed, 300, 0.12, evidence{background: background}, 4*time.Second)
+			finding, _ := judgeFor(seed, 300, 0.12, evidence{background: background}, canaryTimeOfTest)
 			switch finding {
 			case Bad:
 				wrong++
@@ -110,7 +113,7 @@
 			t.Errorf("background %.2f: %d of %d good versions are found bad", background, wrong, seeds)
 		}
 		if background <= 0.01 && undecided > seeds/100 {
-			t.Errorf("background %.2f: %d of %d good versions have no finding after 4 s", background, undecided, seeds)
+			t.Errorf("background %.2f: %d of %d good versions have no finding after %v", background, undecided, seeds, canaryTimeOfTest)
 		}
 	}
 }
@@ -156,6 +159,31 @@
 	}
 }
 
+// TestJudge_aloneFindsOneRoute has a route that fails be found at once where the others at the
+// same version do not.
+func TestJudge_aloneFindsOneRoute(t *testing.T) {
+	judge := NewJudge()
+	judge.BeginStage(Full)
+	now := clock.Instant(time.Hour)
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		judge.Add([]RouteCount{{Route: "short", Target: true, Ended: 30}, {Route: "long", Target: true, Ended: 1}}, now)
+	}
+	for attempts := 1; ; attempts++ {
+		now = now.Add(100 * time.Millisecond)
+		judge.Add([]RouteCount{{Route: "short", Target: true, Ended: 30}, {Route: "long", Target: true, Ended: 2, Failed: 1}}, now)
+		if judge.Verdict().Finding == Bad {
+			if attempts > 8 {
+				t.Errorf("found after %d attempts, half of which failed", 2*attempts)
+			}
+			return
+		}
+		if !judge.IsDoubtful() && attempts > 3 {
+			t.Fatalf("no doubt after %d attempts, half of which failed", 2*attempts)
+		}
+	}
+}
+
 // TestJudge_aloneBearsWhatBefallsAll has no version be found bad for what befalls all runners
 // once there is no other to compare with.
 func TestJudge_aloneBearsWhatBefallsAll(t *testing.T) {
--- a/control/rollout/stages.go
+++ b/control/rollout/stages.go
@@ -35,7 +35,7 @@
 			return t.endPartial(verdict)
 		}
 	case Full:
-		if now.Since(t.enteredAt) >= t.shape.Least && d.oldIsUnused(t, now) {
+		if now.Since(t.enteredAt) >= t.shape.Least && !t.judge.IsDoubtful() && d.oldIsUnused(t, now) {
 			return Transition{To: Finished, Stage: Full, Reason: "nothing runs at the old version any more"}, true
 		}
 	}
@@ -178,6 +178,9 @@
 		}
 		return "the time of the stage"
 	}
+	if t.judge.IsDoubtful() {
+		return "more attempts: something speaks against the version"
+	}
 	for zone := range d.options.Zones {
 		if d.options.HasRouters(zone) && !d.zoneConfirmed(t, zone, now) {
 			return fmt.Sprintf("routers of %s to end what runs at the old version", zone)
