--- a/cmd/fleet-controller/parts.go
+++ b/cmd/fleet-controller/parts.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,9 +13,6 @@
 	"onyxwell/control/duty"
 )
 
-// partsTimeout bounds a call of the parts command to the controller of this machine.
-const partsTimeout = 5 * time.Second
-
 // partsFlags are those of the parts command.
 type partsFlags struct {
 	HandOver string `help:"Have this part be given to another controller, in order." placeholder:"PART"`
@@ -32,44 +28,21 @@
 
 // Decode implements httpcall.ResponseReader.
 func (p *partsStatus) Decode(raw httpcall.RawResponse) error {
-	if raw.Status != http.StatusOK {
-		return fmt.Errorf("the controller answered %d: %s", raw.Status, raw.Body)
-	}
-	return json.Unmarshal(raw.Body, p)
+	return decodeOK(raw, p)
 }
 
-// acknowledgement is an answer without content.
-type acknowledgement struct{}
-
-// Decode implements httpcall.ResponseReader.
-func (*acknowledgement) Decode(raw httpcall.RawResponse) error {
-	if raw.Status != http.StatusOK {
-		return fmt.Errorf("the controller answered %d: %s", raw.Status, raw.Body)
-	}
-	return nil
-}
-
-// request is a call to the controller of this machine.
-type request httpcall.OutgoingRequest
-
-// Encode implements httpcall.Requester.
-func (r request) Encode() httpcall.OutgoingRequest { return httpcall.OutgoingRequest(r) }
-
 // run shows the parts of the duties at the platform, or hands one over.
 func (p *partsFlags) run(node *settings.Settings) error {
-	ctx, cancel := context.WithTimeout(context.Background(), partsTimeout)
-	defer cancel()
-	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: partsTimeout, UserTimeout: partsTimeout}})
-	address := node.Listen["control"]
+	caller := newControllerCaller(node)
 	if p.HandOver != "" {
 		body, err := json.Marshal(map[string]string{"part": p.HandOver})
 		if err != nil {
 			return err
 		}
-		_, err = httpcall.Do[acknowledgement](ctx, client, address, request{Method: http.MethodPost, Path: "/parts", Body: body})
+		_, err = callController[acknowledgement](caller, request{Method: http.MethodPost, Path: "/parts", Body: body})
 		return err
 	}
-	status, err := httpcall.Do[partsStatus](ctx, client, address, request{Method: http.MethodGet, Path: "/status"})
+	status, err := callController[partsStatus](caller, request{Method: http.MethodGet, Path: "/status"})
 	if err != nil {
 		return err
 	}
--- a/cmd/fleet-controller/rollout.go
+++ b/cmd/fleet-controller/rollout.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,12 +13,8 @@
 	"onyxwell/control/rollout"
 )
 
-const (
-	// rolloutTimeout bounds one call of the rollout command.
-	rolloutTimeout = 5 * time.Second
-	// watchInterval is the time between two reads of a rollout that is watched.
-	watchInterval = time.Second
-)
+// watchInterval is the time between two reads of a rollout that is watched.
+const watchInterval = time.Second
 
 // rolloutFlags are those of the rollout command.
 type rolloutFlags struct {
@@ -36,10 +31,11 @@
 
 // Decode implements httpcall.ResponseReader.
 func (r *rolloutsStatus) Decode(raw httpcall.RawResponse) error {
-	if raw.Status != http.StatusOK {
-		return fmt.Errorf("the controller answered %d: %s", raw.Status, raw.Body)
-	}
-	return json.Unmarshal(raw.Body, r)
+	return decodeOK(raw, r)
+}
+
+func (c controllerCaller) status() (rolloutsStatus, error) {
+	return callController[rolloutsStatus](c, request{Method: http.MethodGet, Path: "/status"})
 }
 
 // rolloutState is the response to GET /rollouts/SERVICE.
@@ -50,10 +46,7 @@
 
 // Decode implements httpcall.ResponseReader.
 func (r *rolloutState) Decode(raw httpcall.RawResponse) error {
-	if raw.Status != http.StatusOK {
-		return fmt.Errorf("the controller answered %d: %s", raw.Status, raw.Body)
-	}
-	return json.Unmarshal(raw.Body, r)
+	return decodeOK(raw, r)
 }
 
 // run orders, shows or watches rollouts.
@@ -61,8 +54,7 @@
 	if r.Action != "status" && r.Service == "" {
 		return fmt.Errorf("rollout %s: --service is missing", r.Action)
 	}
-	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: rolloutTimeout, UserTimeout: rolloutTimeout}})
-	caller := rolloutCaller{client: client, node: node}
+	caller := newControllerCaller(node)
 	switch r.Action {
 	case "start":
 		return r.start(caller)
@@ -77,7 +69,7 @@
 }
 
 // start orders a rollout.
-func (r *rolloutFlags) start(caller rolloutCaller) error {
+func (r *rolloutFlags) start(caller controllerCaller) error {
 	if r.Target == "" || r.Over <= 0 {
 		return fmt.Errorf("rollout start: --target and --over are needed")
 	}
@@ -91,7 +83,7 @@
 
 // watch prints what a majority says of a rollout whenever it changes, and what the director
 // waits for where this controller knows it, until the verdict.
-func (r *rolloutFlags) watch(caller rolloutCaller) error {
+func (r *rolloutFlags) watch(caller controllerCaller) error {
 	last := ""
 	for {
 		state, err := callController[rolloutState](caller, request{Method: http.MethodGet, Path: "/rollouts/" + r.Service})
@@ -152,23 +144,3 @@
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-// rolloutCaller calls the controller of this machine.
-type rolloutCaller struct {
-	client *http.Client
-	node   *settings.Settings
-}
-
-func (c rolloutCaller) status() (rolloutsStatus, error) {
-	return callController[rolloutsStatus](c, request{Method: http.MethodGet, Path: "/status"})
-}
-
-// callController makes one call within rolloutTimeout.
-func callController[Response any, Pointer interface {
-	*Response
-	httpcall.ResponseReader
-}](caller rolloutCaller, call request) (Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), rolloutTimeout)
-	defer cancel()
-	return httpcall.Do[Response, Pointer](ctx, caller.client, caller.node.Listen["control"], call)
-}
--- /dev/null
+++ b/control/duty/holding.go
@@ -0,0 +1,116 @@
+package duty
+
+// Held returns the fence under which calls for a part may be made now.
+func (s *Session) Held(part Part) (fence int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil || !s.mayCall(held) {
+		return 0, false
+	}
+	return held.fence, true
+}
+
+// Assigned returns the fence under which a part is, or soon will be, held: from the moment
+// the assigner told of it, while nothing may be sent yet.
+func (s *Session) Assigned(part Part) (fence int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil {
+		return 0, false
+	}
+	return held.fence, true
+}
+
+// Allowed reports whether a call under a fence may be made, or go on, now.
+func (s *Session) Allowed(part Part, fence int64) bool {
+	current, ok := s.Held(part)
+	return ok && current == fence
+}
+
+// mayCall reports whether a part's session stands, its hand-over time has passed, and
+// both clocks agree that it has. The caller holds s.mu.
+func (s *Session) mayCall(held *heldPart) bool {
+	now := s.options.Clock.Now()
+	if s.assigner == s.options.Address {
+		if epoch, own := s.options.AssignerLease(now); !own || epoch != s.epoch {
+			return false
+		}
+	}
+	drift := s.options.Wall().Sub(held.grantedWall) - now.Since(held.grantedAt)
+	return !held.revoked && !now.Before(held.notBefore) && now.Before(held.expiry) && drift.Abs() <= s.options.MaxDrift
+}
+
+// begin counts a call under a fence, so that the part is not told to be given up before
+// it ends.
+func (s *Session) begin(part Part, fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.parts[part]
+	if held == nil || held.fence != fence || !s.mayCall(held) {
+		return false
+	}
+	held.calls++
+	held.callStarted = s.options.Clock.Now()
+	return true
+}
+
+// end ends a call that begin counted.
+func (s *Session) end(part Part, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	started := s.options.Clock.Now()
+	if held := s.parts[part]; held != nil && held.calls > 0 {
+		held.calls--
+		started = held.callStarted
+	}
+	s.acts[part] = Act{Part: part, UnixMS: s.options.Wall().UnixMilli(), Status: int64(status)}
+	if status > 0 {
+		delete(s.failingSince, part)
+	} else if _, failing := s.failingSince[part]; !failing {
+		s.failingSince[part] = started
+	}
+}
+
+// Refused drops a part whose fence the platform refused: another has acted under a
+// higher one.
+func (s *Session) Refused(part Part, fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.parts[part]; held != nil && held.fence == fence {
+		s.revoke(part, held, "part refused: a higher fence has acted")
+		s.rejected[part] = fence
+	}
+}
+
+// PartStatus is a part as it is held here, for GET /status.
+type PartStatus struct {
+	Part   Part  `json:"part"`
+	Fence  int64 `json:"fence"`
+	Acting bool  `json:"acting"`
+	Calls  int   `json:"calls"`
+}
+
+// Status returns the parts that were granted here.
+func (s *Session) Status() []PartStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var statuses []PartStatus
+	for part, held := range s.parts {
+		statuses = append(statuses, PartStatus{Part: part, Fence: held.fence, Acting: s.mayCall(held), Calls: held.calls})
+	}
+	return statuses
+}
+
+// Calling reports whether any call runs.
+func (s *Session) Calling() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, held := range s.parts {
+		if held.calls > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/control/state/command/rollout.go
+++ b/control/state/command/rollout.go
@@ -26,7 +26,7 @@
 	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
 	defer cancel()
 	err := errkind.Errorf(errkind.NoQuorum, "no voter is known")
-	req := rollout.OrderRequest{Service: order.Service, Target: order.Target, TermMS: order.TermMS, UnixMS: order.UnixMS}
+	req := rollout.OrderRequest(order)
 	for _, member := range d.options.Acceptor.Voters().Members {
 		limited, cancel := d.options.Clock.WithTimeout(ctx, d.options.ForwardTimeout)
 		var resp rollout.OrderResponse
@@ -47,7 +47,7 @@
 	if !d.options.Acceptor.Voting() {
 		return orderResponse(errkind.Errorf(errkind.NoQuorum, "this controller does not vote")), nil
 	}
-	return orderResponse(d.OrderRollout(ctx, rollout.Order{Service: req.Service, Target: req.Target, TermMS: req.TermMS, UnixMS: req.UnixMS})), nil
+	return orderResponse(d.OrderRollout(ctx, rollout.Order(req))), nil
 }
 
 func orderResponse(err error) rollout.OrderResponse {
