Rollouts: a canary may be larger where bad_slack allows it

Cause: on services with few requests the canary saw too few attempts; its part of the runners was capped at 0.15, though the exposure that slack allows was not used.

--- a/control/rollout/schedule.go
+++ b/control/rollout/schedule.go
@@ -20,7 +20,7 @@
 	// A canary runner carries more than an old one, so that what shows under load shows.
 	canaryLoad    = 1.25
 	minCanaryPart = 0.04
-	maxCanaryPart = 0.15
+	maxCanaryPart = 0.3
 	// canaryTime and canaryLongest are counted from when runners of the target version are
 	// listed: what goes wrong some seconds after a start is to show, too.
 	canaryTime    = 0.3
