--- a/tools/testjudge/main.go
+++ b/tools/testjudge/main.go
@@ -55,7 +55,7 @@
 		if outcome == "" {
 			outcome = "not there"
 		}
-		fmt.Fprintf(out, "known red: %s: %s (%s; issue %s)\n", red.test, outcome, red.cause, red.issue)
+		fmt.Fprintf(out, "known red: %s: %s (%s; %s; issue %s)\n", red.test, outcome, red.seen, red.command, red.issue)
 		if outcome != "fail" {
 			problems = append(problems, fmt.Sprintf("%s is listed as known red and is: %s", red.test, outcome))
 		}
