Rollouts: reports in a fixed order; the judge's test draws in a fixed order

Traced: the test drew its random numbers in the order of a Go map, so each run was another one; a rare order is slower.

--- a/control/rollout/judge_test.go
+++ b/control/rollout/judge_test.go
@@ -57,6 +57,13 @@
 	return count
 }
 
+// judgedRoutes are the routes of judgeFor, with their parts of the requests. Their order is that
+// in which random numbers are drawn.
+var judgedRoutes = []struct {
+	name string
+	part float64
+}{{"long", 0.16}, {"short", 0.84}}
+
 // judgeFor plays a rollout's canary with so many requests a second on two routes, a share
 // of which goes to the target version, and returns the first finding and when it was made.
 func judgeFor(seed uint64, perS, share float64, drawn evidence, lasts time.Duration) (Finding, time.Duration) {
@@ -77,10 +84,10 @@
 			judge.BeginStage(Canary)
 		}
 		var counts []RouteCount
-		for route, part := range map[string]float64{"long": 0.16, "short": 0.84} {
-			counts = append(counts, drawn.counts(route, false, attempts(perS*part*(1-share)), since))
+		for _, route := range judgedRoutes {
+			counts = append(counts, drawn.counts(route.name, false, attempts(perS*route.part*(1-share)), since))
 			if since >= 0 {
-				counts = append(counts, drawn.counts(route, true, attempts(perS*part*share), since))
+				counts = append(counts, drawn.counts(route.name, true, attempts(perS*route.part*share), since))
 			}
 		}
 		judge.Add(counts, now)
--- a/control/rollout/relay.go
+++ b/control/rollout/relay.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -202,5 +205,20 @@
 	for _, count := range c {
 		counts = append(counts, count)
 	}
+	SortCounts(counts)
 	return counts
 }
+
+// SortCounts puts counts into the order of their routes, old versions first.
+func SortCounts(counts []RouteCount) {
+	slices.SortFunc(counts, func(a, b RouteCount) int {
+		return cmp.Or(strings.Compare(a.Route, b.Route), cmp.Compare(armOrder(a), armOrder(b)))
+	})
+}
+
+func armOrder(count RouteCount) int {
+	if count.Target {
+		return 1
+	}
+	return 0
+}
--- a/data/canary/evidence.go
+++ b/data/canary/evidence.go
@@ -74,6 +74,7 @@
 			FirstByte: counts.firstByte.Buckets(), Whole: counts.whole.Buckets(),
 		})
 	}
+	rollout.SortCounts(routes)
 	t.counts = map[countKey]*armCounts{}
 	return routes
 }
