Soak: runners of a new version outlive the workload

The new runners were started under the workload's context, which ends with the faults, and a runner whose context has ended answers nothing. Change: they are started under a context that does not end with it; zoneRunner keeps its service as a field.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -65,18 +65,15 @@
 	memorySampleInterval = 100 * time.Millisecond
 )
 
-// zoneRunner is a runner with its zone.
+// zoneRunner is a runner with its zone, its version and the service that it was started for.
 type zoneRunner struct {
 	*runner.Runner
 	zone       ids.Zone
 	version    string
-	first      string
+	service    string
 	executions atomic.Int64
 }
 
-// service returns the service that the runner was started for.
-func (z *zoneRunner) service() string { return z.first }
-
 // newCluster starts everything. Also after an error, close must be called on a
 // cluster that is not nil, once ctx has ended.
 func newCluster(ctx context.Context, clk clock.Clock, options Options) (*cluster, error) {
@@ -123,7 +120,7 @@
 
 // startRunner starts a runner of a service and a version in a zone.
 func (c *cluster) startRunner(ctx context.Context, service, id string, zone ids.Zone, version string, faults runner.FaultRates) (*zoneRunner, error) {
-	zr := &zoneRunner{zone: zone, version: version, first: service}
+	zr := &zoneRunner{zone: zone, version: version, service: service}
 	settings := runner.Defaults(service, id)
 	settings.Seed, settings.Faults = c.options.Seed, faults
 	settings.Capacity, settings.Queue = runnerSlots, runnerSlots
@@ -173,7 +170,7 @@
 	added, withOld := c.rollout.listed()
 	running := slices.Clone(added)
 	for _, zr := range c.runners {
-		if withOld || zr.service() != rolledService {
+		if withOld || zr.service != rolledService {
 			running = append(running, zr)
 		}
 	}
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -134,11 +134,13 @@
 	return r.orderedAt
 }
 
-// startNewVersion starts a runner of the new version beside each old one.
+// startNewVersion starts a runner of the new version beside each old one. They outlive the
+// workload, with which ctx ends: a runner whose context has ended answers nothing.
 func (c *cluster) startNewVersion(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
 	var started []*zoneRunner
 	for index, old := range c.runners {
-		if old.service() != rolledService {
+		if old.service != rolledService {
 			continue
 		}
 		faults := runner.FaultRates{}
@@ -194,7 +196,7 @@
 		return
 	}
 	for _, zr := range c.runners {
-		if zr.service() == rolledService {
+		if zr.service == rolledService {
 			zr.Close()
 		}
 	}
@@ -277,7 +279,7 @@
 
 // countVersion counts a run for the rollout.
 func (c *cluster) countVersion(zr *zoneRunner, run oracle.Run) {
-	if zr.service() == rolledService && !run.Rejected {
+	if zr.service == rolledService && !run.Rejected {
 		c.rollout.countRun(zr.version, c.clock.Now())
 	}
 }
