Rollouts: one lock and one check before sending, no second form for an outcome; no behaviour

Found on rereading the whole change: - Gate.Begin asked the filter under one lock and the latch again under another; the filter knows the latch. One lock and one check on the path of each request now. - A forwarded order had a form of its own for its outcome with two converters; forwarded commands have command.Result.

--- a/control/controller/rollouts.go
+++ b/control/controller/rollouts.go
@@ -38,7 +38,7 @@
 	})
 	for _, condition := range []rollout.Condition{rollout.Serving, rollout.Finished, rollout.Reverted} {
 		c.daemon.Metrics.GaugeFunc("rollouts", "Services by the condition of their newest rollout.",
-			map[string]string{"condition": condition.String()}, func() float64 { return float64(c.countRollouts(condition)) })
+			map[string]string{"condition": condition.String()}, func() float64 { return float64(c.director.Count(condition)) })
 	}
 	return c.director.Run
 }
@@ -57,10 +57,13 @@
 // isChangingVersion reports whether a rollout of a service is in progress, or has left
 // runners of more than one version.
 func (c *Controller) isChangingVersion(service ids.Service) bool {
-	if c.director == nil || !c.director.Knows(service) {
+	if c.director == nil {
 		return false
 	}
-	if c.director.InProgress(service) {
+	switch c.director.Condition(service) {
+	case rollout.Unordered:
+		return false
+	case rollout.Serving:
 		return true
 	}
 	versions := map[string]bool{}
@@ -102,16 +105,6 @@
 	return c.director.Statuses()
 }
 
-func (c *Controller) countRollouts(condition rollout.Condition) int {
-	count := 0
-	for _, status := range c.rolloutStatuses() {
-		if status.Condition == condition.String() {
-			count++
-		}
-	}
-	return count
-}
-
 // serveRollouts serves the operators' calls for rollouts, where the settings have them.
 func (c *Controller) serveRollouts(mux *httpcall.Mux) {
 	if c.director != nil {
--- a/control/rollout/forms_test.go
+++ b/control/rollout/forms_test.go
@@ -18,5 +18,4 @@
 	transporttest.Golden[ExchangeResponse](t, "exchange_response")
 	transporttest.Golden[DirectorItem](t, "director_item")
 	transporttest.Golden[OrderRequest](t, "order_request")
-	transporttest.Golden[OrderResponse](t, "order_response")
 }
--- a/control/rollout/histogram.go
+++ b/control/rollout/histogram.go
@@ -80,12 +80,6 @@
 	return sum(h.counts[min(bucketOf(limit)+1, bucketCount):])
 }
 
-// Clone returns a copy.
-func (h *Histogram) Clone() *Histogram {
-	clone := *h
-	return &clone
-}
-
 func sum(counts []int64) int64 {
 	total := int64(0)
 	for _, count := range counts {
--- a/control/rollout/messages.go
+++ b/control/rollout/messages.go
@@ -114,15 +114,6 @@
 // SchemaName names the sent form; it must never change.
 func (OrderRequest) SchemaName() string { return "RolloutOrderRequest" }
 
-// OrderResponse is the outcome of an order: a kind of errkind, and the detail of an error.
-type OrderResponse struct {
-	Kind   int64  `avro:"Kind"`
-	Detail string `avro:"Detail"`
-}
-
-// SchemaName names the sent form; it must never change.
-func (OrderResponse) SchemaName() string { return "RolloutOrderResponse" }
-
 // WithoutCounts returns the request without what routers saw.
 func (e ExchangeRequest) WithoutCounts() ExchangeRequest {
 	bare := ExchangeRequest{From: e.From, Zone: e.Zone}
--- a/control/rollout/stages.go
+++ b/control/rollout/stages.go
@@ -35,7 +35,8 @@
 			return t.endPartial(verdict)
 		}
 	case Full:
-		if now.Since(t.enteredAt) >= t.shape.Least && !t.judge.IsDoubtful() && d.oldIsUnused(t, now) {
+		_, waits := d.unconfirmedZone(t, now)
+		if now.Since(t.enteredAt) >= t.shape.Least && !t.judge.IsDoubtful() && !waits {
 			return Transition{To: Finished, Stage: Full, Reason: "nothing runs at the old version any more"}, true
 		}
 	}
@@ -141,16 +142,16 @@
 	return NewSpread(d.options.Runners(t.service), t.record.Target, t.record.Order, part, load, false).MeanShare(len(regions))
 }
 
-// oldIsUnused reports whether all routers that can be heard have confirmed that they send
-// nothing to old runners, and have nothing there. A zone that has been silent for long has no
-// permits, and is not waited for.
-func (d *Director) oldIsUnused(t *trial, now clock.Instant) bool {
+// unconfirmedZone returns a zone with routers that have not confirmed yet that they send
+// nothing to old runners, and have nothing there; ok is false where there is none. A zone that
+// has been silent for long has no permits, and is not waited for.
+func (d *Director) unconfirmedZone(t *trial, now clock.Instant) (zone ids.Zone, ok bool) {
 	for zone := range d.options.Zones {
 		if d.options.HasRouters(zone) && !d.zoneConfirmed(t, zone, now) {
-			return false
+			return zone, true
 		}
 	}
-	return true
+	return "", false
 }
 
 func (d *Director) zoneConfirmed(t *trial, zone ids.Zone, now clock.Instant) bool {
@@ -181,27 +182,33 @@
 	if t.judge.IsDoubtful() {
 		return "more attempts: something speaks against the version"
 	}
-	for zone := range d.options.Zones {
-		if d.options.HasRouters(zone) && !d.zoneConfirmed(t, zone, now) {
-			return fmt.Sprintf("routers of %s to end what runs at the old version", zone)
-		}
+	if zone, ok := d.unconfirmedZone(t, now); ok {
+		return fmt.Sprintf("routers of %s to end what runs at the old version", zone)
 	}
 	return "the verdict to be stored"
 }
 
-// Knows reports whether a rollout of a service was ever ordered.
-func (d *Director) Knows(service ids.Service) bool {
+// Condition returns what became of a service's newest rollout.
+func (d *Director) Condition(service ids.Service) Condition {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.trials[service] != nil
+	if t := d.trials[service]; t != nil {
+		return Condition(t.record.Condition)
+	}
+	return Unordered
 }
 
-// InProgress reports whether a rollout of a service has no verdict yet.
-func (d *Director) InProgress(service ids.Service) bool {
+// Count returns how many services' newest rollouts have a condition.
+func (d *Director) Count(condition Condition) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := d.trials[service]
-	return t != nil && t.record.InProgress()
+	count := 0
+	for _, t := range d.trials {
+		if Condition(t.record.Condition) == condition {
+			count++
+		}
+	}
+	return count
 }
 
 // AwaitsRunners reports whether a rollout waits for runners of its target version.
--- a/control/state/command/rollout.go
+++ b/control/state/command/rollout.go
@@ -29,11 +29,11 @@
 	req := rollout.OrderRequest(order)
 	for _, member := range d.options.Acceptor.Voters().Members {
 		limited, cancel := d.options.Clock.WithTimeout(ctx, d.options.ForwardTimeout)
-		var resp rollout.OrderResponse
-		resp, err = transport.Send[rollout.OrderResponse](limited, d.options.Transport, member.Address, rollout.OrderMessage, req)
+		var result Result
+		result, err = transport.Send[Result](limited, d.options.Transport, member.Address, rollout.OrderMessage, req)
 		cancel()
 		if err == nil {
-			err = orderError(resp)
+			err = result.err()
 		}
 		if kind := errkind.KindOf(err); kind == errkind.None || kind == errkind.RolloutConflict {
 			return err
@@ -43,25 +43,11 @@
 }
 
 // handleRollout stores an order that a controller without a vote forwarded.
-func (d *Dispatcher) handleRollout(ctx context.Context, req rollout.OrderRequest) (rollout.OrderResponse, error) {
+func (d *Dispatcher) handleRollout(ctx context.Context, req rollout.OrderRequest) (Result, error) {
 	if !d.options.Acceptor.Voting() {
-		return orderResponse(errkind.Errorf(errkind.NoQuorum, "this controller does not vote")), nil
+		return resultOf(nil, errkind.Errorf(errkind.NoQuorum, "this controller does not vote")), nil
 	}
-	return orderResponse(d.OrderRollout(ctx, rollout.Order(req))), nil
-}
-
-func orderResponse(err error) rollout.OrderResponse {
-	if err == nil {
-		return rollout.OrderResponse{}
-	}
-	return rollout.OrderResponse{Kind: int64(errkind.KindOf(err)), Detail: errkind.DetailOf(err)}
-}
-
-func orderError(resp rollout.OrderResponse) error {
-	if kind := errkind.Kind(resp.Kind); kind != errkind.None {
-		return errkind.Errorf(kind, "%s", resp.Detail)
-	}
-	return nil
+	return resultOf(nil, d.OrderRollout(ctx, rollout.Order(req))), nil
 }
 
 // ReadRollout returns the record of a service's rollout that a majority confirms.
--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -215,6 +215,13 @@
 	if g == nil {
 		return allowsAll
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.filter(snap, service, arm, now)
+}
+
+// filter is Filter for a caller that holds g.mu.
+func (g *Gate) filter(snap *snapshot.Snapshot, service ids.Service, arm Arm, now clock.Instant) Filter {
 	record, ok := snap.Rollouts[service]
 	switch {
 	case !ok:
@@ -224,8 +231,6 @@
 	case record.IsReverted():
 		return Filter{target: record.Target, allowsOld: true}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	t := g.trialOf(snap, service)
 	if t == nil {
 		return Filter{target: record.Target, allowsOld: true}
@@ -278,13 +283,9 @@
 	if g == nil {
 		return true
 	}
-	snap := g.options.Snapshots.Current()
-	if !g.Filter(snap, service, arm, now).Allows(runner) {
-		return false
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t := g.trialOf(snap, service); t != nil && runner.Version != snap.Rollouts[service].Target && t.isLatched(now) {
+	if !g.filter(g.options.Snapshots.Current(), service, arm, now).Allows(runner) {
 		return false
 	}
 	g.inFlight[versionKey{service: service, version: runner.Version}]++
