--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -34,10 +34,15 @@
 				req.Host = "hall.example"
 				req.Header.Set("Onyxwell-Attempt-Id", id)
 				req.Header.Set("Onyxwell-Time-Left-Ms", "2500")
+				status := 0
 				if resp, err := client.Do(req); err == nil {
+					status = resp.StatusCode
 					_, _ = io.Copy(io.Discard, resp.Body)
 					_ = resp.Body.Close()
 				}
+				c.mu.Lock()
+				c.answers[status]++
+				c.mu.Unlock()
 			}
 		}()
 	}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -48,10 +48,12 @@
 	dir      string
 	subnet   int
 	platform *http.Server
-	// mu guards the daemons and the runners that were started.
+	// mu guards the fields below: the daemons and the runners that were started, and the
+	// clients' requests by the status of the answer, 0 for none.
 	mu      sync.Mutex
 	daemons []*daemon
 	runners []*runner
+	answers map[int]int
 }
 
 // daemon is a process of a machine.
@@ -74,7 +76,7 @@
 
 // newCluster starts the platform, two runners in each zone and all daemons.
 func newCluster(rec *record, trouble, rollouts bool) (*cluster, error) {
-	c := &cluster{record: rec, trouble: trouble, rollouts: rollouts}
+	c := &cluster{record: rec, trouble: trouble, rollouts: rollouts, answers: map[int]int{}}
 	if !c.findSubnet() {
 		return nil, fmt.Errorf("no free loopback addresses")
 	}
--- a/review/standin/rollout.go
+++ b/review/standin/rollout.go
@@ -134,6 +134,9 @@
 			}
 		}
 	}
+	c.mu.Lock()
+	c.printf("clients: requests sent, by the status of the answer: %v", c.answers)
+	c.mu.Unlock()
 	c.printf("runs by version: %v; of the %d between the order of %s and its term, %d at that version, by second after the order: %v; %d bad answers", versions, all, badVersion, exposed, seconds, bad)
 	if !c.trouble {
 		return nil
