Rollouts: a reverted version gets no requests under later orders

Cause: a filter knew the newest order's target alone and took every other version for the old one.

The baseline of services without an order moves there too, and never chooses a rejected version.

--- /dev/null
+++ b/control/rollout/versions.go
@@ -0,0 +1,95 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Role is what a version of a service is to its newest rollout.
+type Role int
+
+// The roles.
+const (
+	// RoleOther is the role of a version that no order has named, or that was replaced: its
+	// runners get requests only while the stable version has no available runner.
+	RoleOther Role = iota
+	// RoleStable is the role of the version that serves: the target version of the last
+	// rollout that finished or, if none has, the version from before the first order.
+	RoleStable
+	// RoleTarget is the role of the target version of a rollout in progress.
+	RoleTarget
+	// RoleRejected is the role of a version that was reverted. It gets no requests.
+	RoleRejected
+)
+
+// Versions knows the roles of a service's versions. All parts that treat versions differently
+// ask it. The zero Versions knows none.
+type Versions struct {
+	// stable is empty if it is not known, target if no rollout is in progress.
+	stable, target string
+	rejected       []string
+}
+
+// NewVersions returns the roles of the versions of a service with a record, which is the zero
+// Record if there is no rollout. listed holds the number of listed runners by version; previous
+// is the last result for the service. Both are used only if the record does not tell which
+// version is stable.
+func NewVersions(record Record, listed map[string]int, previous Versions) Versions {
+	versions := Versions{rejected: record.Rejected}
+	if record.InProgress() {
+		versions.target = record.Target
+	}
+	if record.IsReverted() && !slices.Contains(record.Rejected, record.Target) {
+		versions.rejected = append(slices.Clone(record.Rejected), record.Target)
+	}
+	versions.stable = versions.selectStable(record, listed, previous.stable)
+	return versions
+}
+
+// selectStable returns the stable version: that of the record, else the previous one as long
+// as it has runners, else the one with the most runners.
+func (v Versions) selectStable(record Record, listed map[string]int, previous string) string {
+	if record.IsFinished() {
+		return record.Target
+	}
+	candidates := map[string]int{}
+	for version, count := range listed {
+		isTarget := v.target != "" && version == v.target
+		if !isTarget && !slices.Contains(v.rejected, version) {
+			candidates[version] = count
+		}
+	}
+	if candidates[previous] > 0 {
+		return previous
+	}
+	return mostListed(candidates)
+}
+
+// mostListed returns the version with the most runners, empty if there is none. Of versions
+// with equally many runners it is the one with the shortest name, so that "v9" precedes "v10",
+// and of names of equal length the lexically first.
+func mostListed(listed map[string]int) string {
+	if len(listed) == 0 {
+		return ""
+	}
+	return slices.MinFunc(slices.Collect(maps.Keys(listed)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(listed[b], listed[a]), cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+	})
+}
+
+// Stable returns the stable version, empty if it is not known.
+func (v Versions) Stable() string { return v.stable }
+
+// RoleOf returns the role of a version.
+func (v Versions) RoleOf(version string) Role {
+	switch {
+	case version == v.stable:
+		return RoleStable
+	case v.target != "" && version == v.target:
+		return RoleTarget
+	case slices.Contains(v.rejected, version):
+		return RoleRejected
+	}
+	return RoleOther
+}
--- /dev/null
+++ b/control/rollout/versions_test.go
@@ -0,0 +1,39 @@
+package rollout
+
+import "testing"
+
+// TestVersions_keepsRejectedVersionsApart guards against a reverted version that counts as
+// the one to keep, whatever the order in progress.
+func TestVersions_keepsRejectedVersionsApart(t *testing.T) {
+	listed := map[string]int{"v1": 1, "v2": 5, "v3": 5}
+	next := Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}
+	reverted := Record{Order: 1, Target: "v2", Condition: int64(Reverted)}
+	finished := Record{Order: 2, Target: "v3", Condition: int64(Finished), Rejected: []string{"v2"}}
+	cases := []struct {
+		name     string
+		record   Record
+		previous Versions
+		want     map[string]Role
+	}{
+		{"no order", Record{}, Versions{}, map[string]Role{"v1": RoleOther, "v2": RoleStable, "v3": RoleOther}},
+		{"no order, known before", Record{}, Versions{stable: "v1"}, map[string]Role{"v1": RoleStable, "v2": RoleOther, "v3": RoleOther}},
+		{"no order, gone since", Record{}, Versions{stable: "v0"}, map[string]Role{"v0": RoleOther, "v2": RoleStable}},
+		{"reverted, not listed as such", reverted, Versions{stable: "v1"}, map[string]Role{"v1": RoleStable, "v2": RoleRejected, "v3": RoleOther}},
+		{"next in progress", next, Versions{}, map[string]Role{"v1": RoleStable, "v2": RoleRejected, "v3": RoleTarget}},
+		{"known as rejected since", next, Versions{stable: "v2"}, map[string]Role{"v1": RoleStable, "v2": RoleRejected, "v3": RoleTarget}},
+		{"next finished", finished, Versions{stable: "v1"}, map[string]Role{"v1": RoleOther, "v2": RoleRejected, "v3": RoleStable}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			versions := NewVersions(test.record, listed, test.previous)
+			for version, role := range test.want {
+				if got := versions.RoleOf(version); got != role {
+					t.Errorf("role of %s: %d, want %d", version, got, role)
+				}
+			}
+		})
+	}
+	if versions := NewVersions(next, map[string]int{"v2": 1, "v3": 1}, Versions{}); versions.Stable() != "" {
+		t.Errorf("stable version %q, want none: only the target and a reverted version are listed", versions.Stable())
+	}
+}
--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -7,9 +7,9 @@
 //     There are two exceptions: the time for which a router has latched to the target
 //     version, and a rollout in its full stage that has no available runner of another
 //     version left. Begin checks this again immediately before a request is sent.
-//   - No request goes to the target version of a reverted rollout. Once a rollout has
-//     finished, no request goes to another version while its target version has an
-//     available runner.
+//   - No request goes to a version that was reverted, also not after later orders.
+//   - No request goes to a version that is neither stable nor the target of a rollout in
+//     progress (rollout.RoleOther) while the stable version has an available runner.
 //   - A router that has confirmed that it sends nothing to old runners has no request in
 //     flight there, and starts none for the latch time unless a verdict arrives first.
 package canary
@@ -30,7 +30,8 @@
 
 // The arms.
 const (
-	// Old is the arm of all versions except the target version.
+	// Old is the arm of the stable version. While that has no available runner, it is also that of
+	// versions that are neither rolled out nor reverted.
 	Old Arm = iota
 	// Target is the arm of the version that is rolled out.
 	Target
@@ -176,9 +177,8 @@
 	// runner for it.
 	CanFallBack bool
 
-	target       string
-	allowsTarget bool
-	allowsOld    bool
+	versions                                rollout.Versions
+	allowsTarget, allowsStable, allowsOther bool
 	// active are the runners of the target version that get requests; nil means all of them.
 	active map[ids.RunnerID]bool
 	// onlyRunner, if not empty, is the only runner that the request may be sent to;
@@ -201,9 +201,9 @@
 // are none.
 func (f Filter) NeedsHealthy() bool { return f.Arm.IsLoaded() }
 
-// allowsAll is the filter of a nil Gate, and of services that have neither a rollout nor a
-// baseline version.
-var allowsAll = Filter{allowsTarget: true, allowsOld: true}
+// allowsAll is the filter of a nil Gate, and of services that have neither a rollout nor
+// runners.
+var allowsAll = Filter{allowsTarget: true, allowsStable: true, allowsOther: true}
 
 // Allows reports whether the request may be sent to a runner.
 func (f Filter) Allows(runner *snapshot.Runner) bool {
@@ -213,10 +213,15 @@
 	if f.excludedRunner != "" && runner.ID == f.excludedRunner {
 		return false
 	}
-	if runner.Version != f.target {
-		return f.allowsOld
+	switch f.versions.RoleOf(runner.Version) {
+	case rollout.RoleStable:
+		return f.allowsStable
+	case rollout.RoleTarget:
+		return f.allowsTarget && (f.active == nil || f.active[runner.ID])
+	case rollout.RoleOther:
+		return f.allowsOther
 	}
-	return f.allowsTarget && (f.active == nil || f.active[runner.ID])
+	return false
 }
 
 // Filter returns which runners a request of an arm may be sent to now. During a rollout, a
@@ -233,53 +238,46 @@
 
 // filter implements Filter. The caller holds g.mu.
 func (g *Gate) filter(snap *snapshot.Snapshot, service ids.Service, arm Arm, now clock.Instant) Filter {
-	record, ok := snap.Rollouts[service]
-	switch {
-	case !ok:
-		return baselineFilter(snap, service)
-	case record.IsFinished():
-		return Filter{Arm: Target, target: record.Target, allowsTarget: true, allowsOld: !hasAvailableRunner(snap, service, record.Target)}
-	case record.IsReverted():
-		return Filter{target: record.Target, allowsOld: true}
+	versions, ok := snap.Versions[service]
+	if !ok {
+		return allowsAll
 	}
-	state := g.stateOf(snap, service)
-	if state == nil {
-		return Filter{target: record.Target, allowsOld: true}
+	if state := g.stateOf(snap, service); state != nil {
+		return g.inProgressFilter(state, snap, service, arm, now)
 	}
-	return g.inProgressFilter(state, snap, service, arm, now)
+	return Filter{versions: versions, allowsStable: true, allowsOther: allowsOther(snap, service)}
 }
 
 // inProgressFilter returns the filter for a rollout in progress. The caller holds g.mu.
 func (g *Gate) inProgressFilter(state *rolloutState, snap *snapshot.Snapshot, service ids.Service, arm Arm, now clock.Instant) Filter {
-	record := snap.Rollouts[service]
+	versions := snap.Versions[service]
 	latched, permitted := state.isLatched(now), state.hasPermit(now)
 	split := g.splitOf(state, snap, service, now)
 	if runner := split.loadedRunner(arm); runner != "" && permitted && !state.isFull() && !latched {
-		return Filter{Arm: arm, target: record.Target, onlyRunner: runner, CanFallBack: true}
+		return Filter{Arm: arm, versions: versions, onlyRunner: runner, CanFallBack: true}
 	}
 	if latched || (arm == Target && permitted) {
-		filter := Filter{Arm: Target, target: record.Target, allowsTarget: true, CanFallBack: !latched}
+		filter := Filter{Arm: Target, versions: versions, allowsTarget: true, CanFallBack: !latched}
 		if !state.isFull() {
 			filter.active = split.byVersion.Active
 		}
 		return filter
 	}
-	filter := Filter{Arm: Old, target: record.Target, allowsOld: true, excludedRunner: split.loadedOld}
-	if rollout.Stage(record.Stage) == rollout.Full && !split.byVersion.HasOld {
+	filter := Filter{Arm: Old, versions: versions, allowsStable: true, excludedRunner: split.loadedOld}
+	if rollout.Stage(snap.Rollouts[service].Stage) == rollout.Full && !split.byVersion.HasOld {
 		// The old runners are gone, but the verdict has not reached this router yet.
 		filter.allowsTarget = true
 	}
+	filter.allowsOther = allowsOther(snap, service)
 	return filter
 }
 
-// baselineFilter returns the filter of a service for which no rollout was ever ordered. While
-// its baseline version has an available runner, no other version gets requests.
-func baselineFilter(snap *snapshot.Snapshot, service ids.Service) Filter {
-	baseline, ok := snap.Baseline[service]
-	if !ok {
-		return allowsAll
+// allowsOther reports whether versions get requests that are neither stable nor rolled out.
+func allowsOther(snap *snapshot.Snapshot, service ids.Service) bool {
+	if record, ok := snap.Rollouts[service]; ok && !record.IsFinished() {
+		return true
 	}
-	return Filter{Arm: Target, target: baseline, allowsTarget: true, allowsOld: !hasAvailableRunner(snap, service, baseline)}
+	return !hasAvailableRunner(snap, service, snap.Versions[service].Stable())
 }
 
 // hasAvailableRunner reports whether a service has an available runner of a version.
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"maps"
 	"testing"
 
 	"onyxwell/base/clock"
@@ -75,11 +76,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			gate, store, fake := newGate()
 			store.ApplyRunners(listOf(test.listed...))
-			body, err := transport.Marshal(rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(test.condition)})
-			if err != nil {
-				t.Fatal(err)
-			}
-			store.Apply(gossip.Item{Key: rollout.Key("s"), Version: 1, Body: body})
+			applyRecord(t, store, rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(test.condition)})
 			allowed := allowedVersions(gate, store, fake)
 			if allowed["v1"] != test.want["v1"] || allowed["v2"] != test.want["v2"] {
 				t.Errorf("allowed %v, want %v", allowed, test.want)
@@ -88,16 +85,58 @@
 	}
 }
 
+// applyRecord gives the store a record of the service's rollout.
+func applyRecord(t *testing.T, store *snapshot.Store, record rollout.Record) {
+	t.Helper()
+	body, err := transport.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Apply(gossip.Item{Key: rollout.Key("s"), Version: record.Version, Body: body})
+}
+
+// TestGate_revertedVersionStaysOut guards against requests to a reverted version once the
+// next one is ordered: while that is rolled out, after its verdict, and on routers that
+// start only then.
+func TestGate_revertedVersionStaysOut(t *testing.T) {
+	reverted := rollout.Record{Version: 3, Order: 1, Target: "v2", Condition: int64(rollout.Reverted), Rejected: []string{"v2"}}
+	next := rollout.Record{Version: 4, Order: 2, Target: "v3", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}}
+	nextReverted, nextFinished := next, next
+	nextReverted.Condition, nextReverted.Rejected = int64(rollout.Reverted), []string{"v2", "v3"}
+	nextFinished.Condition = int64(rollout.Finished)
+	cases := []struct {
+		name    string
+		records []rollout.Record
+		listed  []string
+		want    map[string]int
+	}{
+		{"next in progress", []rollout.Record{reverted, next}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, started late", []rollout.Record{next}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, only the reverted one left", []rollout.Record{next}, []string{"v2", "v3"}, map[string]int{}},
+		{"next reverted", []rollout.Record{next, nextReverted}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next reverted, no old runner left", []rollout.Record{nextReverted}, []string{"v2", "v3"}, map[string]int{}},
+		{"next finished, no runner of it left", []rollout.Record{nextFinished}, []string{"v2"}, map[string]int{}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			gate, store, fake := newGate()
+			store.ApplyRunners(listOf(test.listed...))
+			for _, record := range test.records {
+				applyRecord(t, store, record)
+			}
+			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
+				t.Errorf("allowed %v, want %v", allowed, test.want)
+			}
+		})
+	}
+}
+
 // TestGate_canaryInEvacuatedZone checks that runners of the target version get no requests in an
 // evacuated zone, even under a permit.
 func TestGate_canaryInEvacuatedZone(t *testing.T) {
 	gate, store, fake := newGate()
 	store.ApplyRunners(listOf("v1", "v2"))
-	body, err := transport.Marshal(rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(rollout.InProgress)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	store.Apply(gossip.Item{Key: rollout.Key("s"), Version: 1, Body: body})
+	applyRecord(t, store, rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(rollout.InProgress)})
 	gate.Assign("s", "route")
 	gate.rollouts["s"].permit = rollout.Permit{Service: "s", Order: 1, Stage: int64(rollout.Canary), RunnersMilli: 100, LoadMilli: 1000}
 	gate.rollouts["s"].expiry = fake.Now() + 1000
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -46,9 +46,9 @@
 	typeWeights   map[runnerType]float64
 	// Rollouts holds the newest rollout order of each service.
 	Rollouts map[ids.Service]rollout.Record
-	// Baseline maps each service that has runners to its baseline version, which gets the
-	// requests as long as no rollout was ordered. It is nil if versions are not tracked.
-	Baseline map[ids.Service]string
+	// Versions holds the roles of the versions of each service that has runners or a rollout.
+	// It is nil if versions are not tracked.
+	Versions map[ids.Service]rollout.Versions
 	// Lengths estimates the durations of responses in this region; nil if unknown.
 	Lengths *lengthstats.Table
 }
--- a/data/snapshot/store.go
+++ b/data/snapshot/store.go
@@ -39,8 +39,8 @@
 	// OnRunners is called with each snapshot that has a new list of runners, before the
 	// snapshot becomes current. It may be nil, and it must not call the store.
 	OnRunners func(next *Snapshot)
-	// TracksVersions enables Snapshot.Baseline, which distinguishes the version of a
-	// service that is in use from a new one.
+	// TracksVersions enables Snapshot.Versions, which tells the versions of a service apart
+	// during rollouts and after them.
 	TracksVersions bool
 	// Monitor may be nil.
 	Monitor *invariant.Monitor
@@ -114,7 +114,7 @@
 		return s.applyLostZones
 	}
 	if service, ok := rollout.ServiceOfKey(key); ok {
-		return func(next *Snapshot, body []byte) bool { return applyRollout(next, service, body) }
+		return func(next *Snapshot, body []byte) bool { return s.applyRollout(next, service, body) }
 	}
 	if zone, ok := evacuation.ZoneFromKey(key); ok {
 		return func(next *Snapshot, body []byte) bool { return applyEvacuation(next, zone, body) }
@@ -203,7 +203,7 @@
 	}
 	s.zones = zones
 	if s.options.TracksVersions {
-		next.Baseline = baselines(next.Runners, next.Baseline)
+		next.Versions = versionsOf(next)
 	}
 	s.options.OnRunners(next)
 	return true
@@ -229,7 +229,7 @@
 	return true
 }
 
-func applyRollout(next *Snapshot, service ids.Service, body []byte) bool {
+func (s *Store) applyRollout(next *Snapshot, service ids.Service, body []byte) bool {
 	record, err := rollout.Decode(service, body)
 	if err != nil || record.Version <= next.Rollouts[service].Version {
 		return false
@@ -238,6 +238,9 @@
 	maps.Copy(rollouts, next.Rollouts)
 	rollouts[service] = record
 	next.Rollouts = rollouts
+	if s.options.TracksVersions {
+		next.Versions = versionsOf(next)
+	}
 	return true
 }
 
