Rollouts: versions that no order names get nothing under one that does

Seen: with an order in progress or reverted, a version that is listed ahead of its own order, that no order names, or that was replaced, got requests as the version to keep. A next build that is listed before its order (the platform starts it beside the old one) was served untested after a reversal.

Only services without an order and finished rollouts kept the others out.

Change: versions of RoleOther get requests only while the stable version has no available runner, whatever the condition of the newest rollout.

TestGate_otherVersionsAreTheLastResort failed before in three of five cases (listed before its order: v1 and both of v3 allowed; not named by the order in progress: the same; replaced: v1 beside v2).

--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -272,22 +272,16 @@
 	return filter
 }
 
-// allowsOther reports whether versions get requests that are neither stable nor rolled out.
+// allowsOther reports whether versions get requests that are neither stable nor rolled out:
+// only while the stable version has no available runner.
 func allowsOther(snap *snapshot.Snapshot, service ids.Service) bool {
-	if record, ok := snap.Rollouts[service]; ok && !record.IsFinished() {
-		return true
-	}
-	return !hasAvailableRunner(snap, service, snap.Versions[service].Stable())
-}
-
-// hasAvailableRunner reports whether a service has an available runner of a version.
-func hasAvailableRunner(snap *snapshot.Snapshot, service ids.Service, version string) bool {
+	versions := snap.Versions[service]
 	for _, runner := range snap.Runners[service] {
-		if runner.Version == version && snap.Available(runner) {
-			return true
+		if versions.RoleOf(runner.Version) == rollout.RoleStable && snap.Available(runner) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Begin counts a request as in flight at a runner; it is called immediately before the request
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -131,6 +131,43 @@
 	}
 }
 
+// TestGate_otherVersionsAreTheLastResort guards against requests to versions that are neither
+// stable nor rolled out, while the stable version has a runner: a version that is listed before
+// its order, one that no order names, and one that was replaced.
+func TestGate_otherVersionsAreTheLastResort(t *testing.T) {
+	inProgress := rollout.Record{Version: 1, Order: 1, Target: "v2", Condition: int64(rollout.InProgress)}
+	reverted, finished, next := inProgress, inProgress, inProgress
+	reverted.Version, reverted.Condition, reverted.Rejected = 2, int64(rollout.Reverted), []string{"v2"}
+	finished.Version, finished.Condition = 2, int64(rollout.Finished)
+	next.Version, next.Order, next.Target = 3, 2, "v3"
+	cases := []struct {
+		name    string
+		records []rollout.Record
+		listed  []string
+		want    map[string]int
+	}{
+		{"listed before its order", []rollout.Record{inProgress, reverted}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"not named by the order in progress", []rollout.Record{inProgress}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"replaced by the stable version", []rollout.Record{inProgress, finished, next}, []string{"v1", "v2", "v3"}, map[string]int{"v2": 1}},
+		{"no stable runner left, in progress", []rollout.Record{inProgress}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+		{"no stable runner left, reverted", []rollout.Record{inProgress, reverted}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			gate, store, fake := newGate()
+			store.ApplyRunners(listOf("v1"))
+			store.ApplyRunners(listOf("v1", "v2"))
+			for _, record := range test.records {
+				applyRecord(t, store, record)
+			}
+			store.ApplyRunners(listOf(test.listed...))
+			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
+				t.Errorf("allowed %v, want %v", allowed, test.want)
+			}
+		})
+	}
+}
+
 // TestGate_canaryInEvacuatedZone checks that runners of the target version get no requests in an
 // evacuated zone, even under a permit.
 func TestGate_canaryInEvacuatedZone(t *testing.T) {
