Rollouts: runners of a reverted version are neither control nor counted

Seen in the model, with runners of a reverted version still listed under the next order: one of them was chosen as the control of the load test and got 54 to 71 requests, past the filter, which allows the pair's runners by name; and the rollout waited for as many new runners as there were old and reverted ones, then finished 13.7 s after its order.

Cause: SelectLoadTestPair, NewTrafficSplit, planLoadTest and targetStarted each took "not the target" for "old".

Change: Versions.Group divides runners into old ones and those of the target version; these four take the groups and compare no versions any more.

--- a/control/rollout/decision.go
+++ b/control/rollout/decision.go
@@ -75,7 +75,7 @@
 	if t.loadTest.passed {
 		return true
 	}
-	_, ok := SelectLoadTestPair(d.options.Runners(t.service), t.record.Target, t.record.Order)
+	_, ok := SelectLoadTestPair(d.groups(t), t.record.Order)
 	return !ok && t.isPastTerm(now)
 }
 
@@ -152,19 +152,24 @@
 // targetStarted reports whether enough runners of the target version are listed. After
 // startTimeFraction of the term, one is enough.
 func (d *Director) targetStarted(t *trackedRollout, now clock.Instant) bool {
-	old, target := 0, 0
-	for _, runner := range d.options.Runners(t.service) {
-		if runner.Version == t.record.Target {
-			target++
-		} else {
-			old++
-		}
-	}
-	if target == 0 {
+	groups := d.groups(t)
+	if len(groups.Target) == 0 {
 		return false
 	}
 	late := now.Since(t.orderedAt) >= time.Duration(startTimeFraction*float64(t.term()))
-	return late || float64(target) >= startedFraction*float64(old)
+	return late || float64(len(groups.Target)) >= startedFraction*float64(len(groups.Old))
+}
+
+// groups returns the groups of the service's runners. The caller holds d.mu.
+func (d *Director) groups(t *trackedRollout) Groups {
+	runners := d.options.Runners(t.service)
+	t.updateVersions(runners)
+	return t.versions.Group(runners)
+}
+
+// updateVersions updates the roles of the service's versions, given its runners.
+func (t *trackedRollout) updateVersions(runners []Runner) {
+	t.versions = NewVersions(t.record, ListedVersions(runners), t.versions)
 }
 
 // planStage returns the plan of a stage, based on the runners that are listed now.
@@ -179,8 +184,8 @@
 	for _, region := range d.options.Zones {
 		regions[region] = true
 	}
-	spec := SplitSpec{Target: t.record.Target, Order: t.record.Order, RunnerFraction: part, LoadFactor: load}
-	return NewTrafficSplit(d.options.Runners(t.service), spec).MeanShare(len(regions))
+	spec := SplitSpec{Order: t.record.Order, RunnerFraction: part, LoadFactor: load}
+	return NewTrafficSplit(d.groups(t), spec).MeanShare(len(regions))
 }
 
 // unconfirmedZone returns a zone with routers that have not confirmed yet that they send
--- a/control/rollout/director.go
+++ b/control/rollout/director.go
@@ -54,6 +54,8 @@
 type trackedRollout struct {
 	service ids.Service
 	record  Record
+	// versions are the roles of the service's versions at the last call of updateVersions.
+	versions Versions
 	// orderedAt is when the order was given, or was first seen here if that is unknown.
 	orderedAt clock.Instant
 	// epoch is the lease's epoch under which this director entered the stage, 0 if it has
@@ -147,8 +149,13 @@
 func (d *Director) adoptRecord(service ids.Service, record Record, now clock.Instant) {
 	current := d.rollouts[service]
 	if current == nil || current.record.Order != record.Order {
+		var versions Versions
+		if current != nil {
+			current.updateVersions(d.options.Runners(service))
+			versions = current.versions
+		}
 		current = &trackedRollout{
-			service: service, orderedAt: now.Add(-d.orderAge(record)), analysis: newAnalysis(), zones: map[ids.Zone]map[ids.Address]relayState{},
+			service: service, versions: versions, orderedAt: now.Add(-d.orderAge(record)), analysis: newAnalysis(), zones: map[ids.Zone]map[ids.Address]relayState{},
 		}
 		d.rollouts[service] = current
 	}
--- a/control/rollout/load.go
+++ b/control/rollout/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"onyxwell/base/clock"
@@ -139,20 +140,17 @@
 // planLoadTest plans how a runner is brought under load. The share is 0 if no runner can be
 // spared, and while too little is known.
 func (d *Director) planLoadTest(t *trackedRollout, rate, budget float64) loadTestPlan {
-	runners := d.options.Runners(t.service)
-	pair, ok := SelectLoadTestPair(runners, t.record.Target, t.record.Order)
+	groups := d.groups(t)
+	pair, ok := SelectLoadTestPair(groups, t.record.Order)
 	duration := t.analysis.canary.meanOldDuration()
 	if !ok || rate <= 0 || duration <= 0 {
 		return loadTestPlan{}
 	}
-	regions, old := map[ids.Region]bool{}, 0
-	for _, runner := range runners {
+	regions := map[ids.Region]bool{}
+	for _, runner := range slices.Concat(groups.Old, groups.Target) {
 		regions[runner.Region] = true
-		if runner.Version != t.record.Target {
-			old++
-		}
 	}
-	usualLoad := rate * duration.Seconds() / float64(max(1, old))
+	usualLoad := rate * duration.Seconds() / float64(max(1, len(groups.Old)))
 	loadedDuration := max(duration, t.analysis.loadTest.meanOldDuration())
 	ramp := 2*d.options.Policy.ExchangeInterval + loadedDuration
 	plan := loadTestPlan{hold: loadTestHold + loadedDuration, regions: float64(len(regions))}
--- a/control/rollout/loadpair.go
+++ b/control/rollout/loadpair.go
@@ -2,8 +2,7 @@
 
 import "onyxwell/base/ids"
 
-// LoadTestPair is a runner of the target version and one of the old version in the same
-// region. Each gets as many requests as a runner may, to find faults that show only under
+// LoadTestPair is a runner of the target version and an old one in the same region. Each gets as many requests as a runner may, to find faults that show only under
 // load.
 type LoadTestPair struct {
 	Target Runner
@@ -18,15 +17,8 @@
 // SelectLoadTestPair returns the load test pair of a rollout; ok is false if the target version
 // has no runner to spare. The result depends only on the arguments, so every router with the
 // same list of runners selects the same pair.
-func SelectLoadTestPair(runners []Runner, target string, order int64) (pair LoadTestPair, ok bool) {
-	targets, old := map[ids.Region][]Runner{}, map[ids.Region][]Runner{}
-	for _, runner := range runners {
-		if runner.Version == target {
-			targets[runner.Region] = append(targets[runner.Region], runner)
-		} else {
-			old[runner.Region] = append(old[runner.Region], runner)
-		}
-	}
+func SelectLoadTestPair(groups Groups, order int64) (pair LoadTestPair, ok bool) {
+	targets, old := byRegion(groups.Target), byRegion(groups.Old)
 	ranked := rankRunners(targets, order)
 	if len(ranked) < 2 {
 		return LoadTestPair{}, false
@@ -45,3 +37,11 @@
 	}
 	return pair, true
 }
+
+func byRegion(runners []Runner) map[ids.Region][]Runner {
+	regions := map[ids.Region][]Runner{}
+	for _, runner := range runners {
+		regions[runner.Region] = append(regions[runner.Region], runner)
+	}
+	return regions
+}
--- a/control/rollout/split.go
+++ b/control/rollout/split.go
@@ -22,8 +22,7 @@
 
 // SplitSpec specifies how the traffic of a service is to be split between versions.
 type SplitSpec struct {
-	Target string
-	Order  int64
+	Order int64
 	// RunnerFraction is the fraction of the target version's runners that get requests.
 	// LoadFactor is the load of each, relative to that of an old runner. If Full is set, the
 	// target version gets everything.
@@ -40,24 +39,19 @@
 	Active map[ids.RunnerID]bool
 	// Share is the share of a region's requests that goes to them.
 	Share map[ids.Region]float64
-	// HasOld is set if there are runners of other versions.
+	// HasOld is set if there are old runners.
 	HasOld bool
 }
 
-// NewTrafficSplit splits the traffic among the runners of a service. Each active runner gets
+// NewTrafficSplit splits the traffic of a service between the groups of its runners. Each active runner gets
 // the spec's load factor times the load of an old one. The result depends only on the
 // arguments, so every router with the same list of runners splits the traffic alike.
-func NewTrafficSplit(runners []Runner, spec SplitSpec) TrafficSplit {
-	old, targets := map[ids.Region]int{}, map[ids.Region][]Runner{}
-	split := TrafficSplit{Active: map[ids.RunnerID]bool{}, Share: map[ids.Region]float64{}}
-	for _, runner := range runners {
-		switch {
-		case runner.ID == spec.LoadTestTarget:
-		case runner.Version == spec.Target:
+func NewTrafficSplit(groups Groups, spec SplitSpec) TrafficSplit {
+	old, targets := byRegion(groups.Old), map[ids.Region][]Runner{}
+	split := TrafficSplit{Active: map[ids.RunnerID]bool{}, Share: map[ids.Region]float64{}, HasOld: len(groups.Old) > 0}
+	for _, runner := range groups.Target {
+		if runner.ID != spec.LoadTestTarget {
 			targets[runner.Region] = append(targets[runner.Region], runner)
-		default:
-			old[runner.Region]++
-			split.HasOld = true
 		}
 	}
 	active := map[ids.Region]int{}
@@ -67,8 +61,8 @@
 	}
 	for region, count := range active {
 		split.Share[region] = 1
-		if !spec.Full && old[region] > 0 {
-			split.Share[region] = min(1, spec.LoadFactor*float64(count)/float64(old[region]))
+		if !spec.Full && len(old[region]) > 0 {
+			split.Share[region] = min(1, spec.LoadFactor*float64(count)/float64(len(old[region])))
 		}
 	}
 	return split
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -93,3 +93,42 @@
 	}
 	return RoleOther
 }
+
+// Groups holds the runners between which a rollout splits the traffic of a service. Runners of
+// other versions take no part in it.
+type Groups struct {
+	// Old are the runners that would serve without the rollout: those of the stable version
+	// or, if it has none, those of the versions with RoleOther.
+	Old []Runner
+	// Target are the runners of the version that is rolled out.
+	Target []Runner
+}
+
+// Group returns the groups of the runners that may get requests.
+func (v Versions) Group(runners []Runner) Groups {
+	var groups Groups
+	var others []Runner
+	for _, runner := range runners {
+		switch v.RoleOf(runner.Version) {
+		case RoleStable:
+			groups.Old = append(groups.Old, runner)
+		case RoleTarget:
+			groups.Target = append(groups.Target, runner)
+		case RoleOther:
+			others = append(others, runner)
+		}
+	}
+	if len(groups.Old) == 0 {
+		groups.Old = others
+	}
+	return groups
+}
+
+// ListedVersions returns the number of runners by version.
+func ListedVersions(runners []Runner) map[string]int {
+	listed := map[string]int{}
+	for _, runner := range runners {
+		listed[runner.Version]++
+	}
+	return listed
+}
--- a/control/rollout/versions_test.go
+++ b/control/rollout/versions_test.go
@@ -37,3 +37,19 @@
 		t.Errorf("stable version %q, want none: only the target and a reverted version are listed", versions.Stable())
 	}
 }
+
+// TestVersions_groupsServingAndTarget guards against groups that count runners that get no
+// requests: of rejected versions, and of others while the stable version has a runner.
+func TestVersions_groupsServingAndTarget(t *testing.T) {
+	versions := NewVersions(Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}, nil, Versions{})
+	versions.stable = "v1"
+	runners := []Runner{{ID: "a", Version: "v2"}, {ID: "b", Version: "v3"}, {ID: "c", Version: "v4"}}
+	groups := versions.Group(runners)
+	if len(groups.Old) != 1 || groups.Old[0].ID != "c" || len(groups.Target) != 1 || groups.Target[0].ID != "b" {
+		t.Errorf("without a stable runner: %+v, want c as the old one and b", groups)
+	}
+	groups = versions.Group(append(runners, Runner{ID: "d", Version: "v1"}))
+	if len(groups.Old) != 1 || groups.Old[0].ID != "d" || len(groups.Target) != 1 || groups.Target[0].ID != "b" {
+		t.Errorf("with a stable runner: %+v, want d as the old one and b", groups)
+	}
+}
--- a/data/canary/division.go
+++ b/data/canary/division.go
@@ -59,12 +59,12 @@
 		}
 	}
 	split := routerSplit{snap: snap, permit: permit, loadPermit: loadPermit}
-	target := snap.Rollouts[service].Target
-	if pair, ok := rollout.SelectLoadTestPair(runners, target, state.order); ok && loadPermit.Order == state.order {
+	groups := snap.Versions[service].Group(runners)
+	if pair, ok := rollout.SelectLoadTestPair(groups, state.order); ok && loadPermit.Order == state.order {
 		split.applyLoadPair(pair, g.options.Region)
 	}
-	split.byVersion = rollout.NewTrafficSplit(runners, rollout.SplitSpec{
-		Target: target, Order: state.order, RunnerFraction: float64(permit.RunnersMilli) / milliPerUnit, LoadFactor: float64(permit.LoadMilli) / milliPerUnit,
+	split.byVersion = rollout.NewTrafficSplit(groups, rollout.SplitSpec{
+		Order: state.order, RunnerFraction: float64(permit.RunnersMilli) / milliPerUnit, LoadFactor: float64(permit.LoadMilli) / milliPerUnit,
 		Full: state.isFull(), LoadTestTarget: split.loadedTarget, LoadTestOld: split.loadedOld,
 	})
 	return split
--- a/data/canary/fleet_test.go
+++ b/data/canary/fleet_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// TestFleet_rejectedRunnersTakeNoPart guards against runners of a version reverted before that
+// count as old ones: as the control of the load test they got requests, and the rollout waited
+// for as many runners of the target version as there were of both.
+func TestFleet_rejectedRunnersTakeNoPart(t *testing.T) {
+	layout := defaultLayout
+	layout.rejectedRunners = 2 * runnersPerZone
+	for seed := range uint64(6) {
+		f := newFleetWithLayout(t, seed, layout)
+		var begun rollout.Stage
+		beginsBy := layout.startDelay + time.Second
+		f.simulate(event{beginsBy, func(f *fleet) { begun = rollout.Stage(f.record().Stage) }})
+		duration := f.oracle.conditionAt.Since(f.orderedAt)
+		if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
+			t.Errorf("seed %d: condition %s after %v, reason %q; %d violations %v", seed, f.oracle.condition, duration, f.record().Reason, len(f.oracle.violations), f.oracle.violations[:min(2, len(f.oracle.violations))])
+		}
+		if begun < rollout.Canary {
+			t.Errorf("seed %d: stage %s %v after the order, want the canary", seed, begun, beginsBy)
+		}
+	}
+}
+
 // defects maps names to ways in which a bad version misbehaves. Each function returns the
 // fraction of the requests that fail, and the factor by which the others take longer.
 var defects = map[string]func(route string, since time.Duration) (failureRate, slowdown float64){
--- a/data/canary/fleetharness_test.go
+++ b/data/canary/fleetharness_test.go
@@ -27,6 +27,8 @@
 	defaultTerm                = 16 * time.Second
 	oldVersion                 = `"v1"`
 	newVersion                 = `"v2"`
+	// rejectedVersion was reverted before the rollout began.
+	rejectedVersion = `"v0"`
 	// defaultRouterRate is how many requests a second each router gets.
 	defaultRouterRate = 25
 	// defaultSlowRequest is the duration of one request in a hundred.
@@ -46,6 +48,9 @@
 	// second that each router gets.
 	runners    int
 	routerRate float64
+	// rejectedRunners is the number of runners per zone of the rejected version, which stay
+	// listed during the rollout.
+	rejectedRunners int
 }
 
 // defaultLayout is the layout of tests that don't set their own.
@@ -253,19 +258,49 @@
 }
 
 func (f *fleet) startRollout() {
+	if f.layout.rejectedRunners > 0 {
+		f.storeRevertedRollout()
+	}
 	if _, err := f.updateRegister(rollout.Key(fleetService), rollout.Begin(rollout.Order{Service: fleetService, Target: newVersion, TermMS: f.layout.term.Milliseconds()})); err != nil {
 		f.t.Fatal(err)
 	}
 }
 
+// storeRevertedRollout stores the record of a former rollout, which was reverted, and delivers
+// it to all.
+func (f *fleet) storeRevertedRollout() {
+	updates := []func([]byte) ([]byte, error){
+		rollout.Begin(rollout.Order{Service: fleetService, Target: rejectedVersion, TermMS: f.layout.term.Milliseconds()}),
+		rollout.Transition{Service: fleetService, Order: 1, Epoch: f.epoch, To: rollout.Reverted}.Apply(),
+	}
+	for _, update := range updates {
+		value, err := update(f.registers[rollout.Key(fleetService)])
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.registers[rollout.Key(fleetService)] = value
+	}
+	item := f.recordItem()
+	for _, director := range f.directors {
+		director.updates.Put(item)
+	}
+	for _, router := range f.routers {
+		router.store.Apply(item)
+	}
+}
+
+// recordItem returns the gossip item of the stored record.
+func (f *fleet) recordItem() gossip.Item {
+	return gossip.Item{Key: rollout.Key(fleetService), Version: f.record().Version, Body: f.registers[rollout.Key(fleetService)]}
+}
+
 // deliverGossip delivers the record to all directors. Each router that is not partitioned gets
 // the record and the list of runners with a probability of 1 in 5.
 func (f *fleet) deliverGossip() {
-	record := f.record()
-	if record.Order == 0 {
+	if f.record().Order == 0 {
 		return
 	}
-	item := gossip.Item{Key: rollout.Key(fleetService), Version: record.Version, Body: f.registers[rollout.Key(fleetService)]}
+	item := f.recordItem()
 	for _, director := range f.directors {
 		director.updates.Put(item)
 	}
@@ -284,6 +319,10 @@
 func (f *fleet) runnerList(withTarget bool) discovery.List {
 	var list discovery.List
 	for zone := range zoneCount {
+		for number := range f.layout.rejectedRunners {
+			list.Runners = append(list.Runners, discovery.Runner{
+				ID: ids.RunnerID(fmt.Sprintf("rejected-%d-%d", zone, number)), Service: fleetService, Zone: zoneName(zone), Version: rejectedVersion, Capacity: runnerSlots})
+		}
 		for number := range f.layout.runnersIn(zone) {
 			list.Runners = append(list.Runners, discovery.Runner{
 				ID: ids.RunnerID(fmt.Sprintf("old-%d-%d", zone, number)), Service: fleetService, Zone: zoneName(zone), Version: oldVersion, Capacity: runnerSlots})
@@ -404,7 +443,10 @@
 	if sinceOrder <= f.layout.term {
 		f.oracle.requests++
 	}
-	if runner.Version == oldVersion {
+	if runner.Version == rejectedVersion && f.oracle.condition != rollout.NoRollout {
+		f.recordViolation("request sent to a runner of a version that was reverted before")
+	}
+	if runner.Version != newVersion {
 		if f.oracle.condition == rollout.Finished && connected {
 			f.recordViolation("request sent to an old runner after the rollout has finished")
 		}
