Rollouts: outcomes at a reverted version are no longer the old one's

Seen: with v2 reverted and v3 ordered, routers reported what ran at v2 as attempts at the old version. Failures of v2 raised the control's failure rate, so a bad v3 looked like its control.

Cause: Gate.Observe knew the target version and took all others for the old one.

TestGate_reportsOnlyVersionsThatTakePart failed before (3 attempts and 2 failures reported of the old version, where 1 and 0 are right).

--- a/data/canary/evidence.go
+++ b/data/canary/evidence.go
@@ -33,13 +33,14 @@
 	firstByte, total rollout.Histogram
 }
 
-// Observe counts an attempt if a rollout of its service is in progress.
+// Observe counts an attempt if a rollout of its service is in progress and its runner's version
+// takes part in it.
 func (g *Gate) Observe(attempt Attempt) {
 	if g == nil {
 		return
 	}
 	snap := g.options.Snapshots.Current()
-	record, ok := snap.Rollouts[attempt.Service]
+	isTarget, ok := side(snap, attempt)
 	if !ok {
 		return
 	}
@@ -49,7 +50,7 @@
 	if state == nil {
 		return
 	}
-	key := countKey{route: attempt.Route, target: attempt.Runner.Version == record.Target}
+	key := countKey{route: attempt.Route, target: isTarget}
 	if attempt.Arm.IsLoaded() {
 		key.route = rollout.LoadTestRoute(attempt.Route)
 	}
@@ -70,6 +71,20 @@
 	}
 }
 
+// side reports whether the runner of an attempt counts as one of the target version or as an
+// old one; ok is false if it counts as neither.
+func side(snap *snapshot.Snapshot, attempt Attempt) (isTarget, ok bool) {
+	switch snap.Versions[attempt.Service].RoleOf(attempt.Runner.Version) {
+	case rollout.RoleTarget:
+		return true, true
+	case rollout.RoleStable:
+		return false, true
+	case rollout.RoleOther:
+		return false, allowsOther(snap, attempt.Service)
+	}
+	return false, false
+}
+
 // takeCounts returns the counts since the last report and resets them. Counts of a report
 // that gets lost are not sent again: the analysis does not need complete counts.
 func (s *rolloutState) takeCounts() []rollout.RouteCount {
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"testing"
 
 	"onyxwell/base/clock"
@@ -168,6 +169,27 @@
 	}
 }
 
+// TestGate_reportsOnlyVersionsThatTakePart guards against outcomes of a reverted version, or of
+// one that gets no requests, that are reported as those of the old version: a bad target
+// version looked like its control.
+func TestGate_reportsOnlyVersionsThatTakePart(t *testing.T) {
+	gate, store, fake := newGate()
+	store.ApplyRunners(listOf("v1"))
+	store.ApplyRunners(listOf("v1", "v2", "v3", "v4"))
+	applyRecord(t, store, rollout.Record{Version: 4, Order: 2, Target: "v3", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}})
+	for _, runner := range store.Current().Runners["s"] {
+		gate.Observe(Attempt{Service: "s", Route: "route", Runner: runner, Failed: runner.Version != "v1"})
+	}
+	req, ok := gate.buildRequest(store.Current(), fake.Now())
+	if !ok || len(req.Services) != 1 {
+		t.Fatalf("reports %+v, want one of the rollout in progress", req.Services)
+	}
+	want := []rollout.RouteCount{{Route: "route", Ended: 1}, {Route: "route", Target: true, Ended: 1, Failed: 1}}
+	if got := req.Services[0].Routes; !reflect.DeepEqual(got, want) {
+		t.Errorf("reported %+v, want %+v: one attempt at v1, one at v3", got, want)
+	}
+}
+
 // TestGate_canaryInEvacuatedZone checks that runners of the target version get no requests in an
 // evacuated zone, even under a permit.
 func TestGate_canaryInEvacuatedZone(t *testing.T) {
