Rollouts: the stable version is stored with each order

Seen: a router that starts during a rollout, or after a reversal, takes the version with the most runners for the one to keep: the next build that is listed before its order, or the version that was replaced. Directors and routers could differ in it. A stable version that is ordered again after a reversal ("back to v1") was the target without a permit: nothing was served.

Cause: the record says which versions were reverted, not which one serves.

Change: the director stores, once for each order, the version that was stable when it was given, in a register of its own (rollout-stable/SERVICE, form RolloutStable), which is gossiped; Versions asks it first. A value of the order before is enough, since the record tells whether that was reverted. No present form changes; the golden bytes of the new one are added.

--- a/control/rollout/decision.go
+++ b/control/rollout/decision.go
@@ -163,13 +163,14 @@
 // groups returns the groups of the service's runners. The caller holds d.mu.
 func (d *Director) groups(t *trackedRollout) Groups {
 	runners := d.options.Runners(t.service)
-	t.updateVersions(runners)
+	d.updateVersions(t, runners)
 	return t.versions.Group(runners)
 }
 
-// updateVersions updates the roles of the service's versions, given its runners.
-func (t *trackedRollout) updateVersions(runners []Runner) {
-	t.versions = NewVersions(t.record, ListedVersions(runners), t.versions)
+// updateVersions updates the roles of the versions of a rollout's service, given its runners.
+// The caller holds d.mu.
+func (d *Director) updateVersions(t *trackedRollout, runners []Runner) {
+	t.versions = NewVersions(t.record, d.stable[t.service], ListedVersions(runners), t.versions)
 }
 
 // planStage returns the plan of a stage, based on the runners that are listed now.
--- a/control/rollout/director.go
+++ b/control/rollout/director.go
@@ -48,6 +48,8 @@
 
 	mu       sync.Mutex
 	rollouts map[ids.Service]*trackedRollout
+	// stable holds the newest stored stable version of each service.
+	stable map[ids.Service]StableRecord
 }
 
 // trackedRollout is a rollout as this controller sees it.
@@ -90,7 +92,7 @@
 
 // NewDirector returns a Director that knows no rollouts yet.
 func NewDirector(options DirectorOptions) *Director {
-	return &Director{options: options, rollouts: map[ids.Service]*trackedRollout{}}
+	return &Director{options: options, rollouts: map[ids.Service]*trackedRollout{}, stable: map[ids.Service]StableRecord{}}
 }
 
 // Run calls Step periodically until ctx ends.
@@ -109,6 +111,7 @@
 		return
 	}
 	d.announce(epoch)
+	d.storeStable(ctx)
 	for _, step := range d.transitions(epoch, now) {
 		d.store(ctx, step)
 	}
@@ -131,9 +134,18 @@
 // observe reads the records. It does so even if this controller does not hold the lease: the
 // term of an order whose time is unknown counts from when the order is first seen.
 func (d *Director) observe(now clock.Instant) {
-	items := d.options.Updates.WithPrefix(KeyPrefix)
+	items, stableItems := d.options.Updates.WithPrefix(KeyPrefix), d.options.Updates.WithPrefix(StableKeyPrefix)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for _, item := range stableItems {
+		service, ok := ServiceOfStableKey(item.Key)
+		if !ok || d.stable[service].Version >= item.Version {
+			continue
+		}
+		if stored, err := DecodeStable(service, item.Body); err == nil {
+			d.adoptStable(service, stored)
+		}
+	}
 	for _, item := range items {
 		service, ok := ServiceOfKey(item.Key)
 		if known := d.rollouts[service]; !ok || (known != nil && known.record.Version >= item.Version) {
@@ -151,7 +163,7 @@
 	if current == nil || current.record.Order != record.Order {
 		var versions Versions
 		if current != nil {
-			current.updateVersions(d.options.Runners(service))
+			d.updateVersions(current, d.options.Runners(service))
 			versions = current.versions
 		}
 		current = &trackedRollout{
--- a/control/rollout/forms_test.go
+++ b/control/rollout/forms_test.go
@@ -13,6 +13,7 @@
 // golden files hold the bytes that other builds store or send and must never be edited.
 func TestForms_keepTheirBytes(t *testing.T) {
 	transporttest.Golden[Record](t, "record")
+	transporttest.Golden[StableRecord](t, "stable_record")
 	transporttest.Golden[Evidence](t, "evidence")
 	transporttest.Golden[ExchangeRequest](t, "exchange_request")
 	transporttest.Golden[ExchangeResponse](t, "exchange_response")
--- a/control/rollout/record.go
+++ b/control/rollout/record.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"strings"
 
 	"onyxwell/base/errkind"
@@ -116,6 +117,11 @@
 // IsReverted reports whether the target version was reverted.
 func (r Record) IsReverted() bool { return Condition(r.Condition) == Reverted }
 
+// rejects reports whether a version was reverted by this rollout or by an earlier one.
+func (r Record) rejects(version string) bool {
+	return slices.Contains(r.Rejected, version) || (r.IsReverted() && version == r.Target)
+}
+
 // Decode decodes a register value; an empty value yields the zero Record.
 func Decode(service ids.Service, value []byte) (Record, error) {
 	return transport.UnmarshalStored[Record](Key(service), value)
@@ -148,10 +154,8 @@
 		if record.InProgress() {
 			return nil, errkind.Errorf(errkind.RolloutConflict, "target_version: %s is being rolled out", record.Target)
 		}
-		for _, rejected := range record.Rejected {
-			if rejected == order.Target {
-				return nil, errkind.Errorf(errkind.RolloutConflict, "target_version: %s was reverted", order.Target)
-			}
+		if record.rejects(order.Target) {
+			return nil, errkind.Errorf(errkind.RolloutConflict, "target_version: %s was reverted", order.Target)
 		}
 		return transport.Marshal(Record{
 			Version: record.Version + 1, Order: record.Order + 1, Target: order.Target, TermMS: order.TermMS,
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -15,7 +15,8 @@
 	// runners get requests only while the stable version has no available runner.
 	RoleOther Role = iota
 	// RoleStable is the role of the version that serves: the target version of the last
-	// rollout that finished or, if none has, the version from before the first order.
+	// rollout that finished or, if none has, the version from before the first order. It keeps
+	// this role if it is ordered again.
 	RoleStable
 	// RoleTarget is the role of the target version of a rollout in progress.
 	RoleTarget
@@ -32,10 +33,10 @@
 }
 
 // NewVersions returns the roles of the versions of a service with a record, which is the zero
-// Record if there is no rollout. listed holds the number of listed runners by version; previous
-// is the last result for the service. Both are used only if the record does not tell which
-// version is stable.
-func NewVersions(record Record, listed map[string]int, previous Versions) Versions {
+// Record if there is no rollout, and a StableRecord, which is the zero StableRecord if none is
+// stored. listed holds the number of listed runners by version; previous is the last result for
+// the service. Both are used only if the records do not tell which version is stable.
+func NewVersions(record Record, stored StableRecord, listed map[string]int, previous Versions) Versions {
 	versions := Versions{rejected: record.Rejected}
 	if record.InProgress() {
 		versions.target = record.Target
@@ -43,16 +44,19 @@
 	if record.IsReverted() && !slices.Contains(record.Rejected, record.Target) {
 		versions.rejected = append(slices.Clone(record.Rejected), record.Target)
 	}
-	versions.stable = versions.selectStable(record, listed, previous.stable)
+	versions.stable = versions.selectStable(record, stored, listed, previous.stable)
 	return versions
 }
 
-// selectStable returns the stable version: that of the record, else the previous one as long
+// selectStable returns the stable version: that of the records, else the previous one as long
 // as it has runners, else the one with the most runners.
-func (v Versions) selectStable(record Record, listed map[string]int, previous string) string {
+func (v Versions) selectStable(record Record, stored StableRecord, listed map[string]int, previous string) string {
 	if record.IsFinished() {
 		return record.Target
 	}
+	if stable, ok := stored.during(record); ok {
+		return stable
+	}
 	candidates := map[string]int{}
 	for version, count := range listed {
 		isTarget := v.target != "" && version == v.target
--- a/control/rollout/versions_test.go
+++ b/control/rollout/versions_test.go
@@ -25,7 +25,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			versions := NewVersions(test.record, listed, test.previous)
+			versions := NewVersions(test.record, StableRecord{}, listed, test.previous)
 			for version, role := range test.want {
 				if got := versions.RoleOf(version); got != role {
 					t.Errorf("role of %s: %d, want %d", version, got, role)
@@ -33,7 +33,7 @@
 			}
 		})
 	}
-	if versions := NewVersions(next, map[string]int{"v2": 1, "v3": 1}, Versions{}); versions.Stable() != "" {
+	if versions := NewVersions(next, StableRecord{}, map[string]int{"v2": 1, "v3": 1}, Versions{}); versions.Stable() != "" {
 		t.Errorf("stable version %q, want none: only the target and a reverted version are listed", versions.Stable())
 	}
 }
@@ -41,8 +41,7 @@
 // TestVersions_groupsServingAndTarget guards against groups that count runners that get no
 // requests: of rejected versions, and of others while the stable version has a runner.
 func TestVersions_groupsServingAndTarget(t *testing.T) {
-	versions := NewVersions(Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}, nil, Versions{})
-	versions.stable = "v1"
+	versions := NewVersions(Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}, StableRecord{Version: 1, Order: 2, Target: "v3", Stable: "v1"}, nil, Versions{})
 	runners := []Runner{{ID: "a", Version: "v2"}, {ID: "b", Version: "v3"}, {ID: "c", Version: "v4"}}
 	groups := versions.Group(runners)
 	if len(groups.Old) != 1 || groups.Old[0].ID != "c" || len(groups.Target) != 1 || groups.Target[0].ID != "b" {
--- a/control/state/command/publish.go
+++ b/control/state/command/publish.go
@@ -49,4 +49,8 @@
 		record, err := transport.Unmarshal[rollout.Record](value)
 		return gossip.Item{Version: record.Version, Body: value}, err
 	},
+	strings.TrimSuffix(rollout.StableKeyPrefix, "/"): func(value []byte) (gossip.Item, error) {
+		stored, err := transport.Unmarshal[rollout.StableRecord](value)
+		return gossip.Item{Version: stored.Version, Body: value}, err
+	},
 }
--- a/data/canary/fleetharness_test.go
+++ b/data/canary/fleetharness_test.go
@@ -294,21 +294,38 @@
 	return gossip.Item{Key: rollout.Key(fleetService), Version: f.record().Version, Body: f.registers[rollout.Key(fleetService)]}
 }
 
-// deliverGossip delivers the record to all directors. Each router that is not partitioned gets
-// the record and the list of runners with a probability of 1 in 5.
+// stableItem returns the gossip item of the stored stable version; ok is false if none is stored.
+func (f *fleet) stableItem() (item gossip.Item, ok bool) {
+	body := f.registers[rollout.StableKey(fleetService)]
+	stored, err := rollout.DecodeStable(fleetService, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return gossip.Item{Key: rollout.StableKey(fleetService), Version: stored.Version, Body: body}, stored.Version > 0
+}
+
+// deliverGossip delivers the records to all directors. Each router that is not partitioned gets
+// the records and the list of runners with a probability of 1 in 5.
 func (f *fleet) deliverGossip() {
 	if f.record().Order == 0 {
 		return
 	}
-	item := f.recordItem()
+	items := []gossip.Item{f.recordItem()}
+	if item, ok := f.stableItem(); ok {
+		items = append(items, item)
+	}
 	for _, director := range f.directors {
-		director.updates.Put(item)
+		for _, item := range items {
+			director.updates.Put(item)
+		}
 	}
 	for _, router := range f.routers {
 		if f.partitioned[router.zone] || f.random.IntN(5) > 0 {
 			continue
 		}
-		router.store.Apply(item)
+		for _, item := range items {
+			router.store.Apply(item)
+		}
 		if !router.knowsTarget && !f.clock.Now().Before(f.targetListedAt) {
 			router.knowsTarget = true
 			router.store.ApplyRunners(f.runnerList(true))
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -169,6 +169,48 @@
 	}
 }
 
+// TestGate_startedLateKnowsTheStableVersion guards against routers that start during a rollout
+// or after one and take the version with the most runners for the stable one: one that is
+// listed before its order, or one that was replaced.
+func TestGate_startedLateKnowsTheStableVersion(t *testing.T) {
+	reverted := rollout.Record{Version: 2, Order: 1, Target: "v2", Condition: int64(rollout.Reverted), Rejected: []string{"v2"}}
+	afterReversal := rollout.Record{Version: 3, Order: 2, Target: "v3", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}}
+	afterFinish := rollout.Record{Version: 3, Order: 2, Target: "v3", Condition: int64(rollout.InProgress)}
+	orderedAgain := rollout.Record{Version: 3, Order: 2, Target: "v1", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}}
+	first := rollout.StableRecord{Version: 1, Order: 1, Target: "v2", Stable: "v1"}
+	second := rollout.StableRecord{Version: 2, Order: 2, Target: "v3", Stable: "v1"}
+	cases := []struct {
+		name   string
+		record rollout.Record
+		stable rollout.StableRecord
+		listed []string
+		want   map[string]int
+	}{
+		{"next listed before its order", reverted, first, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, stable version of the order before", afterReversal, first, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
+		{"next in progress, stable version of its order", afterReversal, second, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
+		{"reverted, stable version of the next order", reverted, second, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, replaced version listed", afterFinish, first, []string{"v1", "v1", "v2", "v3"}, map[string]int{"v2": 1}},
+		{"stable version ordered again", orderedAgain, first, []string{"v1", "v2"}, map[string]int{"v1": 1}},
+		{"stable version without runners", reverted, first, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			gate, store, fake := newGate()
+			body, err := transport.Marshal(test.stable)
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.Apply(gossip.Item{Key: rollout.StableKey("s"), Version: test.stable.Version, Body: body})
+			applyRecord(t, store, test.record)
+			store.ApplyRunners(listOf(test.listed...))
+			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
+				t.Errorf("allowed %v, want %v", allowed, test.want)
+			}
+		})
+	}
+}
+
 // TestGate_reportsOnlyVersionsThatTakePart guards against outcomes of a reverted version, or of
 // one that gets no requests, that are reported as those of the old version: a bad target
 // version looked like its control.
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -46,6 +46,8 @@
 	typeWeights   map[runnerType]float64
 	// Rollouts holds the newest rollout order of each service.
 	Rollouts map[ids.Service]rollout.Record
+	// StableVersions holds what is stored of the stable version of each service.
+	StableVersions map[ids.Service]rollout.StableRecord
 	// Versions holds the roles of the versions of each service that has runners or a rollout.
 	// It is nil if versions are not tracked.
 	Versions map[ids.Service]rollout.Versions
--- a/data/snapshot/store.go
+++ b/data/snapshot/store.go
@@ -116,6 +116,9 @@
 	if service, ok := rollout.ServiceOfKey(key); ok {
 		return func(next *Snapshot, body []byte) bool { return s.applyRollout(next, service, body) }
 	}
+	if service, ok := rollout.ServiceOfStableKey(key); ok {
+		return func(next *Snapshot, body []byte) bool { return s.applyStableVersion(next, service, body) }
+	}
 	if zone, ok := evacuation.ZoneFromKey(key); ok {
 		return func(next *Snapshot, body []byte) bool { return applyEvacuation(next, zone, body) }
 	}
@@ -202,9 +205,7 @@
 		}
 	}
 	s.zones = zones
-	if s.options.TracksVersions {
-		next.Versions = versionsOf(next)
-	}
+	s.updateVersions(next)
 	s.options.OnRunners(next)
 	return true
 }
@@ -238,10 +239,28 @@
 	maps.Copy(rollouts, next.Rollouts)
 	rollouts[service] = record
 	next.Rollouts = rollouts
+	s.updateVersions(next)
+	return true
+}
+
+func (s *Store) applyStableVersion(next *Snapshot, service ids.Service, body []byte) bool {
+	stored, err := rollout.DecodeStable(service, body)
+	if err != nil || stored.Version <= next.StableVersions[service].Version {
+		return false
+	}
+	stable := map[ids.Service]rollout.StableRecord{}
+	maps.Copy(stable, next.StableVersions)
+	stable[service] = stored
+	next.StableVersions = stable
+	s.updateVersions(next)
+	return true
+}
+
+// updateVersions updates the roles of versions, if they are tracked.
+func (s *Store) updateVersions(next *Snapshot) {
 	if s.options.TracksVersions {
 		next.Versions = versionsOf(next)
 	}
-	return true
 }
 
 // applyEjections applies the ejected runners, which are gossiped only within the zone. An
--- a/data/snapshot/versions.go
+++ b/data/snapshot/versions.go
@@ -25,5 +25,5 @@
 	for _, runner := range s.Runners[service] {
 		listed[runner.Version]++
 	}
-	return rollout.NewVersions(s.Rollouts[service], listed, s.Versions[service])
+	return rollout.NewVersions(s.Rollouts[service], s.StableVersions[service], listed, s.Versions[service])
 }
