Planning: no capacity of versions that get no requests

Read: the planner's list and the estimate of /room counted runners of a reverted or unordered version as ready, so regions that have such runners got shares of the load for capacity that bears none, until the platform drained them.

Cause: both knew draining as the only reason for which a listed runner gets nothing.

Change: Versions.Excluded says which listed versions get nothing; the controller leaves them out of plans (not ready) and out of the estimate (state "excluded"). Runners of a version that is being rolled out count as before.

TestVersions_excludesWhatGetsNoRequests covers the answer; no test existed for the lists, and none could fail before, since nothing gave that answer.

--- a/control/controller/autoscaler.go
+++ b/control/controller/autoscaler.go
@@ -39,12 +39,14 @@
 }
 
 // listRunners returns the current endpoint list in the form that the autoscaler takes.
+// Runners of a version that gets no requests are not ready.
 func (c *Controller) listRunners() []autoscaler.Runner {
+	excluded := c.excludedVersions()
 	var runners []autoscaler.Runner
 	for _, runner := range c.view.Runners() {
 		runners = append(runners, autoscaler.Runner{
 			ID: runner.ID, Service: runner.Service, Version: runner.Version, Region: c.settings.Zones[runner.Zone],
-			Ready: !runner.Draining, WarmingUp: runner.WarmupLeftMS > 0,
+			Ready: !runner.Draining && !excluded[runner.Service][runner.Version], WarmingUp: runner.WarmupLeftMS > 0,
 		})
 	}
 	return runners
--- a/control/controller/headroom.go
+++ b/control/controller/headroom.go
@@ -25,6 +25,7 @@
 	conditionEvacuated   = "emptied"
 	conditionQuarantined = "resting"
 	conditionWarmingUp   = "cold"
+	conditionExcluded    = "excluded"
 )
 
 // publishHeadroom periodically publishes the headroom of every model family while
@@ -63,12 +64,15 @@
 	input.Config = current
 	var unitsPerS map[ids.RunnerID]float64
 	input.Readings, unitsPerS, input.Seconds = c.autoscaler.RecentWork()
-	quarantined := c.quarantinedRunners()
+	quarantined, excluded := c.quarantinedRunners(), c.excludedVersions()
 	for _, runner := range c.view.Runners() {
+		state := runnerCondition(runner, c.zoneEvacuated(runner.Zone), quarantined[runner.ID])
+		if state == headroom.StateReady && excluded[runner.Service][runner.Version] {
+			state = conditionExcluded
+		}
 		input.Runners = append(input.Runners, headroom.Runner{
 			ID: runner.ID, Service: runner.Service, Region: c.settings.Zones[runner.Zone], Slots: float64(runner.Capacity),
-			State:     runnerCondition(runner, c.zoneEvacuated(runner.Zone), quarantined[runner.ID]),
-			UnitsPerS: unitsPerS[runner.ID],
+			State: state, UnitsPerS: unitsPerS[runner.ID],
 		})
 	}
 	input.Routers = c.routerCounts()
--- a/control/controller/rollouts.go
+++ b/control/controller/rollouts.go
@@ -78,6 +78,21 @@
 	return len(versions) > 1
 }
 
+// excludedVersions returns, for each service that has a rollout, the versions whose runners
+// get no requests.
+func (c *Controller) excludedVersions() map[ids.Service]map[string]bool {
+	excluded := map[ids.Service]map[string]bool{}
+	if c.director == nil {
+		return excluded
+	}
+	for _, runner := range c.view.Runners() {
+		if _, ok := excluded[runner.Service]; !ok {
+			excluded[runner.Service] = c.director.Excluded(runner.Service)
+		}
+	}
+	return excluded
+}
+
 // awaitsRunners reports whether a rollout is waiting for runners of its target version.
 func (c *Controller) awaitsRunners() bool { return c.director != nil && c.director.AwaitsRunners() }
 
--- a/control/planning/autoscaler/planner.go
+++ b/control/planning/autoscaler/planner.go
@@ -21,7 +21,8 @@
 	// Version is the version of the runner's software.
 	Version string
 	Region  ids.Region
-	// Ready is false for a draining runner, which is left out of plans.
+	// Ready is false for a draining runner, and for one of a version that gets no requests.
+	// These are left out of plans.
 	Ready     bool
 	WarmingUp bool
 }
--- a/control/planning/headroom/estimate.go
+++ b/control/planning/headroom/estimate.go
@@ -19,7 +19,8 @@
 	// Slots is the number of requests that the runner serves concurrently.
 	Slots float64
 	// State is StateReady, or the reason why the runner is not ready: cold (warming
-	// up), draining, emptied (its zone is evacuated) or resting (quarantined).
+	// up), draining, emptied (its zone is evacuated), resting
+	// (quarantined) or excluded (its version gets no requests, see control/rollout).
 	State string
 	// UnitsPerS is the recent rate at which work was sent to the runner.
 	UnitsPerS float64
--- a/control/rollout/status.go
+++ b/control/rollout/status.go
@@ -61,6 +61,20 @@
 	return count
 }
 
+// Excluded returns the listed versions of a service that get no requests, as
+// Versions.Excluded does. It returns nil for a service without a rollout.
+func (d *Director) Excluded(service ids.Service) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tracked := d.rollouts[service]
+	if tracked == nil {
+		return nil
+	}
+	runners := d.options.Runners(service)
+	d.updateVersions(tracked, runners)
+	return tracked.versions.Excluded(ListedVersions(runners))
+}
+
 // AwaitsRunners reports whether a rollout is waiting for runners of its target version.
 func (d *Director) AwaitsRunners() bool {
 	d.mu.Lock()
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -136,3 +136,15 @@
 	}
 	return listed
 }
+
+// Excluded returns the listed versions that get no requests: those that were reverted, and
+// others than the target version while the stable version has runners. A rollout's target
+// version is not excluded, though it gets none without a permit.
+func (v Versions) Excluded(listed map[string]int) map[string]bool {
+	excluded := map[string]bool{}
+	for version := range listed {
+		role := v.RoleOf(version)
+		excluded[version] = role == RoleRejected || (role == RoleOther && listed[v.stable] > 0)
+	}
+	return excluded
+}
--- a/control/rollout/versions_test.go
+++ b/control/rollout/versions_test.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "testing"
+import (
+	"maps"
+	"testing"
+)
 
 // TestVersions_keepsRejectedVersionsApart guards against a reverted version that counts as
 // the one to keep, whatever the order in progress.
@@ -52,3 +55,20 @@
 		t.Errorf("with a stable runner: %+v, want d as the old one and b", groups)
 	}
 }
+
+// TestVersions_excludesWhatGetsNoRequests guards against plans and estimates that count the
+// capacity of runners which get no requests because of their version.
+func TestVersions_excludesWhatGetsNoRequests(t *testing.T) {
+	record := Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}
+	versions := NewVersions(record, StableRecord{Version: 1, Order: 2, Target: "v3", Stable: "v1"}, nil, Versions{})
+	listed := map[string]int{"v1": 1, "v2": 1, "v3": 1, "v4": 1}
+	want := map[string]bool{"v1": false, "v2": true, "v3": false, "v4": true}
+	if got := versions.Excluded(listed); !maps.Equal(got, want) {
+		t.Errorf("excluded %v, want %v", got, want)
+	}
+	delete(listed, "v1")
+	want = map[string]bool{"v2": true, "v3": false, "v4": false}
+	if got := versions.Excluded(listed); !maps.Equal(got, want) {
+		t.Errorf("without a stable runner: excluded %v, want %v", got, want)
+	}
+}
