Rollouts: an order of the stable version finishes without a test

Seen in the model: after a reversal, an order that names the version which serves is reverted at its term for want of runners. The platform drains the runners of a reverted version, so that nothing would be left.

Cause: the target version was sought beside the stable one.

Change: a target version that is stable by the stored records keeps its role; the rollout enters its last stage at once and finishes when nothing runs elsewhere any more.

--- a/control/rollout/decision.go
+++ b/control/rollout/decision.go
@@ -44,6 +44,9 @@
 }
 
 func (d *Director) nextOfWaiting(t *trackedRollout, now clock.Instant) (Transition, bool) {
+	if d.isTargetStable(t) {
+		return d.beginStage(t, Full, "the target version is stable already"), true
+	}
 	if d.targetStarted(t, now) {
 		return d.beginStage(t, Canary, "runners of the target version have started"), true
 	}
@@ -160,6 +163,13 @@
 	return late || float64(len(groups.Target)) >= startedFraction*float64(len(groups.Old))
 }
 
+// isTargetStable reports whether the order names the version that is stable. Routers go on
+// sending to it, so that only the requests that run elsewhere have to end.
+func (d *Director) isTargetStable(t *trackedRollout) bool {
+	d.updateVersions(t, d.options.Runners(t.service))
+	return t.versions.Stable() == t.record.Target
+}
+
 // groups returns the groups of the service's runners. The caller holds d.mu.
 func (d *Director) groups(t *trackedRollout) Groups {
 	runners := d.options.Runners(t.service)
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -27,7 +27,7 @@
 // Versions knows the roles of a service's versions. All parts that treat versions differently
 // ask it. The zero Versions knows none.
 type Versions struct {
-	// stable is empty if it is not known, target if no rollout is in progress.
+	// stable is empty if it is not known, target if no rollout to another version is in progress.
 	stable, target string
 	rejected       []string
 }
@@ -45,6 +45,9 @@
 		versions.rejected = append(slices.Clone(record.Rejected), record.Target)
 	}
 	versions.stable = versions.selectStable(record, stored, listed, previous.stable)
+	if versions.target == versions.stable {
+		versions.target = ""
+	}
 	return versions
 }
 
@@ -85,6 +88,10 @@
 // Stable returns the stable version, empty if it is not known.
 func (v Versions) Stable() string { return v.stable }
 
+// Target returns the target version of a rollout in progress, empty if there is none or if the
+// target version is the stable one.
+func (v Versions) Target() string { return v.target }
+
 // RoleOf returns the role of a version.
 func (v Versions) RoleOf(version string) Role {
 	switch {
--- a/data/canary/fleet_test.go
+++ b/data/canary/fleet_test.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// TestFleet_stableVersionOrderedAgain guards against an order that names the version which
+// serves, after another was reverted: it got nothing without a permit, and no other version was
+// left.
+func TestFleet_stableVersionOrderedAgain(t *testing.T) {
+	layout := defaultLayout
+	layout.rejectedRunners = runnersPerZone
+	for seed := range uint64(4) {
+		f := newFleetWithLayout(t, seed, layout)
+		f.target = oldVersion
+		f.simulate()
+		duration := f.oracle.conditionAt.Since(f.orderedAt)
+		if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
+			t.Errorf("seed %d: condition %s after %v, reason %q; %d violations %v", seed, f.oracle.condition, duration, f.record().Reason, len(f.oracle.violations), f.oracle.violations[:min(2, len(f.oracle.violations))])
+		}
+	}
+}
+
 // defects maps names to ways in which a bad version misbehaves. Each function returns the
 // fraction of the requests that fail, and the factor by which the others take longer.
 var defects = map[string]func(route string, since time.Duration) (failureRate, slowdown float64){
--- a/data/canary/fleetharness_test.go
+++ b/data/canary/fleetharness_test.go
@@ -102,6 +102,8 @@
 	defectAboveInFlight int
 	inFlight            map[ids.RunnerID]int
 	orderedAt           clock.Instant
+	// target is the version that is ordered.
+	target string
 	running             []runningRequest
 	oracle              oracle
 	// dropsWrites, alwaysConfirms and permitsNeverExpire inject faults into the register, the
@@ -151,7 +153,7 @@
 func newFleetWithLayout(t *testing.T, seed uint64, layout fleetLayout) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, layout: layout, registers: map[string][]byte{}, clock: clock.NewFake(), random: rand.New(rand.NewPCG(seed, 7)), zones: map[ids.Zone]ids.Region{}, inFlight: map[ids.RunnerID]int{}, epoch: 1,
+		t: t, layout: layout, registers: map[string][]byte{}, clock: clock.NewFake(), random: rand.New(rand.NewPCG(seed, 7)), zones: map[ids.Zone]ids.Region{}, inFlight: map[ids.RunnerID]int{}, epoch: 1, target: newVersion,
 		policy: rollout.Policy{ExposureShare: 0.1, ExposureSlack: 50, PermitTTL: 1250 * time.Millisecond, ExchangeInterval: 250 * time.Millisecond,
 			LatchTime: 3750 * time.Millisecond, SilenceLimit: 5 * time.Second},
 	}
@@ -261,7 +263,7 @@
 	if f.layout.rejectedRunners > 0 {
 		f.storeRevertedRollout()
 	}
-	if _, err := f.updateRegister(rollout.Key(fleetService), rollout.Begin(rollout.Order{Service: fleetService, Target: newVersion, TermMS: f.layout.term.Milliseconds()})); err != nil {
+	if _, err := f.updateRegister(rollout.Key(fleetService), rollout.Begin(rollout.Order{Service: fleetService, Target: f.target, TermMS: f.layout.term.Milliseconds()})); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -287,6 +289,8 @@
 	for _, router := range f.routers {
 		router.store.Apply(item)
 	}
+	f.directors[f.leader].Step(f.t.Context())
+	f.oracle = oracle{}
 }
 
 // recordItem returns the gossip item of the stored record.
@@ -463,7 +467,7 @@
 	if runner.Version == rejectedVersion && f.oracle.condition != rollout.NoRollout {
 		f.recordViolation("request sent to a runner of a version that was reverted before")
 	}
-	if runner.Version != newVersion {
+	if runner.Version != f.target {
 		if f.oracle.condition == rollout.Finished && connected {
 			f.recordViolation("request sent to an old runner after the rollout has finished")
 		}
@@ -500,7 +504,7 @@
 		return
 	}
 	for _, request := range f.running {
-		if request.runner.Version == oldVersion && request.router.partitionedSince == 0 {
+		if request.runner.Version != f.target && request.router.partitionedSince == 0 {
 			f.recordViolation("finished while a request of zone %d runs on an old runner", request.router.zone)
 		}
 	}
--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -242,7 +242,7 @@
 	if !ok {
 		return allowsAll
 	}
-	if state := g.stateOf(snap, service); state != nil {
+	if state := g.stateOf(snap, service); state != nil && versions.Target() != "" {
 		return g.inProgressFilter(state, snap, service, arm, now)
 	}
 	return Filter{versions: versions, allowsStable: true, allowsOther: allowsOther(snap, service)}
