--- a/data/canary/fleetharness_test.go
+++ b/data/canary/fleetharness_test.go
@@ -103,9 +103,9 @@
 	inFlight            map[ids.RunnerID]int
 	orderedAt           clock.Instant
 	// target is the version that is ordered.
-	target string
-	running             []runningRequest
-	oracle              oracle
+	target  string
+	running []runningRequest
+	oracle  oracle
 	// dropsWrites, alwaysConfirms and permitsNeverExpire inject faults into the register, the
 	// routers' reports and the permits.
 	dropsWrites, alwaysConfirms, permitsNeverExpire bool
