Rollouts: the last stage goes to the target version, not to others

Seen in reading: with the stable version's runners gone before the verdict arrives, in the last stage, a router sent to versions that no order names if there were any, and to the target version only without them. A router whose list lacked the stable version for a moment forgot it.

Cause: the exception of the last stage asked for runners of any other version; the memory of the stable version ended with its last runner.

Change: in the last stage the target version comes before the others; once there is an order, a stable version that is known is kept. TrafficSplit.HasOld and the unused SplitSpec.LoadTestOld go.

The new case of TestGate_otherVersionsAreTheLastResort (last stage) failed before: v3 allowed, want v2.

--- a/control/rollout/loadpair.go
+++ b/control/rollout/loadpair.go
@@ -2,8 +2,8 @@
 
 import "onyxwell/base/ids"
 
-// LoadTestPair is a runner of the target version and an old one in the same region. Each gets as many requests as a runner may, to find faults that show only under
-// load.
+// LoadTestPair is a runner of the target version and an old one in the same region. Each gets
+// as many requests as a runner may, to find faults that show only under load.
 type LoadTestPair struct {
 	Target Runner
 	// Old is the baseline; its ID is empty if the region has no old runner to spare.
--- a/control/rollout/split.go
+++ b/control/rollout/split.go
@@ -28,9 +28,9 @@
 	// target version gets everything.
 	RunnerFraction, LoadFactor float64
 	Full                       bool
-	// LoadTestTarget and LoadTestOld are the load test pair, empty if there is none. These
-	// runners get only the requests of the load test.
-	LoadTestTarget, LoadTestOld ids.RunnerID
+	// LoadTestTarget is the load test's runner of the target version, empty if there is none.
+	// It gets only the requests of the load test.
+	LoadTestTarget ids.RunnerID
 }
 
 // TrafficSplit is how the traffic of a service is split under a permit.
@@ -39,16 +39,15 @@
 	Active map[ids.RunnerID]bool
 	// Share is the share of a region's requests that goes to them.
 	Share map[ids.Region]float64
-	// HasOld is set if there are old runners.
-	HasOld bool
 }
 
-// NewTrafficSplit splits the traffic of a service between the groups of its runners. Each active runner gets
-// the spec's load factor times the load of an old one. The result depends only on the
-// arguments, so every router with the same list of runners splits the traffic alike.
+// NewTrafficSplit splits the traffic of a service between the groups of its runners. Each
+// active runner gets the spec's load factor times the load of an old one. The result depends
+// only on the arguments, so every router with the same list of runners splits the traffic
+// alike.
 func NewTrafficSplit(groups Groups, spec SplitSpec) TrafficSplit {
 	old, targets := byRegion(groups.Old), map[ids.Region][]Runner{}
-	split := TrafficSplit{Active: map[ids.RunnerID]bool{}, Share: map[ids.Region]float64{}, HasOld: len(groups.Old) > 0}
+	split := TrafficSplit{Active: map[ids.RunnerID]bool{}, Share: map[ids.Region]float64{}}
 	for _, runner := range groups.Target {
 		if runner.ID != spec.LoadTestTarget {
 			targets[runner.Region] = append(targets[runner.Region], runner)
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -51,8 +51,8 @@
 	return versions
 }
 
-// selectStable returns the stable version: that of the records, else the previous one as long
-// as it has runners, else the one with the most runners.
+// selectStable returns the stable version: that of the records, else the previous one, else the
+// one with the most runners. Before the first order, a previous one without runners is given up.
 func (v Versions) selectStable(record Record, stored StableRecord, listed map[string]int, previous string) string {
 	if record.IsFinished() {
 		return record.Target
@@ -62,17 +62,23 @@
 	}
 	candidates := map[string]int{}
 	for version, count := range listed {
-		isTarget := v.target != "" && version == v.target
-		if !isTarget && !slices.Contains(v.rejected, version) {
+		if v.canBeStable(version) {
 			candidates[version] = count
 		}
 	}
-	if candidates[previous] > 0 {
+	isKept := candidates[previous] > 0 || record.Order > 0
+	if previous != "" && isKept && v.canBeStable(previous) {
 		return previous
 	}
 	return mostListed(candidates)
 }
 
+// canBeStable reports whether a version may be stable as far as the record tells.
+func (v Versions) canBeStable(version string) bool {
+	isTarget := v.target != "" && version == v.target
+	return !isTarget && !slices.Contains(v.rejected, version)
+}
+
 // mostListed returns the version with the most runners, empty if there is none. Of versions
 // with equally many runners it is the one with the shortest name, so that "v9" precedes "v10",
 // and of names of equal length the lexically first.
--- a/data/canary/division.go
+++ b/data/canary/division.go
@@ -65,7 +65,7 @@
 	}
 	split.byVersion = rollout.NewTrafficSplit(groups, rollout.SplitSpec{
 		Order: state.order, RunnerFraction: float64(permit.RunnersMilli) / milliPerUnit, LoadFactor: float64(permit.LoadMilli) / milliPerUnit,
-		Full: state.isFull(), LoadTestTarget: split.loadedTarget, LoadTestOld: split.loadedOld,
+		Full: state.isFull(), LoadTestTarget: split.loadedTarget,
 	})
 	return split
 }
--- a/data/canary/gate.go
+++ b/data/canary/gate.go
@@ -5,7 +5,7 @@
 // Invariants:
 //   - Without a valid permit, no request goes to the target version of a rollout in progress.
 //     There are two exceptions: the time for which a router has latched to the target
-//     version, and a rollout in its full stage that has no available runner of another
+//     version, and a rollout in its full stage that has no available runner of the stable
 //     version left. Begin checks this again immediately before a request is sent.
 //   - No request goes to a version that was reverted, also not after later orders.
 //   - No request goes to a version that is neither stable nor the target of a rollout in
@@ -264,11 +264,11 @@
 		return filter
 	}
 	filter := Filter{Arm: Old, versions: versions, allowsStable: true, excludedRunner: split.loadedOld}
-	if rollout.Stage(snap.Rollouts[service].Stage) == rollout.Full && !split.byVersion.HasOld {
-		// The old runners are gone, but the verdict has not reached this router yet.
-		filter.allowsTarget = true
+	if allowsOther(snap, service) {
+		// In the last stage the old runners may be gone before the verdict reaches this router.
+		filter.allowsTarget = rollout.Stage(snap.Rollouts[service].Stage) == rollout.Full
+		filter.allowsOther = !filter.allowsTarget
 	}
-	filter.allowsOther = allowsOther(snap, service)
 	return filter
 }
 
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -141,6 +141,8 @@
 	reverted.Version, reverted.Condition, reverted.Rejected = 2, int64(rollout.Reverted), []string{"v2"}
 	finished.Version, finished.Condition = 2, int64(rollout.Finished)
 	next.Version, next.Order, next.Target = 3, 2, "v3"
+	lastStage := inProgress
+	lastStage.Stage = int64(rollout.Full)
 	cases := []struct {
 		name    string
 		records []rollout.Record
@@ -151,6 +153,7 @@
 		{"not named by the order in progress", []rollout.Record{inProgress}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
 		{"replaced by the stable version", []rollout.Record{inProgress, finished, next}, []string{"v1", "v2", "v3"}, map[string]int{"v2": 1}},
 		{"no stable runner left, in progress", []rollout.Record{inProgress}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+		{"no stable runner left, last stage", []rollout.Record{lastStage}, []string{"v2", "v3"}, map[string]int{"v2": 1}},
 		{"no stable runner left, reverted", []rollout.Record{inProgress, reverted}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
 	}
 	for _, test := range cases {
