Router: reverted versions don't make a service reachable

Read: with only runners of a reverted version left, a router counted itself as able to serve the service, although it sends them nothing and answers 503, and the directory led clients to it like to others.

Cause: reachesService asked whether a runner drains or its zone is evacuated, not whether its version gets requests.

Change: it skips runners of rejected versions.

TestReachesAllServices_notByRevertedVersions failed before ("a runner of a reverted version counts as reachable").

--- a/data/router/health.go
+++ b/data/router/health.go
@@ -14,6 +14,7 @@
 	"onyxwell/base/response"
 	"onyxwell/base/settings"
 	"onyxwell/control/membership"
+	"onyxwell/control/rollout"
 	"onyxwell/data/snapshot"
 	"onyxwell/data/upstream"
 )
@@ -184,9 +185,15 @@
 	return true
 }
 
+// reachesService reports whether a service has a runner that answers, other than those of
+// versions that were reverted, which get no requests.
 func (r *Router) reachesService(current *snapshot.Snapshot, service ids.Service, now clock.Instant) bool {
+	versions := current.Versions[service]
 	for _, runner := range current.Runners[service] {
-		if current.Available(runner) && !r.lostZones.contains(runner.Zone) && !r.stats.State(runner.ID).Suspect && r.stats.SilentFor(runner.ID, now) < r.timing.ConnectTimeout {
+		if !current.Available(runner) || versions.RoleOf(runner.Version) == rollout.RoleRejected {
+			continue
+		}
+		if !r.lostZones.contains(runner.Zone) && !r.stats.State(runner.ID).Suspect && r.stats.SilentFor(runner.ID, now) < r.timing.ConnectTimeout {
 			return true
 		}
 	}
--- a/data/router/health_test.go
+++ b/data/router/health_test.go
@@ -16,6 +16,7 @@
 	"onyxwell/control/discovery"
 	"onyxwell/control/gossip"
 	"onyxwell/control/membership"
+	"onyxwell/control/rollout"
 	"onyxwell/control/transport"
 	"onyxwell/data/runnerstats"
 	"onyxwell/data/slowstart"
@@ -35,7 +36,7 @@
 		stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64),
 	}
 	r.daemon = &daemon.Daemon{Membership: membership.NewTable(fakeClock, membership.Member{Address: "self", Role: Role, Region: "north"})}
-	r.snapshots = snapshot.NewStore(snapshot.Options{Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}})
+	r.snapshots = snapshot.NewStore(snapshot.Options{Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}, TracksVersions: true})
 	r.snapshots.Apply(gossip.Item{Key: "spec", Version: 1, Body: []byte(configDocument)})
 	body, err := transport.Marshal(discovery.List{Runners: runners})
 	if err != nil {
@@ -67,6 +68,23 @@
 	}
 }
 
+// TestReachesAllServices_notByRevertedVersions guards against a router that counts as able to
+// serve a service of which only runners of a reverted version are left.
+func TestReachesAllServices_notByRevertedVersions(t *testing.T) {
+	r, fakeClock := newRouter(t, discovery.Runner{ID: "one", Service: "s", Zone: "n", Version: "v2"})
+	body, err := transport.Marshal(rollout.Record{Version: 1, Order: 2, Target: "v3", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.reachesAllServices(fakeClock.Now()) {
+		t.Fatal("the only version does not count as reachable")
+	}
+	r.snapshots.Apply(gossip.Item{Key: rollout.Key("s"), Version: 1, Body: body})
+	if r.reachesAllServices(fakeClock.Now()) {
+		t.Error("a runner of a reverted version counts as reachable")
+	}
+}
+
 func TestProbeSuspect_healthyRunnerIsCleared(t *testing.T) {
 	cases := []struct {
 		name    string
