--- a/control/rollout/versions_test.go
+++ b/control/rollout/versions_test.go
@@ -41,10 +41,16 @@
 	}
 }
 
+// secondOrder returns the versions during an order of v3, after v2 was reverted; v1 is stable.
+func secondOrder() Versions {
+	record := Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}
+	return NewVersions(record, StableRecord{Version: 1, Order: 2, Target: "v3", Stable: "v1"}, nil, Versions{})
+}
+
 // TestVersions_groupsServingAndTarget guards against groups that count runners that get no
 // requests: of rejected versions, and of others while the stable version has a runner.
 func TestVersions_groupsServingAndTarget(t *testing.T) {
-	versions := NewVersions(Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}, StableRecord{Version: 1, Order: 2, Target: "v3", Stable: "v1"}, nil, Versions{})
+	versions := secondOrder()
 	runners := []Runner{{ID: "a", Version: "v2"}, {ID: "b", Version: "v3"}, {ID: "c", Version: "v4"}}
 	groups := versions.Group(runners)
 	if len(groups.Old) != 1 || groups.Old[0].ID != "c" || len(groups.Target) != 1 || groups.Target[0].ID != "b" {
@@ -59,8 +65,7 @@
 // TestVersions_excludesWhatGetsNoRequests guards against plans and estimates that count the
 // capacity of runners which get no requests because of their version.
 func TestVersions_excludesWhatGetsNoRequests(t *testing.T) {
-	record := Record{Order: 2, Target: "v3", Condition: int64(InProgress), Rejected: []string{"v2"}}
-	versions := NewVersions(record, StableRecord{Version: 1, Order: 2, Target: "v3", Stable: "v1"}, nil, Versions{})
+	versions := secondOrder()
 	listed := map[string]int{"v1": 1, "v2": 1, "v3": 1, "v4": 1}
 	want := map[string]bool{"v1": false, "v2": true, "v3": false, "v4": true}
 	if got := versions.Excluded(listed); !maps.Equal(got, want) {
--- a/data/canary/fleet_test.go
+++ b/data/canary/fleet_test.go
@@ -47,10 +47,16 @@
 	for seed := range uint64(6) {
 		f := newFleet(t, seed)
 		f.simulate()
-		duration := f.oracle.conditionAt.Since(f.orderedAt)
-		if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
-			t.Errorf("seed %d: condition %s after %v, reason %q; violations %v", seed, f.oracle.condition, duration, f.record().Reason, f.oracle.violations)
-		}
+		f.checkFinished(t, seed)
+	}
+}
+
+// checkFinished checks that the rollout finished within its term, without violations.
+func (f *fleet) checkFinished(t *testing.T, seed uint64) {
+	t.Helper()
+	duration := f.oracle.conditionAt.Since(f.orderedAt)
+	if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
+		t.Errorf("seed %d: condition %s after %v, reason %q; %d violations, first %v", seed, f.oracle.condition, duration, f.record().Reason, len(f.oracle.violations), f.oracle.violations[:min(3, len(f.oracle.violations))])
 	}
 }
 
@@ -65,10 +71,7 @@
 		var begun rollout.Stage
 		beginsBy := layout.startDelay + time.Second
 		f.simulate(event{beginsBy, func(f *fleet) { begun = rollout.Stage(f.record().Stage) }})
-		duration := f.oracle.conditionAt.Since(f.orderedAt)
-		if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
-			t.Errorf("seed %d: condition %s after %v, reason %q; %d violations %v", seed, f.oracle.condition, duration, f.record().Reason, len(f.oracle.violations), f.oracle.violations[:min(2, len(f.oracle.violations))])
-		}
+		f.checkFinished(t, seed)
 		if begun < rollout.Canary {
 			t.Errorf("seed %d: stage %s %v after the order, want the canary", seed, begun, beginsBy)
 		}
@@ -85,10 +88,7 @@
 		f := newFleetWithLayout(t, seed, layout)
 		f.target = oldVersion
 		f.simulate()
-		duration := f.oracle.conditionAt.Since(f.orderedAt)
-		if f.oracle.condition != rollout.Finished || duration > f.layout.term || len(f.oracle.violations) > 0 {
-			t.Errorf("seed %d: condition %s after %v, reason %q; %d violations %v", seed, f.oracle.condition, duration, f.record().Reason, len(f.oracle.violations), f.oracle.violations[:min(2, len(f.oracle.violations))])
-		}
+		f.checkFinished(t, seed)
 	}
 }
 
--- a/data/canary/gate_test.go
+++ b/data/canary/gate_test.go
@@ -96,6 +96,41 @@
 	store.Apply(gossip.Item{Key: rollout.Key("s"), Version: record.Version, Body: body})
 }
 
+// versionsCase is a router's state of versions: what it was told, what is listed, and how many
+// runners of each version a new request may be sent to.
+type versionsCase struct {
+	name    string
+	records []rollout.Record
+	// stable is the zero StableRecord if none was received.
+	stable rollout.StableRecord
+	listed []string
+	want   map[string]int
+}
+
+// check compares the state of a new router with want. The router has the earlier lists before
+// it is told anything.
+func (c versionsCase) check(t *testing.T, earlierLists ...[]string) {
+	t.Helper()
+	gate, store, fake := newGate()
+	for _, listed := range earlierLists {
+		store.ApplyRunners(listOf(listed...))
+	}
+	if c.stable.Version > 0 {
+		body, err := transport.Marshal(c.stable)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Apply(gossip.Item{Key: rollout.StableKey("s"), Version: c.stable.Version, Body: body})
+	}
+	for _, record := range c.records {
+		applyRecord(t, store, record)
+	}
+	store.ApplyRunners(listOf(c.listed...))
+	if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, c.want) {
+		t.Errorf("allowed %v, want %v", allowed, c.want)
+	}
+}
+
 // TestGate_revertedVersionStaysOut guards against requests to a reverted version once the
 // next one is ordered: while that is rolled out, after its verdict, and on routers that
 // start only then.
@@ -105,30 +140,16 @@
 	nextReverted, nextFinished := next, next
 	nextReverted.Condition, nextReverted.Rejected = int64(rollout.Reverted), []string{"v2", "v3"}
 	nextFinished.Condition = int64(rollout.Finished)
-	cases := []struct {
-		name    string
-		records []rollout.Record
-		listed  []string
-		want    map[string]int
-	}{
-		{"next in progress", []rollout.Record{reverted, next}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
-		{"next in progress, started late", []rollout.Record{next}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
-		{"next in progress, only the reverted one left", []rollout.Record{next}, []string{"v2", "v3"}, map[string]int{}},
-		{"next reverted", []rollout.Record{next, nextReverted}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
-		{"next reverted, no old runner left", []rollout.Record{nextReverted}, []string{"v2", "v3"}, map[string]int{}},
-		{"next finished, no runner of it left", []rollout.Record{nextFinished}, []string{"v2"}, map[string]int{}},
+	cases := []versionsCase{
+		{"next in progress", []rollout.Record{reverted, next}, rollout.StableRecord{}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, started late", []rollout.Record{next}, rollout.StableRecord{}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, only the reverted one left", []rollout.Record{next}, rollout.StableRecord{}, []string{"v2", "v3"}, map[string]int{}},
+		{"next reverted", []rollout.Record{next, nextReverted}, rollout.StableRecord{}, []string{"v1", "v2", "v2", "v3"}, map[string]int{"v1": 1}},
+		{"next reverted, no old runner left", []rollout.Record{nextReverted}, rollout.StableRecord{}, []string{"v2", "v3"}, map[string]int{}},
+		{"next finished, no runner of it left", []rollout.Record{nextFinished}, rollout.StableRecord{}, []string{"v2"}, map[string]int{}},
 	}
 	for _, test := range cases {
-		t.Run(test.name, func(t *testing.T) {
-			gate, store, fake := newGate()
-			store.ApplyRunners(listOf(test.listed...))
-			for _, record := range test.records {
-				applyRecord(t, store, record)
-			}
-			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
-				t.Errorf("allowed %v, want %v", allowed, test.want)
-			}
-		})
+		t.Run(test.name, func(t *testing.T) { test.check(t, test.listed) })
 	}
 }
 
@@ -143,32 +164,16 @@
 	next.Version, next.Order, next.Target = 3, 2, "v3"
 	lastStage := inProgress
 	lastStage.Stage = int64(rollout.Full)
-	cases := []struct {
-		name    string
-		records []rollout.Record
-		listed  []string
-		want    map[string]int
-	}{
-		{"listed before its order", []rollout.Record{inProgress, reverted}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
-		{"not named by the order in progress", []rollout.Record{inProgress}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
-		{"replaced by the stable version", []rollout.Record{inProgress, finished, next}, []string{"v1", "v2", "v3"}, map[string]int{"v2": 1}},
-		{"no stable runner left, in progress", []rollout.Record{inProgress}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
-		{"no stable runner left, last stage", []rollout.Record{lastStage}, []string{"v2", "v3"}, map[string]int{"v2": 1}},
-		{"no stable runner left, reverted", []rollout.Record{inProgress, reverted}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+	cases := []versionsCase{
+		{"listed before its order", []rollout.Record{inProgress, reverted}, rollout.StableRecord{}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"not named by the order in progress", []rollout.Record{inProgress}, rollout.StableRecord{}, []string{"v1", "v2", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"replaced by the stable version", []rollout.Record{inProgress, finished, next}, rollout.StableRecord{}, []string{"v1", "v2", "v3"}, map[string]int{"v2": 1}},
+		{"no stable runner left, in progress", []rollout.Record{inProgress}, rollout.StableRecord{}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+		{"no stable runner left, last stage", []rollout.Record{lastStage}, rollout.StableRecord{}, []string{"v2", "v3"}, map[string]int{"v2": 1}},
+		{"no stable runner left, reverted", []rollout.Record{inProgress, reverted}, rollout.StableRecord{}, []string{"v2", "v3"}, map[string]int{"v3": 1}},
 	}
 	for _, test := range cases {
-		t.Run(test.name, func(t *testing.T) {
-			gate, store, fake := newGate()
-			store.ApplyRunners(listOf("v1"))
-			store.ApplyRunners(listOf("v1", "v2"))
-			for _, record := range test.records {
-				applyRecord(t, store, record)
-			}
-			store.ApplyRunners(listOf(test.listed...))
-			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
-				t.Errorf("allowed %v, want %v", allowed, test.want)
-			}
-		})
+		t.Run(test.name, func(t *testing.T) { test.check(t, []string{"v1"}, []string{"v1", "v2"}) })
 	}
 }
 
@@ -182,35 +187,17 @@
 	orderedAgain := rollout.Record{Version: 3, Order: 2, Target: "v1", Condition: int64(rollout.InProgress), Rejected: []string{"v2"}}
 	first := rollout.StableRecord{Version: 1, Order: 1, Target: "v2", Stable: "v1"}
 	second := rollout.StableRecord{Version: 2, Order: 2, Target: "v3", Stable: "v1"}
-	cases := []struct {
-		name   string
-		record rollout.Record
-		stable rollout.StableRecord
-		listed []string
-		want   map[string]int
-	}{
-		{"next listed before its order", reverted, first, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
-		{"next in progress, stable version of the order before", afterReversal, first, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
-		{"next in progress, stable version of its order", afterReversal, second, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
-		{"reverted, stable version of the next order", reverted, second, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
-		{"next in progress, replaced version listed", afterFinish, first, []string{"v1", "v1", "v2", "v3"}, map[string]int{"v2": 1}},
-		{"stable version ordered again", orderedAgain, first, []string{"v1", "v2"}, map[string]int{"v1": 1}},
-		{"stable version without runners", reverted, first, []string{"v2", "v3"}, map[string]int{"v3": 1}},
+	cases := []versionsCase{
+		{"next listed before its order", []rollout.Record{reverted}, first, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, stable version of the order before", []rollout.Record{afterReversal}, first, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
+		{"next in progress, stable version of its order", []rollout.Record{afterReversal}, second, []string{"v1", "v3", "v4", "v4"}, map[string]int{"v1": 1}},
+		{"reverted, stable version of the next order", []rollout.Record{reverted}, second, []string{"v1", "v3", "v3"}, map[string]int{"v1": 1}},
+		{"next in progress, replaced version listed", []rollout.Record{afterFinish}, first, []string{"v1", "v1", "v2", "v3"}, map[string]int{"v2": 1}},
+		{"stable version ordered again", []rollout.Record{orderedAgain}, first, []string{"v1", "v2"}, map[string]int{"v1": 1}},
+		{"stable version without runners", []rollout.Record{reverted}, first, []string{"v2", "v3"}, map[string]int{"v3": 1}},
 	}
 	for _, test := range cases {
-		t.Run(test.name, func(t *testing.T) {
-			gate, store, fake := newGate()
-			body, err := transport.Marshal(test.stable)
-			if err != nil {
-				t.Fatal(err)
-			}
-			store.Apply(gossip.Item{Key: rollout.StableKey("s"), Version: test.stable.Version, Body: body})
-			applyRecord(t, store, test.record)
-			store.ApplyRunners(listOf(test.listed...))
-			if allowed := allowedVersions(gate, store, fake); !maps.Equal(allowed, test.want) {
-				t.Errorf("allowed %v, want %v", allowed, test.want)
-			}
-		})
+		t.Run(test.name, func(t *testing.T) { test.check(t) })
 	}
 }
 
