Directory: only regions of the deployment are remembered

Cause: Choose marked the region of the request as ready whenever a router near was, and the tracker kept a state for each name for ever. The name is a part of the request line, so each state kept the whole request too; that holds for known regions as well, where one request is kept a region.

Change: the tracker takes a deployedRegion, which only findRegion makes, with the deployment's own string. Answers are as before: an unknown region gets the routers of its zone, else it counts as lost.

TestChoose_remembersOnlyRegionsOfTheDeployment failed before with 1,000 regions remembered, and with a name that is a part of its request.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -119,7 +119,9 @@
 func (d *Directory) Choose(req LookupRequest) []ids.Address {
 	endpoints, now := d.endpoints(), d.Membership.Now()
 	if name, addresses := nearest(endpoints.ready, req); len(addresses) > 0 {
-		d.regions.markReady(req.Region, now)
+		if region, ok := d.findRegion(req.Region); ok {
+			d.regions.markReady(region, now)
+		}
 		return d.countLookup(name, addresses)
 	}
 	candidates := endpoints.ready
--- a/control/directory/redirect_test.go
+++ b/control/directory/redirect_test.go
@@ -1,8 +1,11 @@
 package directory
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"onyxwell/base/ids"
 	"onyxwell/base/invariant"
@@ -92,3 +95,32 @@
 		t.Errorf("counted %d violations, want 1: the redirect out of a deployed region", got)
 	}
 }
+
+// TestChoose_remembersOnlyRegionsOfTheDeployment guards against look-ups of regions that
+// do not exist filling the memory: each name was kept, with the request that it came in.
+func TestChoose_remembersOnlyRegionsOfTheDeployment(t *testing.T) {
+	const lookups = 1000
+	f := newFixture(t)
+	f.merge(newRouter("a", "z1"))
+	for range 2 {
+		for number := range lookups {
+			f.Choose(LookupRequest{Zone: "z1", Region: ids.Region(fmt.Sprintf("r-%d", number))})
+			f.Choose(LookupRequest{Zone: "z9", Region: ids.Region(fmt.Sprintf("s-%d", number))})
+		}
+		if got := len(f.regions.states); got != 0 {
+			t.Errorf("%d regions are remembered after look-ups of unknown ones, want 0", got)
+		}
+		f.Membership.AdvanceState("a", membership.Suspect)
+	}
+	head := "GET /lookup?zone=z1&region=r1 HTTP/1.1"
+	named := strings.Index(head, "r1")
+	f.Choose(LookupRequest{Zone: "z1", Region: ids.Region(head[named : named+len("r1")])})
+	for name := range f.regions.states {
+		if unsafe.StringData(string(name)) == unsafe.StringData(head[named:]) {
+			t.Errorf("the name of region %s is a part of the request, which it keeps in memory", name)
+		}
+	}
+	if got := len(f.regions.states); got != 1 {
+		t.Errorf("%d regions are remembered after a look-up of a known one, want 1", got)
+	}
+}
--- a/control/directory/regions.go
+++ b/control/directory/regions.go
@@ -10,10 +10,11 @@
 	"onyxwell/control/membership"
 )
 
-// regionTracker records which regions are lost. A region without a ready router
-// becomes lost on evidence of a failure, or when it has had none for longer than a
-// timeout, and stays lost until it has one again. The zero value is ready to use,
-// and safe for concurrent use.
+// regionTracker records which regions of the deployment are lost. A region without a
+// ready router becomes lost on evidence of a failure, or when it has had none for longer
+// than a timeout, and stays lost until it has one again. It has a state for each region
+// of the deployment that was looked up, and for no other name, since names come from
+// callers. The zero value is ready to use, and safe for concurrent use.
 type regionTracker struct {
 	mu     sync.Mutex
 	states map[ids.Region]*regionState
@@ -29,18 +30,18 @@
 
 // state returns a region's state, and creates it if there is none. r.mu must be
 // held.
-func (r *regionTracker) state(region ids.Region, now clock.Instant) *regionState {
+func (r *regionTracker) state(region deployedRegion, now clock.Instant) *regionState {
 	if r.states == nil {
 		r.states = map[ids.Region]*regionState{}
 	}
-	if r.states[region] == nil {
-		r.states[region] = &regionState{readyAt: now}
+	if r.states[region.name] == nil {
+		r.states[region.name] = &regionState{readyAt: now}
 	}
-	return r.states[region]
+	return r.states[region.name]
 }
 
 // markReady records that a region has a ready router now.
-func (r *regionTracker) markReady(region ids.Region, now clock.Instant) {
+func (r *regionTracker) markReady(region deployedRegion, now clock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.state(region, now)
@@ -50,7 +51,7 @@
 // markUnready records that a region has no ready router now, and reports whether
 // it is lost. The region becomes lost if there is evidence of a failure or if it
 // has had no ready router for longer than timeout.
-func (r *regionTracker) markUnready(region ids.Region, now clock.Instant, evidence bool, timeout time.Duration) (lost bool) {
+func (r *regionTracker) markUnready(region deployedRegion, now clock.Instant, evidence bool, timeout time.Duration) (lost bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.state(region, now)
@@ -62,34 +63,40 @@
 
 // isLost reports whether a region was lost when it was last marked as ready or
 // unready.
-func (r *regionTracker) isLost(region ids.Region) bool {
+func (r *regionTracker) isLost(region deployedRegion) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := r.states[region]
+	state := r.states[region.name]
 	return state != nil && state.lost
 }
 
+// deployedRegion is a region of the deployment. Its name is the deployment's own string,
+// not one of a request, which would keep the whole request in memory.
+type deployedRegion struct{ name ids.Region }
+
+// findRegion returns the region that a client named, or false if it contains no zone of
+// the deployment.
+func (d *Directory) findRegion(name ids.Region) (deployedRegion, bool) {
+	for _, region := range d.Zones {
+		if region == name {
+			return deployedRegion{name: region}, true
+		}
+	}
+	return deployedRegion{}, false
+}
+
 // isLost marks a region as unready and reports whether it is lost. Evidence of a
 // failure is a daemon in the region that stopped answering, or a degraded router
 // there. A region that has no zone in the deployment counts as lost.
-func (d *Directory) isLost(region ids.Region, degraded []endpoint, now clock.Instant) bool {
-	if !d.isDeployed(region) {
+func (d *Directory) isLost(name ids.Region, degraded []endpoint, now clock.Instant) bool {
+	region, ok := d.findRegion(name)
+	if !ok {
 		return true
 	}
-	evidence := d.hasUnresponsiveMember(region) || anyInRegion(region, degraded)
+	evidence := d.hasUnresponsiveMember(region.name) || anyInRegion(region.name, degraded)
 	return d.regions.markUnready(region, now, evidence, d.LossTimeout)
 }
 
-// isDeployed reports whether the region contains a zone of the deployment.
-func (d *Directory) isDeployed(region ids.Region) bool {
-	for _, deployed := range d.Zones {
-		if deployed == region {
-			return true
-		}
-	}
-	return false
-}
-
 // hasUnresponsiveMember reports whether the region has a suspect member, or one that
 // was removed no longer than LossTimeout ago; a member that left gracefully is
 // neither. It ignores members that this daemon restored from its disk after a
@@ -110,7 +117,8 @@
 // checkRedirect counts a redirect out of a deployed region that is not lost as an
 // invariant violation.
 func (d *Directory) checkRedirect(req LookupRequest, addresses []ids.Address) {
-	if len(addresses) > 0 && d.isDeployed(req.Region) && !d.regions.isLost(req.Region) {
-		d.Monitor.Violated(invariant.RegionFailover, "clients of zone %s in region %s are redirected to %v, but the region is not lost", req.Zone, req.Region, addresses)
+	region, deployed := d.findRegion(req.Region)
+	if len(addresses) > 0 && deployed && !d.regions.isLost(region) {
+		d.Monitor.Violated(invariant.RegionFailover, "clients in region %s are redirected to %v, but the region is not lost", region.name, addresses)
 	}
 }
