Servers: heads of calls are bounded at 16 KiB

The wire was bounded by net/http's 1 MB, but a parsed head of many lines takes many times its bytes.

Change: httpcall.NewServer, which serves control, directory, readiness, metrics and the calls between daemons, bounds heads at 16 KiB (net/http allows 4 KiB more) and answers 431 above. The largest honest heads are those of look-ups, orders and calls between daemons, some hundred bytes. The router's front keeps its bound of 1 MiB and the limit of the configuration in force.

TestNewServer_boundsHeaders failed before: status 200, and a handler that got a head of 184,320 lines.

--- a/base/httpcall/mux.go
+++ b/base/httpcall/mux.go
@@ -175,8 +175,15 @@
 	return errkind.Errorf(errkind.BadRequest, "body: it is not whole")
 }
 
+// maxHeaderBytes is the largest header of a call in bytes; net/http takes 4 KiB more.
+// Parsed, a header of many short lines takes some twenty times its bytes.
+const maxHeaderBytes = 16 << 10
+
 // NewServer returns a server that closes a connection whose header takes longer
-// than headerTimeout, or that is unused for longer than idleTimeout.
+// than headerTimeout, or that is unused for longer than idleTimeout. It answers a
+// header of over maxHeaderBytes with status 431.
 func NewServer(handler http.Handler, headerTimeout time.Duration, idleTimeout time.Duration) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
--- a/data/proxy/listener.go
+++ b/data/proxy/listener.go
@@ -21,6 +21,7 @@
 // are those of the current configuration.
 func NewServer(p *Proxy) *http.Server {
 	server := httpcall.NewServer(p, placeholderTimeout, placeholderTimeout)
+	server.MaxHeaderBytes = maxHeadBytes
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if client, ok := conn.(*clientConn); ok && state == http.StateIdle {
 			client.deadlines.enter(phaseIdle)
