Rollouts: reading one that was never ordered leaves no trace

Cause: the read goes through the proposer, which acquires the key on a majority first. A promise is a record on the disk, and stays, though the key never gets a value.

Change: ReadRollout asks first whether any voter holds a proposal of the key (register.Proposer.HasValue, over the fetch message that all builds serve). A quorum that holds none, under the same voter set and on the disks that it names, shows that no order was acknowledged before the call: the answer is as strict as the read was, and neither disk nor proposer keeps anything. Where a proposal exists the read goes on as before, for services that have left the configuration too.

--- a/control/admin/admin_test.go
+++ b/control/admin/admin_test.go
@@ -46,6 +46,10 @@
 	return l.acceptor.Confirm(req), nil
 }
 
+func (l loopback) Fetch(_ context.Context, _ ids.Address, req register.FetchRequest) (register.FetchResponse, error) {
+	return l.acceptor.Fetch(req), nil
+}
+
 // testServer serves the API of a controller that is the only voter.
 type testServer struct {
 	*testing.T
--- a/control/state/command/cluster_test.go
+++ b/control/state/command/cluster_test.go
@@ -150,6 +150,10 @@
 	return deliver(ctx, n, to, func(other *node) register.AcceptResponse { return other.acceptor.Confirm(req) })
 }
 
+func (n *node) Fetch(ctx context.Context, to ids.Address, req register.FetchRequest) (register.FetchResponse, error) {
+	return deliver(ctx, n, to, func(other *node) register.FetchResponse { return other.acceptor.Fetch(req) })
+}
+
 // Forward delivers a command, unless commands to the receiver are intercepted.
 func (n *node) Forward(ctx context.Context, to ids.Address, cmd Command) (Result, error) {
 	n.cluster.mu.Lock()
--- a/control/state/command/lossy_cluster_test.go
+++ b/control/state/command/lossy_cluster_test.go
@@ -75,6 +75,10 @@
 	return deliverLossy(l, address, func(acceptor *register.Acceptor) register.AcceptResponse { return acceptor.Confirm(req) })
 }
 
+func (l *lossyCluster) Fetch(_ context.Context, address ids.Address, req register.FetchRequest) (register.FetchResponse, error) {
+	return deliverLossy(l, address, func(acceptor *register.Acceptor) register.FetchResponse { return acceptor.Fetch(req) })
+}
+
 var controllerNames = []ids.Address{"a", "b", "c"}
 
 func newLossyCluster(t testingT) *lossyCluster {
--- a/control/state/command/rollout.go
+++ b/control/state/command/rollout.go
@@ -52,11 +52,32 @@
 	return resultOf(nil, d.OrderRollout(ctx, rollout.Order(req))), nil
 }
 
-// ReadRollout returns the record of a service's rollout, as confirmed by a majority.
+// ReadRollout returns the record of a service's rollout, as confirmed by a majority, or
+// the zero Record if there is none. The caller names the service, so a key without a value
+// is not acquired: each would stay on the disks for good.
 func (d *Dispatcher) ReadRollout(ctx context.Context, service ids.Service) (rollout.Record, error) {
+	if ok, err := d.hasValue(ctx, rollout.Key(service)); err != nil || !ok {
+		return rollout.Record{}, err
+	}
 	value, err := d.Dispatch(ctx, Command{Key: rollout.Key(service), Verb: VerbRead})
 	if err != nil {
 		return rollout.Record{}, err
 	}
 	return rollout.Decode(service, value)
 }
+
+// hasValue reports whether a key may have a value. It asks the other voters only if this
+// controller's disk has none.
+func (d *Dispatcher) hasValue(ctx context.Context, key string) (bool, error) {
+	if d.options.Acceptor.Slot(key).Accepted.Sequence > 0 {
+		return true, nil
+	}
+	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
+	defer cancel()
+	ctx, release, err := d.options.Quorum.WithQuorum(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer release()
+	return d.options.Proposer.HasValue(ctx, key)
+}
--- a/control/state/register/cluster_test.go
+++ b/control/state/register/cluster_test.go
@@ -207,6 +207,20 @@
 	return true
 }
 
+// checkHasValue fails the test if a node finds that the test's key has no value although
+// an update was acknowledged before it asked.
+func (c *cluster) checkHasValue(n *node) {
+	if !n.up || n.busy {
+		return
+	}
+	n.busy = true
+	defer func() { n.busy = false }()
+	acknowledged := c.acknowledged
+	if ok, err := n.proposer.HasValue(c.ctx, "spec"); err == nil && !ok && acknowledged != "" {
+		c.t.Fatalf("node %s finds no value, %q was acknowledged before", n.address, acknowledged)
+	}
+}
+
 // requireServing fails the test unless some voter gets an update acknowledged.
 // Every node is tried twice, as the first attempt may only propagate a newer voter
 // set.
--- a/control/state/register/faults_test.go
+++ b/control/state/register/faults_test.go
@@ -14,6 +14,7 @@
 		func() { c.update(n, false) },
 		func() { c.update(n, false) },
 		func() { c.update(n, true) },
+		func() { c.checkHasValue(n) },
 		func() { c.join(n) },
 		func() { c.join(n) },
 		func() { c.repairRound(n) },
--- a/control/state/register/proposer.go
+++ b/control/state/register/proposer.go
@@ -22,6 +22,7 @@
 	Prepare(ctx context.Context, address ids.Address, req PrepareRequest) (PrepareResponse, error)
 	Accept(ctx context.Context, address ids.Address, req AcceptRequest) (AcceptResponse, error)
 	Confirm(ctx context.Context, address ids.Address, req ConfirmRequest) (AcceptResponse, error)
+	Fetch(ctx context.Context, address ids.Address, req FetchRequest) (FetchResponse, error)
 }
 
 // UpdateFunc returns the next value of a key. If it returns an error or a nil
--- a/control/state/voter/client.go
+++ b/control/state/voter/client.go
@@ -59,6 +59,9 @@
 
 // Fetch requests the slots that a controller holds.
 func (v *Voter) Fetch(ctx context.Context, address ids.Address, req register.FetchRequest) (register.FetchResponse, error) {
+	if address == v.options.Address {
+		return v.Acceptor.Fetch(req), nil
+	}
 	return transport.Send[register.FetchResponse](ctx, v.options.Transport, address, fetchMessage, req)
 }
 
