Calls: what is logged and kept of unknown calls is cut

Cause: callers' text went into a table, log lines and errors at its full length, as part of the request's own string.

Change: package excerpt copies the first bytes of such a text.

--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -10,6 +10,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"onyxwell/base/excerpt"
 )
 
 // Kind is an error kind. There are no others than the constants below.
@@ -174,12 +176,16 @@
 // Unwrap returns the error that was formatted with %w, nil if none was.
 func (e *Error) Unwrap() error { return e.cause }
 
+// maxDetailBytes is the length to which a detail is cut: details quote what callers
+// wrote, and are answered, logged and sent to other daemons.
+const maxDetailBytes = 2 << 10
+
 // Errorf returns an error of the kind, with a detail that is formatted as by
-// fmt.Errorf. An error in it formatted with %w is wrapped; the kind that counts
-// is the outer one.
+// fmt.Errorf and cut to maxDetailBytes. An error in it formatted with %w is wrapped;
+// the kind that counts is the outer one.
 func Errorf(kind Kind, format string, values ...any) error {
 	detail := fmt.Errorf(format, values...)
-	return &Error{Kind: kind, Detail: detail.Error(), cause: errors.Unwrap(detail)}
+	return &Error{Kind: kind, Detail: excerpt.Of(detail.Error(), maxDetailBytes), cause: errors.Unwrap(detail)}
 }
 
 // KindOf returns the kind of the outermost Error in err's chain: None if err is
--- a/base/errkind/errkind_test.go
+++ b/base/errkind/errkind_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -105,3 +106,16 @@
 		t.Errorf("%v does not wrap %v", err, cause)
 	}
 }
+
+// TestErrorf_cutsDetail guards against answers and log lines that quote a caller's text
+// of any length.
+func TestErrorf_cutsDetail(t *testing.T) {
+	cause := errors.New("disk full")
+	err := Errorf(UnknownZone, "%q: %w", strings.Repeat("z", 1<<20), cause)
+	if got := len(DetailOf(err)); got > maxDetailBytes+len("...") {
+		t.Errorf("the detail has %d bytes, at most %d are wanted", got, maxDetailBytes)
+	}
+	if KindOf(err) != UnknownZone || !errors.Is(err, cause) {
+		t.Errorf("kind %v, error %v: want the kind and the wrapped error kept", KindOf(err), errors.Unwrap(err))
+	}
+}
--- a/base/httpcall/unknown_test.go
+++ b/base/httpcall/unknown_test.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -33,3 +34,30 @@
 		t.Errorf("no %s in the metrics", want)
 	}
 }
+
+// TestMux_unknownCallsAreLoggedShort guards against calls that fill log and memory: paths
+// and methods of 900,000 letters were logged and kept whole.
+func TestMux_unknownCallsAreLoggedShort(t *testing.T) {
+	const maxLineBytes = 512
+	mux, text := NewMux(clock.NewFake(), 1<<10), &logtest.Buffer{}
+	mux.Log = scope.NewLogger("warn", text)
+	long := strings.Repeat("u", 900_000)
+	for number := range 2 * maxUnknownCalls {
+		req := httptest.NewRequest("GET", fmt.Sprintf("/%d%s/x", number, long), nil)
+		if number%2 == 1 {
+			req = httptest.NewRequest(fmt.Sprintf("M%d%s", number, long), "/books", nil)
+		}
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, req)
+		if recorder.Code != 404 || recorder.Body.Len() > 5000 {
+			t.Fatalf("status %d, %d bytes answered", recorder.Code, recorder.Body.Len())
+		}
+	}
+	kept := 0
+	for kind := range mux.unknown.logged {
+		kept += len(kind.method) + len(kind.element)
+	}
+	if limit := maxUnknownCalls * maxLineBytes; kept > limit || len(text.String()) > limit {
+		t.Errorf("%d bytes are kept and %d logged of %d calls, want at most %d", kept, len(text.String()), 2*maxUnknownCalls, limit)
+	}
+}
--- a/data/proxy/outcome.go
+++ b/data/proxy/outcome.go
@@ -7,6 +7,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/errkind"
+	"onyxwell/base/excerpt"
 	"onyxwell/data/upstream"
 )
 
@@ -61,7 +62,7 @@
 // suppressed since the last one.
 func (e *exchange) logFailure(outcome string, route string, duration time.Duration, suppressed int64) {
 	entry := e.proxy.log.Warn().Str("part", "request").Str("outcome", outcome).Str("route", route).
-		Str("attempt_id", e.req.Header.Get(upstream.AttemptIDHeader)).
+		Str("attempt_id", excerpt.Of(e.req.Header.Get(upstream.AttemptIDHeader), maxLoggedAttemptID)).
 		Dur("duration_ms", duration).Int("body_bytes", e.balancerRequest.BodyBytes).
 		Int64("in_flight", e.proxy.InFlight()).Int64("suppressed", suppressed)
 	if e.reason != "" {
@@ -80,6 +81,10 @@
 	entry.Msg("request failed")
 }
 
+// maxLoggedAttemptID is the length, in bytes, to which a client's attempt ID is cut in the
+// log.
+const maxLoggedAttemptID = 128
+
 // failureLinesPerSecond bounds the log lines for failed requests per outcome, so
 // that frequent failures of one kind don't suppress the lines of another.
 const failureLinesPerSecond = 2
