Counters: names of counters are copies

Callers saw: each new counter kept the whole request line that it was named in, for good: its name is a part of it.

Change: State copies the name of a new counter.

TestState_keepsNothingOfTheRequest failed before.

--- a/control/counter/state.go
+++ b/control/counter/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/big"
 	"slices"
+	"strings"
 )
 
 // State holds the records and totals of all counters on a controller. Merging is a union
@@ -147,9 +148,11 @@
 }
 
 // counterIndex returns the index of a counter by its name, and assigns one to a new counter.
+// It keeps a copy of the name, which may be a part of a whole request.
 func (s *State) counterIndex(name string) int32 {
 	index, ok := s.nameIndex[name]
 	if !ok {
+		name = strings.Clone(name)
 		index = int32(len(s.names))
 		s.names, s.totals = append(s.names, name), append(s.totals, big.Int{})
 		s.nameIndex[name] = index
--- a/control/counter/state_test.go
+++ b/control/counter/state_test.go
@@ -5,7 +5,9 @@
 	"math"
 	"math/big"
 	"slices"
+	"strings"
 	"testing"
+	"unsafe"
 
 	"pgregory.net/rapid"
 )
@@ -106,3 +108,27 @@
 		}
 	}
 }
+
+// TestState_keepsNothingOfTheRequest guards against counters that keep the request lines in
+// which their names came: a name of two letters may be a part of a whole request.
+func TestState_keepsNothingOfTheRequest(t *testing.T) {
+	request := "POST /tallies/t3?" + strings.Repeat("x", 1000)
+	name := request[len("POST /tallies/"):len("POST /tallies/t3")]
+	builder := batchBuilder{batch: Batch{Origin: 1, First: 1}}
+	builder.add(KeyOf(name, "id"), name, 1)
+	state := NewState()
+	state.Apply(builder.batch)
+	for _, kept := range state.names {
+		if unsafe.StringData(kept) == unsafe.StringData(name) {
+			t.Errorf("the name %q is a part of the request", kept)
+		}
+	}
+	for kept := range state.nameIndex {
+		if unsafe.StringData(kept) == unsafe.StringData(name) {
+			t.Errorf("the key %q is a part of the request", kept)
+		}
+	}
+	if got := state.Total("t3"); got.Int64() != 1 {
+		t.Errorf("total %v, want 1", got)
+	}
+}
