Admin: orders and adds keep only the fields that they need

Cause: bodies were bounded in bytes, up to a sixteenth of the memory each and a quarter together, but not once decoded: a table of all fields, and any value as the version, take ten to twenty times their bytes.

Change: objectFields decodes the named fields and skips the rest; a version is measured before it is decoded; bodies of all calls but changes of the configuration have at most 64 KiB (httpcall.HandleLimited), 413 above.

--- a/base/httpcall/mux.go
+++ b/base/httpcall/mux.go
@@ -52,6 +52,12 @@
 // handler serves a call whose body was read.
 type handler func(ctx context.Context, incoming Incoming) response.Response
 
+// registration is a handler with the largest body of its calls in bytes.
+type registration struct {
+	serve     handler
+	bodyLimit int64
+}
+
 // Mux dispatches calls to handlers by method and path. Handlers are registered
 // before it serves; it is safe for concurrent calls from then on.
 type Mux struct {
@@ -68,13 +74,13 @@
 	Metrics *telemetry.Metrics
 	// Log is told of calls without a handler. It may be nil.
 	Log      *log.Logger
-	handlers map[string]handler
+	handlers map[string]registration
 	unknown  unknownCalls
 }
 
 // NewMux returns a mux without handlers; see Mux for the arguments.
 func NewMux(source clock.Clock, bodyLimit int64) *Mux {
-	return &Mux{Clock: source, BodyLimit: bodyLimit, handlers: map[string]handler{}}
+	return &Mux{Clock: source, BodyLimit: bodyLimit, handlers: map[string]registration{}}
 }
 
 // Handle registers a handler for a method and a path. A path that ends with a
@@ -84,7 +90,16 @@
 	*Request
 	RequestReader
 }, Response Responder](mux *Mux, method string, path string, serve func(context.Context, Request) (Response, error)) {
-	mux.handlers[method+" "+path] = func(ctx context.Context, incoming Incoming) response.Response {
+	HandleLimited[Request, Pointer](mux, method, path, mux.BodyLimit, serve)
+}
+
+// HandleLimited is Handle for calls whose bodies have at most bodyLimit bytes, or BodyLimit
+// if that is less.
+func HandleLimited[Request any, Pointer interface {
+	*Request
+	RequestReader
+}, Response Responder](mux *Mux, method string, path string, bodyLimit int64, serve func(context.Context, Request) (Response, error)) {
+	handle := func(ctx context.Context, incoming Incoming) response.Response {
 		var req Request
 		if err := Pointer(&req).Decode(incoming); err != nil {
 			return mux.reject(incoming.Request, err)
@@ -95,30 +110,32 @@
 		}
 		return resp.Response()
 	}
+	mux.handlers[method+" "+path] = registration{serve: handle, bodyLimit: min(bodyLimit, mux.BodyLimit)}
 }
 
-// find returns the handler of a call, nil if there is none, and the tail of the
-// path.
-func (m *Mux) find(method string, path string) (serve handler, tail string) {
-	if serve := m.handlers[method+" "+path]; serve != nil {
-		return serve, ""
+// find returns the registration for a call and the tail of the path, or false if no
+// handler serves it.
+func (m *Mux) find(method string, path string) (found registration, tail string, ok bool) {
+	if found, ok := m.handlers[method+" "+path]; ok {
+		return found, "", true
 	}
 	prefix := strings.LastIndexByte(path, '/') + 1
-	return m.handlers[method+" "+path[:prefix]], path[prefix:]
+	found, ok = m.handlers[method+" "+path[:prefix]]
+	return found, path[prefix:], ok
 }
 
 // ServeHTTP reads the body of a call and answers it through its handler.
 func (m *Mux) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
 	path := req.URL.Path
-	serve, tail := m.find(req.Method, path)
-	if serve == nil {
+	found, tail, ok := m.find(req.Method, path)
+	if !ok {
 		m.reportUnknown(req)
 		m.reject(req, errkind.Errorf(errkind.UnknownCall, "%s %s", req.Method, path)).Send(writer)
 		return
 	}
 	buffer := m.Bodies.NewBody()
 	defer buffer.Release()
-	if err := m.readBody(writer, req, buffer); err != nil {
+	if err := m.readBody(writer, req, buffer, found.bodyLimit); err != nil {
 		m.reject(req, bodyError(err)).Send(writer)
 		return
 	}
@@ -131,7 +148,7 @@
 		}
 	}
 	start := m.Clock.Now()
-	resp := serve(req.Context(), Incoming{Request: req, Tail: tail, Body: body})
+	resp := found.serve(req.Context(), Incoming{Request: req, Tail: tail, Body: body})
 	m.Metrics.ObserveCall(req.Method+" "+path[:len(path)-len(tail)], strconv.Itoa(resp.Status), m.Clock.Now().Since(start))
 	resp.Send(writer)
 }
@@ -140,14 +157,14 @@
 // body: several times what the largest body takes on the slowest link.
 const bodyTimeout = 10 * time.Second
 
-// readBody reads a call's body into the buffer.
-func (m *Mux) readBody(writer http.ResponseWriter, req *http.Request, buffer *memquota.Body) error {
+// readBody reads a call's body of at most limit bytes into the buffer.
+func (m *Mux) readBody(writer http.ResponseWriter, req *http.Request, buffer *memquota.Body, limit int64) error {
 	if req.ContentLength == 0 {
 		return nil
 	}
 	response.SetReadTimeout(writer, bodyTimeout)
 	defer response.SetReadTimeout(writer, 0)
-	return buffer.Read(http.MaxBytesReader(writer, req.Body, m.BodyLimit), req.ContentLength, m.BodyLimit)
+	return buffer.Read(http.MaxBytesReader(writer, req.Body, limit), req.ContentLength, limit)
 }
 
 // reject answers a call whose handler does not run, and reports it to the gate.
--- a/control/admin/admin.go
+++ b/control/admin/admin.go
@@ -36,6 +36,9 @@
 	headroomPath = "/room"
 )
 
+// maxOrderBytes is the largest body of all calls but changes of the configuration.
+const maxOrderBytes = 64 << 10
+
 // Dispatcher routes commands to the owners of their keys.
 type Dispatcher interface {
 	// Dispatch executes a command and returns the register's value after it.
@@ -61,8 +64,8 @@
 	httpcall.Handle(calls, http.MethodPut, configPath, a.changeConfig)
 	httpcall.Handle(calls, http.MethodPatch, configPath, a.changeConfig)
 	httpcall.Handle(calls, http.MethodGet, configPath, a.readConfig)
-	httpcall.Handle(calls, http.MethodPost, zonePath, a.setZone)
-	httpcall.Handle(calls, http.MethodDelete, zonePath, a.setZone)
+	httpcall.HandleLimited(calls, http.MethodPost, zonePath, maxOrderBytes, a.setZone)
+	httpcall.HandleLimited(calls, http.MethodDelete, zonePath, maxOrderBytes, a.setZone)
 }
 
 // ServeHeadroom registers the handler that returns the newest headroom report received
--- a/control/admin/counters.go
+++ b/control/admin/counters.go
@@ -35,7 +35,7 @@
 // ServeCounters registers the handlers with which applications add to counters and read
 // them.
 func ServeCounters(calls *httpcall.Mux, counters Counters) {
-	httpcall.Handle(calls, http.MethodPost, counterPath, func(ctx context.Context, req CounterAddRequest) (EmptyResponse, error) {
+	httpcall.HandleLimited(calls, http.MethodPost, counterPath, maxOrderBytes, func(ctx context.Context, req CounterAddRequest) (EmptyResponse, error) {
 		return EmptyResponse{}, counters.Add(ctx, req.Counter, req.ID, req.Amount)
 	})
 	httpcall.Handle(calls, http.MethodGet, counterPath, func(_ context.Context, req CounterReadRequest) (CounterResponse, error) {
@@ -58,8 +58,8 @@
 	if c.Counter, err = counterName(incoming); err != nil {
 		return err
 	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(incoming.Body, &fields); err != nil || fields == nil {
+	fields, err := objectFields(incoming.Body, "id", "changed_by")
+	if err != nil {
 		return errkind.Errorf(errkind.BadRequest, "body: must be a JSON object")
 	}
 	var id *string
--- a/control/admin/parts.go
+++ b/control/admin/parts.go
@@ -16,7 +16,7 @@
 // ServeParts registers the handler that requests the hand-over of a part of the duties
 // to another controller.
 func ServeParts(calls *httpcall.Mux, handOver func(ctx context.Context, part duty.Part) error) {
-	httpcall.Handle(calls, http.MethodPost, partsPath, func(ctx context.Context, req HandOverRequest) (EmptyResponse, error) {
+	httpcall.HandleLimited(calls, http.MethodPost, partsPath, maxOrderBytes, func(ctx context.Context, req HandOverRequest) (EmptyResponse, error) {
 		return EmptyResponse{}, handOver(ctx, req.Part)
 	})
 }
--- a/control/admin/rollouts.go
+++ b/control/admin/rollouts.go
@@ -36,7 +36,7 @@
 
 // ServeRollouts registers the handlers for ordering rollouts and reading their state.
 func ServeRollouts(calls *httpcall.Mux, rollouts Rollouts) {
-	httpcall.Handle(calls, http.MethodPost, rolloutsPath, func(ctx context.Context, req RolloutRequest) (EmptyResponse, error) {
+	httpcall.HandleLimited(calls, http.MethodPost, rolloutsPath, maxOrderBytes, func(ctx context.Context, req RolloutRequest) (EmptyResponse, error) {
 		return EmptyResponse{}, rollouts.OrderRollout(ctx, req.Order)
 	})
 	httpcall.Handle(calls, http.MethodGet, rolloutPath, func(ctx context.Context, req RolloutReadRequest) (RolloutResponse, error) {
@@ -54,8 +54,8 @@
 
 // Decode reads the order from the body. Errors name the invalid field.
 func (r *RolloutRequest) Decode(incoming httpcall.Incoming) error {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(incoming.Body, &fields); err != nil || fields == nil {
+	fields, err := objectFields(incoming.Body, "service", "target_version", "over_s")
+	if err != nil {
 		return errkind.Errorf(errkind.InvalidOrder, "body: must be a JSON object")
 	}
 	var service string
@@ -78,9 +78,13 @@
 }
 
 // compactVersion checks a version, a JSON string or number, and returns it as compact
-// JSON, which is also the form in the list of runners.
+// JSON, which is also the form in the list of runners. The length is checked before the
+// text is decoded: a list would take many times its bytes.
 func compactVersion(text json.RawMessage) (string, error) {
 	invalid := errkind.Errorf(errkind.InvalidOrder, "target_version: must be a string or number of 1 to %d bytes", maxVersionLength)
+	if len(text) > maxVersionLength {
+		return "", invalid
+	}
 	var value any
 	if err := json.Unmarshal(text, &value); err != nil {
 		return "", invalid
