Configuration: validation ends at a list's first invalid element

Cause: the schema's items keyword reports an error for each invalid element; the errors and their text take a hundred times the bytes of the list.

What is valid stays so; of several invalid elements an operator is told the first of each list.

--- a/control/config/store/validate.go
+++ b/control/config/store/validate.go
@@ -22,7 +22,13 @@
 	if err != nil {
 		return nil, err
 	}
+	vocabulary, err := elementsVocabulary()
+	if err != nil {
+		return nil, err
+	}
 	compiler := jsonschema.NewCompiler()
+	compiler.RegisterVocabulary(vocabulary)
+	compiler.AssertVocabs()
 	if err := compiler.AddResource("spec.json", document); err != nil {
 		return nil, err
 	}
