Configuration: changes are bounded by what they take once decoded

Cause: a body is bounded in bytes, but a text of small values takes up to sixty times its bytes once it is decoded for validation.

Change: jsonsize.Decoded estimates that in one pass without allocating; a change, and the document that it results in, may take a third of the machine's memory, 413 above. Both the controller that is asked and the owner check it, since either may be of the build before.

TestApplyWith_boundsDecodedSize and TestServe_boundsDecodedChanges: with the check taken out the changes are accepted, or dispatched.

--- a/control/admin/admin.go
+++ b/control/admin/admin.go
@@ -51,6 +51,9 @@
 	Dispatcher Dispatcher
 	// Zones are the zones of the deployment, with their regions.
 	Zones map[ids.Zone]ids.Region
+	// MaxDecodedBytes is the most memory that a change of the configuration may take once
+	// it is decoded; 0 is no limit.
+	MaxDecodedBytes int64
 	// Metrics may be nil.
 	Metrics *telemetry.Metrics
 }
@@ -58,7 +61,7 @@
 // Serve registers the handlers for reading and changing the configuration and for
 // draining zones.
 func Serve(calls *httpcall.Mux, options Options) {
-	a := &api{log: options.Log, dispatcher: options.Dispatcher, zones: options.Zones}
+	a := &api{log: options.Log, dispatcher: options.Dispatcher, zones: options.Zones, maxDecodedBytes: options.MaxDecodedBytes}
 	options.Metrics.CounterFunc("unsupported_changes_total", "Acknowledged changes of the configuration with fields that no router acts on.", nil,
 		func() float64 { return float64(a.unsupportedChanges.Load()) })
 	httpcall.Handle(calls, http.MethodPut, configPath, a.changeConfig)
@@ -85,6 +88,8 @@
 	log        *log.Logger
 	dispatcher Dispatcher
 	zones      map[ids.Zone]ids.Region
+	// maxDecodedBytes is Options.MaxDecodedBytes.
+	maxDecodedBytes int64
 
 	unsupportedChanges atomic.Int64
 	mu                 sync.Mutex
@@ -94,6 +99,10 @@
 }
 
 func (a *api) changeConfig(ctx context.Context, req ConfigChangeRequest) (ConfigChangeResponse, error) {
+	// The owner of the configuration checks it too, but may be of an earlier build.
+	if err := store.CheckDecodedSize(req.Change.Body, a.maxDecodedBytes); err != nil {
+		return ConfigChangeResponse{}, err
+	}
 	if _, err := a.dispatcher.Dispatch(ctx, command.Command{Key: config.Key, Verb: command.VerbChange, Change: req.Change}); err != nil {
 		return ConfigChangeResponse{}, err
 	}
--- a/control/admin/fields_test.go
+++ b/control/admin/fields_test.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/httpcall"
+	"onyxwell/control/state/command"
 )
 
 // TestObjectFields_keepsOnlyNamed guards against bodies that take many times their bytes
@@ -83,3 +85,30 @@
 		t.Errorf("%v allocations for a list, want at most %d", allocations, maxAllocations)
 	}
 }
+
+// noDispatcher fails the test if a command reaches it.
+type noDispatcher struct{ t *testing.T }
+
+func (n noDispatcher) Dispatch(context.Context, command.Command) ([]byte, error) {
+	n.t.Error("a command was dispatched")
+	return nil, nil
+}
+
+// TestServe_boundsDecodedChanges guards against changes of the configuration that take many
+// times their bytes once they are decoded, at the controller that they are sent to.
+func TestServe_boundsDecodedChanges(t *testing.T) {
+	mux := httpcall.NewMux(clock.NewFake(), 1<<20)
+	Serve(mux, Options{Dispatcher: noDispatcher{t}, MaxDecodedBytes: 100_000})
+	for method, body := range map[string]string{
+		"PUT":   `{"config_version":6,"routes":[` + strings.Repeat("{},", 1000) + `{}]}`,
+		"PATCH": `{"config_version":6,"changes":{"x":[` + strings.Repeat("0,", 10_000) + `0]}}`,
+	} {
+		req := httptest.NewRequest(method, "/settings", strings.NewReader(body))
+		req.Header.Set("If-Match", "5")
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, req)
+		if recorder.Code != http.StatusRequestEntityTooLarge {
+			t.Errorf("%s: status %d, want 413", method, recorder.Code)
+		}
+	}
+}
--- a/control/config/store/change.go
+++ b/control/config/store/change.go
@@ -9,6 +9,7 @@
 	"onyxwell/base/compress"
 	"onyxwell/base/errkind"
 	"onyxwell/base/ids"
+	"onyxwell/base/jsonsize"
 	"onyxwell/control/config"
 	"onyxwell/control/transport"
 )
@@ -83,17 +84,36 @@
 // the current version is. A *VersionConflictError rejects the change, and an
 // *ArchivedError says which chunk shows whether it was applied. All other errors are of
 // kind InvalidConfig, BadRequest, OutcomeExpired or Internal.
-func (c Change) Apply(current []byte) ([]byte, error) { return c.apply(current, 0) }
+func (c Change) Apply(current []byte) ([]byte, error) { return c.apply(current, ApplyOptions{}) }
 
-// ApplyTruncating returns an update function like Apply that also removes old history
-// entries from the record. The first sealed changes of the whole history must be in
-// chunks that a majority has stored; only their entries are removed, unless the history
-// in the record exceeds its limit, see maxRecent.
-func (c Change) ApplyTruncating(sealed int64) func(current []byte) ([]byte, error) {
-	return func(current []byte) ([]byte, error) { return c.apply(current, sealed) }
+// ApplyOptions are the options of Change.ApplyWith.
+type ApplyOptions struct {
+	// SealedCount is the number of changes, the first ones of the whole history, that are in
+	// chunks that a majority has stored. Only their entries are removed from the record,
+	// unless the history in the record exceeds its limit, see maxRecent.
+	SealedCount int64
+	// MaxDecodedBytes is the most memory that a change, or the document that results from
+	// it, may take once it is decoded; 0 is no limit. See CheckDecodedSize.
+	MaxDecodedBytes int64
 }
 
-func (c Change) apply(current []byte, sealed int64) ([]byte, error) {
+// ApplyWith returns an update function like Apply that also removes old history entries
+// from the record, and rejects a change that takes too much memory with an error of kind
+// BodyTooLarge.
+func (c Change) ApplyWith(options ApplyOptions) func(current []byte) ([]byte, error) {
+	return func(current []byte) ([]byte, error) { return c.apply(current, options) }
+}
+
+// CheckDecodedSize returns an error of kind BodyTooLarge if a document or a patch takes
+// over limit bytes once it is decoded; a limit of 0 is none.
+func CheckDecodedSize(body []byte, limit int64) error {
+	if size := jsonsize.Decoded(body); limit > 0 && size > limit {
+		return errkind.Errorf(errkind.BodyTooLarge, "body: takes %d bytes of memory, at most %d are allowed", size, limit)
+	}
+	return nil
+}
+
+func (c Change) apply(current []byte, options ApplyOptions) ([]byte, error) {
 	record, err := Decode(current)
 	if err != nil {
 		return nil, transport.NewStoredValueError(config.Key, err)
@@ -105,26 +125,32 @@
 	if c.BaseVersion != record.Version {
 		return nil, record.History.lookup(c.BaseVersion, digest, record.Version)
 	}
-	document, version, err := c.nextDocument(record)
+	document, version, err := c.nextDocument(record, options.MaxDecodedBytes)
 	if err != nil {
 		return nil, err
 	}
 	record.Version = version
 	record.Document, record.Compressed = compress.Encode(document)
 	record.History.append(version-c.BaseVersion, digest)
-	record.History.truncate(sealed)
+	record.History.truncate(options.SealedCount)
 	return transport.Marshal(record)
 }
 
 // nextDocument returns the validated document that results from the change, and its
 // version.
-func (c Change) nextDocument(record Record) ([]byte, ids.Version, error) {
+func (c Change) nextDocument(record Record, maxDecodedBytes int64) ([]byte, ids.Version, error) {
+	if err := CheckDecodedSize(c.Body, maxDecodedBytes); err != nil {
+		return nil, 0, err
+	}
 	document := c.Body
 	if !c.Full {
 		var err error
 		if document, err = ApplyPatch(record.Document, c.Body); err != nil {
 			return nil, 0, err
 		}
+		if err := CheckDecodedSize(document, maxDecodedBytes); err != nil {
+			return nil, 0, err
+		}
 	}
 	cfg, err := Validate(document)
 	if err != nil {
--- a/control/config/store/change_log_test.go
+++ b/control/config/store/change_log_test.go
@@ -36,7 +36,7 @@
 // apply applies a change and fails the test if it was applied before.
 func (c *changeLog) apply(change Change) {
 	c.t.Helper()
-	next, err := change.ApplyTruncating(c.sealed)(c.value)
+	next, err := change.ApplyWith(ApplyOptions{SealedCount: c.sealed})(c.value)
 	if err != nil || next == nil {
 		c.t.Fatalf("change %d was not applied: %v", len(c.changes), err)
 	}
@@ -91,7 +91,7 @@
 // lookup sends a change again and returns the kind of its error, None if the change is
 // found to have been applied. It fails the test if the change is applied now.
 func (c *changeLog) lookup(change Change) errkind.Kind {
-	next, err := change.ApplyTruncating(c.sealed)(c.value)
+	next, err := change.ApplyWith(ApplyOptions{SealedCount: c.sealed})(c.value)
 	var archived *ArchivedError
 	if errors.As(err, &archived) {
 		err = archived.Resolve(c.chunks[archived.Key()])
--- a/control/config/store/change_test.go
+++ b/control/config/store/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -143,3 +144,41 @@
 		}
 	}
 }
+
+// TestApplyWith_boundsDecodedSize guards against changes that take many times their bytes
+// once they are decoded: whole documents, patches, and documents that patches make too
+// large together.
+func TestApplyWith_boundsDecodedSize(t *testing.T) {
+	const maxDecodedBytes = 50_000
+	options := ApplyOptions{MaxDecodedBytes: maxDecodedBytes}
+	current, err := Change{Full: true, Body: []byte(validConfig)}.ApplyWith(options)(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// list returns a list that takes nearly half of what is allowed.
+	list := func() string { return "[" + strings.Repeat("0,", maxDecodedBytes/2/110) + "0]" }
+	patch := func(version int, field string, values ...string) Change {
+		body := fmt.Sprintf(`{"config_version":%d,"changes":{"%s":[%s]}}`, version, field, strings.Join(values, ","))
+		return Change{BaseVersion: ids.Version(version - 1), Body: []byte(body)}
+	}
+	named := func(name string) string { return `{"name":"` + name + `","x":` + list() + `}` }
+	for _, c := range []struct {
+		name   string
+		change Change
+		want   errkind.Kind
+	}{
+		{"document", Change{Full: true, BaseVersion: 7, Body: []byte(strings.Replace(validConfig, `"extra":{"kept":1}`, `"extra":[`+list()+","+list()+","+list()+`]`, 1))}, errkind.BodyTooLarge},
+		{"patch", patch(8, "services", named("u"), named("v"), named("w")), errkind.BodyTooLarge},
+		{"patch within the limit", patch(8, "services", named("u")), errkind.None},
+		{"patch that makes the document too large", patch(9, "services", named("v")), errkind.BodyTooLarge},
+		{"patch that makes it smaller", Change{BaseVersion: 8, Body: []byte(`{"config_version":9,"remove":{"services":["u"]}}`)}, errkind.None},
+	} {
+		next, err := c.change.Compress().ApplyWith(options)(current)
+		if errkind.KindOf(err) != c.want {
+			t.Errorf("%s: error %v, want kind %v", c.name, err, c.want)
+		}
+		if err == nil {
+			current = next
+		}
+	}
+}
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -224,7 +224,7 @@
 		Clock: c.clock, Log: c.log,
 		Address: c.daemon.Address, Proposer: c.proposer, Acceptor: c.voter.Acceptor,
 		Membership: c.daemon.Membership, Updates: c.daemon.Updates, Transport: c.daemon.Transport, Quorum: c.quorum,
-		ForwardTimeout: c.timing.ForwardTimeout, CommandTimeout: c.timing.CommandTimeout,
+		ForwardTimeout: c.timing.ForwardTimeout, CommandTimeout: c.timing.CommandTimeout, MaxDecodedBytes: c.maxDecodedBytes(),
 	})
 	c.commands.RegisterHandlers(c.daemon.Calls)
 	c.quorum.RegisterHandlers(c.daemon.Calls)
--- a/control/controller/services.go
+++ b/control/controller/services.go
@@ -25,6 +25,9 @@
 	// adminBodyDivisor divides the memory limit to give the maximum size of the body
 	// of an admin call.
 	adminBodyDivisor = 16
+	// decodedConfigDivisor divides the memory limit to give the most memory that a
+	// configuration may take once it is decoded, beside its text and the one in force.
+	decodedConfigDivisor = 3
 	// lookupBodyLimit is the maximum size of the body of a directory lookup, in bytes.
 	lookupBodyLimit = 1 << 16
 	// pollsPerHeartbeat is the number of discovery intervals between two heartbeats
@@ -100,7 +103,7 @@
 // addAdminAPI adds the listener of the admin API.
 func (c *Controller) addAdminAPI() {
 	mux := c.newMux(c.settings.Limits.MemoryMB << 20 / adminBodyDivisor)
-	admin.Serve(mux, admin.Options{Log: c.log, Dispatcher: c.commands, Zones: c.settings.Zones, Metrics: c.daemon.Metrics})
+	admin.Serve(mux, admin.Options{Log: c.log, Dispatcher: c.commands, Zones: c.settings.Zones, MaxDecodedBytes: c.maxDecodedBytes(), Metrics: c.daemon.Metrics})
 	admin.ServeHeadroom(mux, c.daemon.Updates)
 	admin.ServeCounters(mux, c.counters)
 	admin.ServeParts(mux, c.handOverPart)
@@ -109,6 +112,12 @@
 	c.addListener("control", mux)
 }
 
+// maxDecodedBytes returns the most memory that a configuration, or a change of it, may take
+// once it is decoded.
+func (c *Controller) maxDecodedBytes() int64 {
+	return c.settings.Limits.MemoryMB << 20 / decodedConfigDivisor
+}
+
 // addDirectory adds the listener for the directory lookups of clients.
 func (c *Controller) addDirectory() {
 	mux := c.newMux(lookupBodyLimit)
--- a/control/state/command/dispatcher.go
+++ b/control/state/command/dispatcher.go
@@ -75,6 +75,9 @@
 	ForwardTimeout time.Duration
 	// CommandTimeout limits a command as a whole, with all its attempts.
 	CommandTimeout time.Duration
+	// MaxDecodedBytes is the most memory that a configuration, or a change of it, may take
+	// once it is decoded; 0 is no limit.
+	MaxDecodedBytes int64
 	// TakeoverBackoff returns the delay before a takeover, which is multiplied by
 	// the number of the attempt, up to maxBackoffFactor. By default it is random,
 	// up to ForwardTimeout/4.
@@ -251,7 +254,7 @@
 	case VerbRead:
 		return func([]byte) ([]byte, error) { return nil, nil }, nil
 	case VerbChange:
-		return cmd.Change.ApplyTruncating(d.chunks.sealedCount()), nil
+		return cmd.Change.ApplyWith(store.ApplyOptions{SealedCount: d.chunks.sealedCount(), MaxDecodedBytes: d.options.MaxDecodedBytes}), nil
 	case VerbDrain, VerbUndrain:
 		return evacuation.Update(cmd.Key, drainedByVerb[cmd.Verb], cmd.ZoneVersion), nil
 	case VerbEpoch:
