Router: the lines of a head are bounded, not only its bytes

Cause: headBudget reserves the bytes of a head from the memory quota; parsed, each line takes some 200 bytes more, which no bound counts.

To reserve the lines from the quota as well was tried first: floods of short lines then take the memory of small bodies, and requests of others are rejected for it.

TestHeadBudget_boundsLines failed before.

--- a/data/proxy/headbudget.go
+++ b/data/proxy/headbudget.go
@@ -11,6 +11,9 @@
 	// unreservedHeadBytes is the size up to which a head is not reserved from the quota,
 	// because the connection's buffers hold it.
 	unreservedHeadBytes = 4 << 10
+	// maxHeadLines bounds the lines of a head. Each takes some 200 bytes beside its text once
+	// it is parsed, which the memory quota does not count.
+	maxHeadLines = 1024
 	// headSlack is how many bytes a head may exceed the configured limit by before it is
 	// truncated, for white space that the limit does not count.
 	headSlack = 4 << 10
@@ -23,15 +26,16 @@
 // proxy, which rejects it.
 const headTerminator = "\r\n\r\n"
 
-// headBudget bounds the size of a request head while it is read: by the limit of the
-// current configuration and, together with all other heads and bodies, by the memory
-// quota. A head that exceeds either is truncated and read no further. Only the
+// headBudget bounds a request head while it is read: its size by the limit of the current
+// configuration and, together with all other heads and bodies, by the memory quota, and its
+// lines by maxHeadLines. A head that exceeds either is truncated and read no further. Only the
 // connection's reader may call beginHead, grow and readTerminator.
 type headBudget struct {
 	quota *memquota.Quota
 
-	// size is the number of bytes of the head read so far.
-	size int64
+	// size and lines are the numbers of bytes and lines of the head read so far.
+	size  int64
+	lines int64
 	// truncated reports whether a head exceeded a bound.
 	truncated bool
 	// terminatorRead reports whether headTerminator was passed to the reader.
@@ -46,22 +50,23 @@
 
 // beginHead resets the size and the reservation for the next head.
 func (h *headBudget) beginHead() {
-	h.size = 0
+	h.size, h.lines = 0, 0
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reserved.Release()
 	h.reserved = nil
 }
 
-// grow adds n bytes to a head that has not ended, and truncates it if it exceeds the
-// limit or the quota.
-func (h *headBudget) grow(n int, limit int64) {
+// grow adds n bytes and lines to a head. If it exceeds the limits or the quota, it is
+// truncated, or its request is rejected if it has ended.
+func (h *headBudget) grow(n int, lines int, limit int64) {
 	h.size += int64(n)
+	h.lines += int64(lines)
 	if limit <= 0 || limit > maxHeadBytes {
 		limit = maxHeadBytes
 	}
 	switch {
-	case h.size > limit+headSlack:
+	case h.size > limit+headSlack || h.lines > maxHeadLines:
 		h.truncate(errkind.HeaderTooLarge)
 	case h.size > unreservedHeadBytes && !h.reserve(h.size):
 		h.truncate(errkind.OutOfMemory)
--- a/data/proxy/headbudget_test.go
+++ b/data/proxy/headbudget_test.go
@@ -57,7 +57,7 @@
 		head := &headBudget{quota: quota}
 		heads = append(heads, head)
 		for head.size < 64<<10 && !head.truncated {
-			head.grow(1000, 0)
+			head.grow(1000, 0, 0)
 		}
 		if head.rejectionKind() == errkind.OutOfMemory {
 			rejected++
@@ -77,6 +77,54 @@
 	}
 }
 
+// TestHeadBudget_boundsLines guards against heads of many short lines, a hundred of which
+// took more than the memory of a router once they were parsed. It reads heads of some lines
+// in one read or in many; what follows an ended head is a body and does not count.
+func TestHeadBudget_boundsLines(t *testing.T) {
+	const requestLine, otherLines = "GET / HTTP/1.1\r\n", 2
+	for _, c := range []struct {
+		name  string
+		lines int
+		rest  string
+		want  errkind.Kind
+	}{
+		{"ordinary head with a body", 30, "\r\n" + strings.Repeat("body\r\n", 10*maxHeadLines), errkind.None},
+		{"as many lines as are allowed", maxHeadLines - otherLines, "\r\n", errkind.None},
+		{"one line more", maxHeadLines - otherLines + 1, "\r\n", errkind.HeaderTooLarge},
+		{"lines without an end", 200_000, "", errkind.HeaderTooLarge},
+	} {
+		text := requestLine + strings.Repeat("a:b\r\n", c.lines) + c.rest
+		for _, size := range []int{1000, len(text)} {
+			conn := &clientConn{Conn: &textConn{text: text}}
+			conn.head.quota = memquota.New(64<<20, nil)
+			conn.deadlines.limits = func() config.Limits { return config.Limits{MaxHeaderBytes: maxHeadBytes} }
+			conn.deadlines.enter(phaseReadingHead)
+			read := 0
+			for n, err := 1, error(nil); n > 0 && err == nil && !conn.head.truncated; read += n {
+				n, err = conn.Read(make([]byte, size))
+			}
+			if got := conn.head.rejectionKind(); got != c.want {
+				t.Errorf("%s, reads of %d bytes: rejected as %v, want %v", c.name, size, got, c.want)
+			}
+			if size == 1000 && read > 20_000 && c.want != errkind.None {
+				t.Errorf("%s: %d bytes were read", c.name, read)
+			}
+		}
+	}
+}
+
+// textConn is a connection that yields a text.
+type textConn struct {
+	net.Conn
+	text string
+}
+
+func (c *textConn) Read(buffer []byte) (int, error) {
+	n := copy(buffer, c.text)
+	c.text = c.text[n:]
+	return n, nil
+}
+
 // TestHeadBudget_resetsForNextHead reads several heads below the limit on one connection:
 // none may be truncated, although together they exceed the limit. One above the limit is
 // terminated once.
@@ -84,12 +132,12 @@
 	head := &headBudget{quota: memquota.New(1<<20, nil)}
 	for range 10 {
 		head.beginHead()
-		head.grow(10_000, 16_384)
+		head.grow(10_000, 40, 16_384)
 		if head.truncated {
 			t.Fatal("a head within the limit is truncated")
 		}
 	}
-	head.grow(20_000, 16_384)
+	head.grow(20_000, 0, 16_384)
 	buffer := make([]byte, 16)
 	if n := head.readTerminator(buffer); string(buffer[:n]) != headTerminator || head.rejectionKind() != errkind.HeaderTooLarge {
 		t.Errorf("truncated head is terminated by %q and rejected as %v", buffer[:n], head.rejectionKind())
--- a/data/proxy/listener.go
+++ b/data/proxy/listener.go
@@ -147,17 +147,26 @@
 			c.head.beginHead()
 		}
 		if !c.headEnded {
-			c.scanHead(p[:n])
+			lines := c.scanHead(p[:n])
 			// While a request is served, input after a response has begun, such as 100
 			// Continue, may be the request's body.
-			if !c.headEnded && !c.deadlines.serving() {
-				c.head.grow(n, c.deadlines.limits().MaxHeaderBytes)
+			if !c.deadlines.serving() {
+				c.growHead(n, lines)
 			}
 		}
 	}
 	return n, err
 }
 
+// growHead adds what was read to the budget of the head: n bytes if the head has not
+// ended, since the rest may be a body, and the lines in any case.
+func (c *clientConn) growHead(n int, lines int) {
+	if c.headEnded {
+		n = 0
+	}
+	c.head.grow(n, lines, c.deadlines.limits().MaxHeaderBytes)
+}
+
 // SetReadDeadline implements net.Conn. While no request is served, it replaces
 // net/http's deadline by that of the current limits.
 func (c *clientConn) SetReadDeadline(deadline time.Time) error {
@@ -197,15 +206,17 @@
 	}
 }
 
-// scanHead counts the fields in the next bytes of a head that frame the body.
-func (c *clientConn) scanHead(text []byte) {
+// scanHead counts the fields in the next bytes of a head that frame the body. It returns
+// the number of lines that ended in them.
+func (c *clientConn) scanHead(text []byte) (lines int) {
 	for len(text) > 0 && !c.headEnded {
 		part, rest, ended := bytes.Cut(text, []byte("\n"))
 		c.linePrefix = append(c.linePrefix, part[:min(len(part), maxFramingFieldLen-min(maxFramingFieldLen, len(c.linePrefix)))]...)
 		text = rest
 		if !ended {
-			return
+			return lines
 		}
+		lines++
 		line := strings.ToLower(string(c.linePrefix))
 		c.headEnded = strings.TrimRight(line, "\r") == ""
 		if strings.HasPrefix(line, "content-length:") {
@@ -216,6 +227,7 @@
 		}
 		c.linePrefix = c.linePrefix[:0]
 	}
+	return lines
 }
 
 // recordRequest counts a request whose head was read. It reports whether that head
