Router: a head that is too long gets 431, whatever its lines

Callers saw: 400 in place of 431 for heads of short lines past max_header_bytes (357 of 413 answers to a flood; all of them once lines are bounded).

Cause: a head is truncated where its budget ends, mostly within a line; where that is within a name, net/http can't parse it and answers 400 itself.

Change: it is truncated after the last whole line of what was read.

TestServer_answersTruncatedHeads failed before for lines of five bytes.

--- a/data/proxy/headbudget_test.go
+++ b/data/proxy/headbudget_test.go
@@ -113,6 +113,24 @@
 	}
 }
 
+// TestServer_answersTruncatedHeads guards against 400 in place of 431: a head was truncated
+// within a line, which net/http can't parse.
+func TestServer_answersTruncatedHeads(t *testing.T) {
+	p := newTestProxy(t, 0)
+	for _, line := range []string{"a:b\r\n", "a-name-of-some-length: and a value\r\n", "Cookie: " + strings.Repeat("x", 1500) + "\r\n"} {
+		conn := p.dial()
+		go func() {
+			fmt.Fprintf(conn, "GET /once/x HTTP/1.1\r\n%s%s", hostLine, badAttemptLine)
+			_, _ = conn.Write([]byte(strings.Repeat(line, 64<<10/len(line))))
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("lines of %d bytes: response %+v, error %v, want status 431", len(line), resp, err)
+		}
+		_ = conn.Close()
+	}
+}
+
 // textConn is a connection that yields a text.
 type textConn struct {
 	net.Conn
--- a/data/proxy/listener.go
+++ b/data/proxy/listener.go
@@ -153,6 +153,9 @@
 			if !c.deadlines.serving() {
 				c.growHead(n, lines)
 			}
+			if c.head.truncated && !c.headEnded {
+				n = wholeLines(p[:n])
+			}
 		}
 	}
 	return n, err
@@ -167,6 +170,16 @@
 	c.head.grow(n, lines, c.deadlines.limits().MaxHeaderBytes)
 }
 
+// wholeLines returns the length of the lines that end in a part of a head, or of the whole
+// part if none does. A head is truncated there, since net/http can't parse a line that
+// ends within its name.
+func wholeLines(part []byte) int {
+	if end := bytes.LastIndexByte(part, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(part)
+}
+
 // SetReadDeadline implements net.Conn. While no request is served, it replaces
 // net/http's deadline by that of the current limits.
 func (c *clientConn) SetReadDeadline(deadline time.Time) error {
