Registers: keys without a value don't fill the log for good

Cause: a key that was acquired and never got a value is a slot with a promise. A promise may not be forgotten, so a compaction kept each of them.

Change: an acceptor that starts with over 64 such slots drops them and keeps one promise above all of theirs, which holds for every key without a slot (promise-floor, stored as a slot: no form changes). Promises only rise, so what was promised stays so; an owner of such a key has to acquire it again.

--- a/control/state/register/acceptor.go
+++ b/control/state/register/acceptor.go
@@ -65,6 +65,11 @@
 // NewAcceptor restores an acceptor from the records of its store. Any error is a
 // *RecordError.
 func NewAcceptor(address ids.Address, records [][]byte) (*Acceptor, error) {
+	return newAcceptor(address, records, maxValuelessSlots)
+}
+
+// newAcceptor is NewAcceptor with another limit for slots without a proposal.
+func newAcceptor(address ids.Address, records [][]byte, maxValueless int) (*Acceptor, error) {
 	a := &Acceptor{address: address, slots: map[string]Slot{}, durable: map[string]Slot{}}
 	for index, body := range records {
 		stored, err := transport.Unmarshal[record](body)
@@ -79,6 +84,7 @@
 		a.slots[key] = mergeSlots(a.slots[key], stored.Slot)
 		a.durable[key] = a.slots[key]
 	}
+	a.dropValueless(maxValueless)
 	a.refreshVoters()
 	return a, nil
 }
@@ -309,8 +315,13 @@
 
 // The methods below are called with mu held.
 
+// slotOf returns the state of a key. A key without a slot has the promise of FloorKey, but
+// for VotersKey, whose slot is never dropped.
 func (a *Acceptor) slotOf(key string) Slot {
-	slot := a.slots[key]
+	slot, ok := a.slots[key]
+	if !ok && key != VotersKey {
+		slot.Promised = a.slots[FloorKey].Promised
+	}
 	slot.Key = key
 	return slot
 }
--- a/control/state/register/cluster_test.go
+++ b/control/state/register/cluster_test.go
@@ -83,7 +83,7 @@
 
 // restart starts a new process of the node on the node's disk.
 func (c *cluster) restart(n *node) {
-	acceptor, err := NewAcceptor(n.address, n.disk.records)
+	acceptor, err := newAcceptor(n.address, n.disk.records, 0)
 	if err != nil {
 		c.t.Fatalf("the records of node %s can't be decoded: %v", n.address, err)
 	}
--- a/control/state/register/persist.go
+++ b/control/state/register/persist.go
@@ -10,7 +10,7 @@
 	store := a.store
 	var unsaved []Slot
 	for _, key := range keys {
-		if slot := a.slotOf(key); !equalSlots(slot, a.durable[key]) {
+		if slot, ok := a.slots[key]; ok && !equalSlots(slot, a.durable[key]) {
 			unsaved = append(unsaved, slot)
 		}
 	}
--- a/control/state/register/safety_test.go
+++ b/control/state/register/safety_test.go
@@ -74,3 +74,27 @@
 		}
 	})
 }
+
+// TestProposer_staleOwnerIsSupersededAfterRestarts has two nodes own a key that has no value
+// yet, one after the other, and a majority of the voters restart, which drops their slots of
+// the key. The former owner must not get an update acknowledged that the later one, which
+// still owns the key, does not see.
+func TestProposer_staleOwnerIsSupersededAfterRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newFaultFreeCluster(t, 1)
+		former, later := c.nodes[2], c.nodes[3]
+		c.join(later) // It learns who votes; there is no place for it.
+		if !c.update(former, true) || !c.update(later, true) {
+			t.Fatal("a read without any fault failed")
+		}
+		for _, voter := range c.nodes[:2] {
+			c.restart(voter)
+			if slot, ok := voter.acceptor.slots["spec"]; ok {
+				t.Fatalf("node %s keeps %+v", voter.address, slot)
+			}
+		}
+		c.update(former, false)
+		c.update(later, false)
+		c.requireServing("after the restarts")
+	})
+}
