Commands: one start of what needs a majority; one decoding of a stored configuration

Dispatch, Update and the read of rollouts each set the deadline and asked for a majority; the read of the configuration and the check of a rollout's service each told that none is stored, in different words. No behaviour changes but for those words.

--- a/base/httpcall/client.go
+++ b/base/httpcall/client.go
@@ -68,7 +68,7 @@
 }
 
 // Do sends a request to the address and decodes the response. The error is the
-// transport's, or that of the response's Hear. Redirects follow the client's
+// transport's, or that of the response's Decode. Redirects follow the client's
 // policy; nothing is retried.
 func Do[Response any, Pointer interface {
 	*Response
--- a/control/admin/admin.go
+++ b/control/admin/admin.go
@@ -133,10 +133,7 @@
 	if err != nil {
 		return ConfigResponse{}, err
 	}
-	record, err := store.Decode(value)
-	if err == nil && record.Version == 0 {
-		err = errkind.Errorf(errkind.NotReady, "no configuration has been stored yet")
-	}
+	record, err := store.DecodeExisting(value)
 	return ConfigResponse{Document: record.Document}, err
 }
 
--- a/control/config/store/record.go
+++ b/control/config/store/record.go
@@ -13,6 +13,7 @@
 
 import (
 	"onyxwell/base/compress"
+	"onyxwell/base/errkind"
 	"onyxwell/base/ids"
 	"onyxwell/control/transport"
 )
@@ -42,6 +43,16 @@
 	return record, err
 }
 
+// DecodeExisting is Decode for a configuration that must exist: the error is of kind
+// NotReady if none has been stored yet.
+func DecodeExisting(value []byte) (Record, error) {
+	record, err := Decode(value)
+	if err == nil && record.Version == 0 {
+		err = errkind.Errorf(errkind.NotReady, "no configuration has been stored yet")
+	}
+	return record, err
+}
+
 // DecodeCompressed decodes the register's value but does not decompress its document,
 // which gossip carries as it is stored. An empty value yields the zero Record.
 func DecodeCompressed(value []byte) (Record, error) {
--- a/control/controller/rollouts.go
+++ b/control/controller/rollouts.go
@@ -154,13 +154,10 @@
 	if err != nil {
 		return err
 	}
-	record, err := store.Decode(value)
+	record, err := store.DecodeExisting(value)
 	if err != nil {
 		return err
 	}
-	if record.Version == 0 {
-		return errkind.Errorf(errkind.NotReady, "no spec was taken yet")
-	}
 	parsed, err := config.Parse(record.Document)
 	if err != nil {
 		return err
--- a/control/state/command/dispatcher.go
+++ b/control/state/command/dispatcher.go
@@ -122,9 +122,7 @@
 // effect if the zone is already in the requested state, but acts again if the zone
 // was toggled back in between. Each VerbEpoch that is executed increments the epoch.
 func (d *Dispatcher) Dispatch(ctx context.Context, cmd Command) ([]byte, error) {
-	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
-	defer cancel()
-	ctx, release, err := d.options.Quorum.WithQuorum(ctx)
+	ctx, release, err := d.withQuorum(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -132,6 +130,19 @@
 	return d.dispatchOnce(ctx, cmd)
 }
 
+// withQuorum returns a context that ends after CommandTimeout, or when contact with a
+// majority of the voters is lost, and fails if there is none now. Unless it fails, the
+// caller must call release.
+func (d *Dispatcher) withQuorum(ctx context.Context) (limited context.Context, release func(), err error) {
+	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
+	ctx, end, err := d.options.Quorum.WithQuorum(ctx)
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	return ctx, func() { end(); cancel() }, nil
+}
+
 // HandleForwarded executes a command that another controller forwarded, if this
 // controller owns the key. A command from a controller without a vote is dispatched
 // instead.
--- a/control/state/command/rollout.go
+++ b/control/state/command/rollout.go
@@ -72,9 +72,7 @@
 	if d.options.Acceptor.Slot(key).Accepted.Sequence > 0 {
 		return true, nil
 	}
-	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
-	defer cancel()
-	ctx, release, err := d.options.Quorum.WithQuorum(ctx)
+	ctx, release, err := d.withQuorum(ctx)
 	if err != nil {
 		return false, err
 	}
--- a/control/state/command/update.go
+++ b/control/state/command/update.go
@@ -12,9 +12,7 @@
 // OrderRollout writes too. After an error of kind errkind.NoQuorum the update may or may
 // not take effect.
 func (d *Dispatcher) Update(ctx context.Context, key string, update register.UpdateFunc) ([]byte, error) {
-	ctx, cancel := d.options.Clock.WithTimeout(ctx, d.options.CommandTimeout)
-	defer cancel()
-	ctx, release, err := d.options.Quorum.WithQuorum(ctx)
+	ctx, release, err := d.withQuorum(ctx)
 	if err != nil {
 		return nil, err
 	}
