Balancer: tracked prefixes keep nothing of their requests

Change: a prefix is tracked by its 64-bit hash.

TestPrefixTracker_keepsNothingOfTheRequest failed before with a million bytes kept of a hundred prefixes, at most 3,200 are wanted.

--- a/data/balancer/affinity.go
+++ b/data/balancer/affinity.go
@@ -153,22 +153,33 @@
 	return len(req.PromptParts) >= minChainedParts && b.prefixes.observe(req.PromptParts[0], req.PartTokens)
 }
 
+// prefixHash stands for a prefix where it outlives its request: the text is a client's, of
+// any length, and a part of a header.
+type prefixHash uint64
+
+func hashPrefix(prefix string) prefixHash {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(prefix))
+	return prefixHash(hash.Sum64())
+}
+
 // prefixTracker tracks the recent work, in tokens, of each first prompt part. It is safe
 // for concurrent use, and its zero value is ready to use.
 type prefixTracker struct {
 	mu     sync.Mutex
-	tokens map[string]float64
+	tokens map[prefixHash]float64
 	// total is the number of tokens and count the number of prompts of all prefixes.
 	total float64
 	count float64
 }
 
 // observe records a prompt and reports whether its prefix is rare.
-func (p *prefixTracker) observe(prefix string, tokens float64) bool {
+func (p *prefixTracker) observe(text string, tokens float64) bool {
+	prefix := hashPrefix(text)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tokens == nil {
-		p.tokens = map[string]float64{}
+		p.tokens = map[prefixHash]float64{}
 	}
 	if _, ok := p.tokens[prefix]; ok || len(p.tokens) < maxPrefixes {
 		p.tokens[prefix] += tokens
--- a/data/balancer/affinity_test.go
+++ b/data/balancer/affinity_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"onyxwell/base/ids"
@@ -93,3 +94,20 @@
 		t.Fatal("whether a prefix is rare does not depend on its share of the work")
 	}
 }
+
+// TestPrefixTracker_keepsNothingOfTheRequest guards against prefixes of prompts that keep
+// the headers that they came in, up to 4,096 of them: what is kept of each has a fixed size.
+func TestPrefixTracker_keepsNothingOfTheRequest(t *testing.T) {
+	const prompts, maxKeptBytes = 100, 32
+	var tracker prefixTracker
+	for number := range prompts {
+		tracker.observe(fmt.Sprint(number)+strings.Repeat("p", 10_000), 1)
+	}
+	kept := 0
+	for prefix := range tracker.tokens {
+		kept += len(fmt.Sprint(prefix))
+	}
+	if len(tracker.tokens) != prompts || kept > prompts*maxKeptBytes {
+		t.Errorf("%d bytes are kept of %d prefixes, want at most %d of %d", kept, len(tracker.tokens), prompts*maxKeptBytes, prompts)
+	}
+}
