Balancer: a prompt has at most 1,024 parts

Change: the header is read part by part, the first 1,024 are kept, and the tokens of all count as before.

--- a/data/balancer/affinity_test.go
+++ b/data/balancer/affinity_test.go
@@ -111,3 +111,17 @@
 		t.Errorf("%d bytes are kept of %d prefixes, want at most %d of %d", kept, len(tracker.tokens), prompts*maxKeptBytes, prompts)
 	}
 }
+
+// TestParsePromptParts_boundsParts guards against headers of many commas, which took some
+// forty times their bytes: a bounded number of parts is kept, and all of their tokens count.
+func TestParsePromptParts_boundsParts(t *testing.T) {
+	const parts = 100_000
+	var req Request
+	req.ParsePromptParts(strings.Repeat("a:1,", parts) + "b:2")
+	if got := cap(req.PromptParts); got > 2048 {
+		t.Errorf("there is room for %d parts, want at most 2,048", got)
+	}
+	if req.PartTokens != parts+2 || req.SharedTokens != parts {
+		t.Errorf("%v tokens, %v of them shared, want %d and %d", req.PartTokens, req.SharedTokens, parts+2, parts)
+	}
+}
--- a/data/balancer/request.go
+++ b/data/balancer/request.go
@@ -18,7 +18,7 @@
 	Route *config.Route
 	// Tenant is the tenant that sent the request, or nil if unknown.
 	Tenant *config.Tenant
-	// PromptParts holds the ids of the prompt's parts. The last part is specific to
+	// PromptParts holds the ids of the prompt's first maxPromptParts parts. The last part is specific to
 	// the request; the parts before it are shared with other prompts.
 	PromptParts []string
 	// PartTokens is the number of tokens of all parts, SharedTokens that of the shared
@@ -39,6 +39,9 @@
 	Deadline       clock.Instant
 }
 
+// maxPromptParts is how many parts of a prompt are kept; the tokens of all parts count.
+const maxPromptParts = 1024
+
 // ParsePromptParts sets the prompt parts and their token counts from a list of
 // id:tokens pairs such as "5c1e07a2:800,e4402b7d:250". A malformed count is read as 0.
 func (r *Request) ParsePromptParts(text string) {
@@ -46,10 +49,12 @@
 		return
 	}
 	ownTokens := 0.0
-	for _, part := range strings.Split(text, ",") {
+	for part := range strings.SplitSeq(text, ",") {
 		id, count, _ := strings.Cut(strings.TrimSpace(part), ":")
 		ownTokens, _ = strconv.ParseFloat(count, 64)
-		r.PromptParts = append(r.PromptParts, id)
+		if len(r.PromptParts) < maxPromptParts {
+			r.PromptParts = append(r.PromptParts, id)
+		}
 		r.PartTokens += ownTokens
 	}
 	r.SharedTokens = r.PartTokens - ownTokens
