--- /dev/null
+++ b/review/standin2/takeback.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// takeBack evacuates a zone and takes that back, under load. With trouble, the zone's
+// runners turn cold shortly before. The rule is FAILBACK.
+func takeBack(out record, trouble bool) (bool, error) {
+	const evacuated, perS = 2, 240.0
+	c, err := newCluster()
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	runners, err := c.startModel(60 * time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	if err := c.start(); err != nil {
+		return false, err
+	}
+	routes := []route{{Name: "address-check", Host: hostname, Prefix: "/check/", Type: "unsafe", GiveUp: 3000, Goal: 1000, Urgency: 1, Service: modelService, Tries: 1}}
+	if err := c.order("PUT", "/settings", "0", configuration(1, routes)); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second)
+	load := &clients{path: "/check/1", routers: c.routersOf(evacuated), perS: perS}
+	load.start()
+	time.Sleep(4 * time.Second)
+	zone := zones[evacuated].name
+	if err := c.order("POST", "/empty/"+zone, "", nil); err != nil {
+		return false, err
+	}
+	out.line("POST /empty/%s acknowledged", zone)
+	time.Sleep(8 * time.Second)
+	if trouble {
+		for _, r := range runners {
+			if r.zone == zone {
+				r.turnCold()
+			}
+		}
+		out.line("the runners of %s are cold now, for %v; the list shows it in %v", zone, warmup, listLag)
+		time.Sleep(300 * time.Millisecond)
+	}
+	if err := c.order("DELETE", "/empty/"+zone, "", nil); err != nil {
+		return false, err
+	}
+	out.line("DELETE /empty/%s acknowledged", zone)
+	time.Sleep(5 * time.Second)
+	load.stop()
+	return judgeColdRunners(out, runners, load), nil
+}
+
+// startModel starts the runners of all zones and the platform that lists them.
+func (c *cluster) startModel(work time.Duration) ([]*runner, error) {
+	var runners []*runner
+	for zone, spec := range zones {
+		for number := range spec.runners {
+			r, err := startRunner(fmt.Sprintf("i-%s-%d", spec.name, number), spec.name, fmt.Sprintf("%s:%d", c.address(zone, 200+number), runnerPort), work)
+			if err != nil {
+				return nil, err
+			}
+			runners = append(runners, r)
+		}
+	}
+	_, err := startPlatform(fmt.Sprintf("%s:%d", c.address(-1, 79), platformPort), func() []listedRunner {
+		var listed []listedRunner
+		for _, r := range runners {
+			listed = append(listed, r.listed())
+		}
+		return listed
+	})
+	return runners, err
+}
+
+// judgeColdRunners reports whether a cold runner got more requests in a second than the
+// rule FAILBACK allows, and records what ran there and what was lost.
+func judgeColdRunners(out record, runners []*runner, load *clients) bool {
+	limit := coldPerS*coldExcess + coldSlack
+	sent := map[string]*request{}
+	statuses := map[string]int{}
+	for _, r := range load.requests {
+		sent[r.id] = r
+		if r.err != nil {
+			statuses["no complete answer"]++
+		} else {
+			statuses[fmt.Sprint(r.status)]++
+		}
+	}
+	out.line("%d requests sent; answers: %v", len(load.requests), statuses)
+	broken := false
+	for _, r := range runners {
+		r.mu.Lock()
+		most, total := mostInASecond(r.arrivals, sent)
+		out.line("runner %s: %d requests ran, %d of them while it was cold, at most %d in a second (limit %.1f)", r.id, len(r.arrivals), total, most, limit)
+		if !r.fellAt.IsZero() {
+			out.line("runner %s fell over at %.3f", r.id, r.fellAt.Sub(began).Seconds())
+		}
+		for _, a := range r.arrivals {
+			if a.lost && sent[a.id] != nil {
+				out.line("request %s ran on %s as it fell over: the client got status %d, error %v", a.id, r.id, sent[a.id].status, sent[a.id].err)
+			}
+		}
+		broken = broken || float64(most) > limit
+		r.mu.Unlock()
+	}
+	out.line("rule broken: %v", broken)
+	return broken
+}
+
+// mostInASecond returns the most requests that a cold runner got in a second, counting those
+// that were sent and arrived within it, and how many it got in all.
+func mostInASecond(arrivals []*arrival, sent map[string]*request) (most int, total int) {
+	var cold []*arrival
+	for _, a := range arrivals {
+		if a.cold && sent[a.id] != nil {
+			cold = append(cold, a)
+		}
+	}
+	sort.Slice(cold, func(left, right int) bool { return cold[left].at.Before(cold[right].at) })
+	for first := range cold {
+		count := 0
+		start := sent[cold[first].id].sentAt
+		for _, a := range cold {
+			if !sent[a.id].sentAt.Before(start) && a.at.Sub(start) < time.Second && !a.at.Before(start) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most, len(cold)
+}
