--- a/review/standin2/giveup.go
+++ b/review/standin2/giveup.go
@@ -111,6 +111,11 @@
 		}
 		r.mu.Unlock()
 	}
+	reached := map[string]int{}
+	for _, id := range ran {
+		reached[id]++
+	}
+	out.line("requests that reached each runner: %v", reached)
 	unanswered, late := 0, 0
 	for _, u := range sent {
 		if u.answered > giveUp || u.err != nil {
--- a/review/standin2/takeback.go
+++ b/review/standin2/takeback.go
@@ -100,6 +100,10 @@
 			out.line("runner %s fell over at %.3f", r.id, r.fellAt.Sub(began).Seconds())
 		}
 		for _, a := range r.arrivals {
+			if a.cold && sent[a.id] != nil {
+				out.line("request %s: sent at %.3f, arrived at %s, which was cold, at %.3f; status %d, error %v",
+					a.id, sent[a.id].sentAt.Sub(began).Seconds(), r.id, a.at.Sub(began).Seconds(), sent[a.id].status, sent[a.id].err)
+			}
 			if a.lost && sent[a.id] != nil {
 				out.line("request %s ran on %s as it fell over: the client got status %d, error %v", a.id, r.id, sent[a.id].status, sent[a.id].err)
 			}
