--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -23,6 +23,8 @@
 
 // clients send requests at a steady rate to a zone's routers.
 type clients struct {
+	// name is the beginning of the ids of the requests.
+	name    string
 	path    string
 	routers []string
 	perS    float64
@@ -63,7 +65,7 @@
 	for sequence := 0; !c.stopped.Load(); sequence++ {
 		time.Sleep(time.Until(next))
 		next = next.Add(pause)
-		r := &request{id: fmt.Sprintf("c%d-%d", number, sequence)}
+		r := &request{id: fmt.Sprintf("%s%d-%d", c.name, number, sequence)}
 		c.mu.Lock()
 		c.requests = append(c.requests, r)
 		c.mu.Unlock()
--- a/review/standin2/streams.go
+++ b/review/standin2/streams.go
@@ -99,7 +99,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	router := c.routers[0]
-	load := &clients{path: "/check/1", routers: c.routersOf(0)[:1], perS: 10}
+	load := &clients{name: "c", path: "/check/1", routers: c.routersOf(0)[:1], perS: 10}
 	boot := filepath.Join(router.folder, "boot.toml")
 	text, err := os.ReadFile(boot)
 	if err != nil {
--- a/review/standin2/takeback.go
+++ b/review/standin2/takeback.go
@@ -6,10 +6,17 @@
 	"time"
 )
 
-// takeBack evacuates a zone and takes that back, under load. With trouble, the zone's
+// Load of the zone's clients: the site's own, and what a burst (2.5 times) and the shift of
+// 0.54 of the clients of both other zones add to it for up to 7.2 s.
+const (
+	usualPerS = 46.5
+	surgePerS = usualPerS*2.5*(1+2*0.54) - usualPerS
+)
+
+// takeBack evacuates a zone and takes that back, in a surge of load. With trouble, the zone's
 // runners turn cold shortly before. The rule is FAILBACK.
 func takeBack(out record, trouble bool) (bool, error) {
-	const evacuated, perS = 2, 240.0
+	const evacuated = 2
 	c, err := newCluster()
 	if err != nil {
 		return false, err
@@ -27,15 +34,19 @@
 		return false, err
 	}
 	time.Sleep(8 * time.Second)
-	load := &clients{path: "/check/1", routers: c.routersOf(evacuated), perS: perS}
-	load.start()
+	usual := &clients{name: "c", path: "/check/1", routers: c.routersOf(evacuated), perS: usualPerS}
+	surge := &clients{name: "s", path: "/check/1", routers: c.routersOf(evacuated), perS: surgePerS}
+	usual.start()
 	time.Sleep(4 * time.Second)
 	zone := zones[evacuated].name
 	if err := c.order("POST", "/empty/"+zone, "", nil); err != nil {
 		return false, err
 	}
 	out.line("POST /empty/%s acknowledged", zone)
-	time.Sleep(8 * time.Second)
+	time.Sleep(7 * time.Second)
+	surge.start()
+	out.line("the surge begins")
+	time.Sleep(time.Second)
 	if trouble {
 		for _, r := range runners {
 			if r.zone == zone {
@@ -50,8 +61,10 @@
 	}
 	out.line("DELETE /empty/%s acknowledged", zone)
 	time.Sleep(5 * time.Second)
-	load.stop()
-	return judgeColdRunners(out, runners, load), nil
+	surge.stop()
+	usual.stop()
+	out.line("the surge is over")
+	return judgeColdRunners(out, runners, append(usual.requests, surge.requests...)), nil
 }
 
 // startModel starts the runners of all zones and the platform that lists them.
@@ -78,11 +91,11 @@
 
 // judgeColdRunners reports whether a cold runner got more requests in a second than the
 // rule FAILBACK allows, and records what ran there and what was lost.
-func judgeColdRunners(out record, runners []*runner, load *clients) bool {
+func judgeColdRunners(out record, runners []*runner, requests []*request) bool {
 	limit := coldPerS*coldExcess + coldSlack
 	sent := map[string]*request{}
 	statuses := map[string]int{}
-	for _, r := range load.requests {
+	for _, r := range requests {
 		sent[r.id] = r
 		if r.err != nil {
 			statuses["no complete answer"]++
@@ -90,7 +103,7 @@
 			statuses[fmt.Sprint(r.status)]++
 		}
 	}
-	out.line("%d requests sent; answers: %v", len(load.requests), statuses)
+	out.line("%d requests sent; answers: %v", len(requests), statuses)
 	broken := false
 	for _, r := range runners {
 		r.mu.Lock()
