Upstream: event ids may rise by any step

Cause: EventReader demanded that each id be the last one plus 1. Where another runner resumes a stream, and in checkEventOrder, the same was demanded, and ids had to fit 64 bits.

Change: EventSequence holds the ids of one response over all of its runs and accepts each that rises, as a number of any size, written on as the runner wrote it. At a resumption, where framing no longer shows a missing event, a stream that had at least two equal steps may not go on further than by this step; that is no sign against the runner (Outcome Unusable), so it isn't suspected.

TestStream_abortsUnresumable's 'gap in the ids' and TestStream_ignoresAbandonedRunner used a gap as a broken stream: now an id that goes back, and one that repeats. The check of the invariant event-order is asked directly, with equal, falling and rising ids. On TestStream_idsRiseByAnyStep (by seven, irregular, over 2^52), TestStream_resumesAtAnyHigherID (all five) and TestStream_gapAtResumptionIsNoSuspicion fail; now all pass.

--- a/data/balancer/admission.go
+++ b/data/balancer/admission.go
@@ -155,5 +155,5 @@
 	// A retry is not a sample of the new version, so it goes to the old arm.
 	a.arm = canary.Old
 	a.mayHaveRun = a.mayHaveRun || outcome != upstream.Rejected
-	a.garbled = outcome == upstream.InvalidResponse
+	a.garbled = outcome == upstream.InvalidResponse || outcome == upstream.Unusable
 }
--- a/data/proxy/attempt.go
+++ b/data/proxy/attempt.go
@@ -98,7 +98,7 @@
 		stats.ObserveCompletion(e.completionTotals(a, ended.Duration))
 	}
 	late := e.clientGone || e.req.Context().Err() != nil || !now.Before(e.deadline)
-	ended.RunnerFailed = !ended.Completed && runnerFailed(result, late, ended, e.route.LatencyTarget())
+	ended.RunnerFailed = !ended.Completed && outcome != upstream.Unusable && runnerFailed(result, late, ended, e.route.LatencyTarget())
 	stats.RequestEnded(a.runner.ID, ended, now)
 	e.observeVersion(a, result, ended, now)
 }
@@ -235,12 +235,12 @@
 	}
 }
 
-// checkEventOrder counts a violation if the id of the event just forwarded does
-// not follow that of the previous one. An event without an id leaves the last id
-// unchanged.
-func (e *exchange) checkEventOrder(events *upstream.EventReader) {
-	if e.hasLastEventID && events.HasLastID && events.LastID != e.lastEventID && events.LastID != e.lastEventID+1 {
-		e.proxy.monitor.Violated(invariant.EventOrder, "attempt %s gets event %d after %d", e.upstreamRequest.AttemptID, events.LastID, e.lastEventID)
+// checkEventOrder counts a violation if the last id after an event was forwarded is
+// lower than that before it. An event without an id leaves the last id unchanged.
+func (e *exchange) checkEventOrder(previous upstream.EventID, last upstream.EventID) {
+	unchanged := previous.String() == last.String()
+	if previous.IsSet() && !unchanged && !last.After(previous) {
+		e.proxy.monitor.Violated(invariant.EventOrder, "attempt %s gets event %s after %s", e.upstreamRequest.AttemptID, last, previous)
 	}
 }
 
--- a/data/proxy/exchange.go
+++ b/data/proxy/exchange.go
@@ -51,10 +51,9 @@
 	// rejected reports whether an error response of this router was sent.
 	rejected       bool
 	upstreamStatus int
-	// lastEventID is the id of the last event forwarded, or, before any is, the
+	// events is the sequence of the events forwarded. Before any is, its last id is the
 	// Last-Event-ID of a client that resumes a stream.
-	lastEventID    int64
-	hasLastEventID bool
+	events upstream.EventSequence
 	// clientGone reports whether a write to the client failed.
 	clientGone bool
 
@@ -123,10 +122,7 @@
 	}
 	e.setDeadline()
 	e.setRequests(body)
-	if value := e.req.Header.Get(upstream.LastEventIDHeader); value != "" {
-		e.lastEventID, err = strconv.ParseInt(value, 10, 64)
-		e.hasLastEventID = err == nil
-	}
+	e.events = upstream.ResumedAfter(upstream.ParseEventID(e.req.Header.Get(upstream.LastEventIDHeader)))
 	return nil
 }
 
@@ -237,7 +233,7 @@
 // attempt sends the request to a runner and relays its response. It reports
 // whether the exchange is over.
 func (e *exchange) attempt(ctx context.Context, admission *balancer.Admission, runner *snapshot.Runner) (done bool) {
-	if e.headerSent && !e.hasLastEventID {
+	if e.headerSent && !e.events.Last().IsSet() {
 		// What was forwarded had no event ids, so no runner can resume after it.
 		e.abort()
 	}
@@ -271,7 +267,7 @@
 // statistics.
 func (e *exchange) startAttempt(admission *balancer.Admission, runner *snapshot.Runner, startedAt clock.Instant) attempt {
 	a := attempt{
-		admission: admission, runner: runner, arm: admission.Arm(), startedAt: startedAt, number: e.proxy.attemptSeq.Add(1), resumes: e.hasLastEventID,
+		admission: admission, runner: runner, arm: admission.Arm(), startedAt: startedAt, number: e.proxy.attemptSeq.Add(1), resumes: e.events.Last().IsSet(),
 		request: upstream.Attempt{
 			Request: e.upstreamRequest, RunnerID: runner.ID, Address: runner.Address,
 			TimeLeft: e.deadline.Since(startedAt), Priority: e.balancerRequest.Priority(),
@@ -279,7 +275,7 @@
 		},
 	}
 	if a.resumes {
-		a.request.LastEventID = strconv.FormatInt(e.lastEventID, 10)
+		a.request.LastEventID = e.events.Last().String()
 	}
 	e.checkAttempt(runner, a.request.TimeLeft, startedAt)
 	e.proxy.stats.RequestSent(runner.ID, runnerstats.SentRequest{
--- a/data/proxy/relay.go
+++ b/data/proxy/relay.go
@@ -75,13 +75,10 @@
 // relayEvents forwards complete events as they arrive. If the stream breaks off,
 // the next attempt resumes after the last event forwarded.
 func (e *exchange) relayEvents(resp *http.Response) (outcome upstream.Outcome, done bool) {
-	resumeAfter := ""
-	if e.hasLastEventID {
-		resumeAfter = resp.Request.Header.Get(upstream.LastEventIDHeader)
-	}
-	events := upstream.NewEventReader(resp.Body, resumeAfter)
+	events := upstream.NewEventReader(resp.Body, &e.events)
 	flusher := http.NewResponseController(e.w)
 	for {
+		previousID := e.events.Last()
 		event, readErr := events.Next()
 		end := errors.Is(readErr, io.EOF)
 		if readErr != nil && !end {
@@ -100,8 +97,7 @@
 		if err != nil {
 			return e.endResponse(err)
 		}
-		e.checkEventOrder(events)
-		e.lastEventID, e.hasLastEventID = events.LastID, events.HasLastID
+		e.checkEventOrder(previousID, e.events.Last())
 	}
 }
 
@@ -121,8 +117,11 @@
 // outcomeOfReadError returns the outcome of an attempt whose event stream could
 // not be read further.
 func outcomeOfReadError(err error) upstream.Outcome {
-	if errors.Is(err, upstream.ErrEventOrder) {
+	switch {
+	case errors.Is(err, upstream.ErrEventOrder):
 		return upstream.InvalidResponse
+	case errors.Is(err, upstream.ErrEventGap):
+		return upstream.Unusable
 	}
 	return upstream.Indeterminate
 }
--- a/data/upstream/eventreader.go
+++ b/data/upstream/eventreader.go
@@ -5,38 +5,33 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 )
 
-// ErrEventOrder is returned if the event ids of a stream do not increase by one or
-// stop being numeric, if an event has more than one id, or if it has no lines.
-var ErrEventOrder = errors.New("upstream: the event ids do not increase by one, or an event is malformed")
-
 // maxEventBytes limits the size of an event.
 const maxEventBytes = 4 << 20
 
 var errEventTooLarge = errors.New("upstream: an event exceeds its size limit")
 
 // EventReader reads a stream of server-sent events, one complete event at a
-// time, and checks that their ids increase by one. It is not safe for concurrent use.
+// time, and checks that their ids rise. It is not safe for concurrent use.
 type EventReader struct {
-	reader *bufio.Reader
-	event  []byte
-	// LastID is the id of the last event that had one. It is valid if HasLastID is
-	// true.
-	LastID    int64
-	HasLastID bool
+	reader   *bufio.Reader
+	sequence *EventSequence
+	event    []byte
+	fields   eventFields
 }
 
-// NewEventReader returns a reader of a stream that continues after the event with
-// the id lastEventID. If that is empty or not numeric, the stream may begin with any
-// id.
-func NewEventReader(body io.Reader, lastEventID string) *EventReader {
-	events := &EventReader{reader: bufio.NewReaderSize(body, readBufferSize)}
-	if id, err := strconv.ParseInt(lastEventID, 10, 64); err == nil {
-		events.LastID, events.HasLastID = id, true
-	}
-	return events
+// eventFields is what is known of the event that is being read.
+type eventFields struct {
+	lines int
+	id    EventID
+}
+
+// NewEventReader returns a reader of a run's stream, which continues a sequence. If the
+// sequence has no id yet, the stream may begin with any id.
+func NewEventReader(body io.Reader, sequence *EventSequence) *EventReader {
+	sequence.beginRun()
+	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize), sequence: sequence}
 }
 
 // Next returns the bytes of the next complete event, valid until the next call.
@@ -44,8 +39,7 @@
 // event. With any other error the bytes are those of an incomplete or invalid event,
 // which must not be forwarded. A truncated event yields io.ErrUnexpectedEOF.
 func (e *EventReader) Next() ([]byte, error) {
-	e.event = e.event[:0]
-	id, hasID := int64(0), false
+	e.event, e.fields = e.event[:0], eventFields{}
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.event = append(e.event, line...)
@@ -62,31 +56,39 @@
 			return e.event, err
 		}
 		field := bytes.TrimRight(line, "\r\n")
-		if len(field) == 0 {
-			if len(bytes.Trim(e.event, "\r\n")) == 0 {
-				// A blank line where an event should begin indicates wrong framing.
-				return e.event, ErrEventOrder
+		if len(field) > 0 {
+			if err := e.readField(field); err != nil {
+				return e.event, err
 			}
-			return e.event, e.advance(id, hasID)
+			continue
 		}
-		if value, ok := bytes.CutPrefix(field, []byte("id:")); ok {
-			parsed, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil && e.HasLastID || hasID {
-				return e.event, ErrEventOrder
-			}
-			id, hasID = parsed, err == nil
+		if e.fields.lines == 0 {
+			// A blank line where an event should begin indicates wrong framing.
+			return e.event, ErrEventOrder
 		}
+		return e.event, e.endEvent()
 	}
 }
 
-// advance checks the id of a complete event against the last id and records it.
-func (e *EventReader) advance(id int64, hasID bool) error {
-	if !hasID {
+// readField reads a line of an event, without its end.
+func (e *EventReader) readField(field []byte) error {
+	e.fields.lines++
+	value, isID := bytes.CutPrefix(field, []byte("id:"))
+	if !isID {
 		return nil
 	}
-	if e.HasLastID && id != e.LastID+1 {
+	id := ParseEventID(string(bytes.TrimSpace(value)))
+	if e.fields.id.IsSet() || (!id.IsSet() && e.sequence.Last().IsSet()) {
 		return ErrEventOrder
 	}
-	e.LastID, e.HasLastID = id, true
+	e.fields.id = id
+	return nil
+}
+
+// endEvent adds a complete event to the sequence.
+func (e *EventReader) endEvent() error {
+	if e.fields.id.IsSet() {
+		return e.sequence.appendNumbered(e.fields.id)
+	}
 	return nil
 }
--- a/data/upstream/outcome.go
+++ b/data/upstream/outcome.go
@@ -24,9 +24,14 @@
 	// InvalidResponse: the request may have been executed, but what was received is
 	// not a valid response to it.
 	InvalidResponse
+	// Unusable: the request was executed, and this router can't forward the response,
+	// or its rest, although the runner may have done nothing wrong.
+	Unusable
 )
 
-var outcomeNames = [...]string{Unsent: "unsent", Rejected: "refused", Answered: "answered", Indeterminate: "doubtful", InvalidResponse: "garbled"}
+var outcomeNames = [...]string{
+	Unsent: "unsent", Rejected: "refused", Answered: "answered", Indeterminate: "doubtful", InvalidResponse: "garbled", Unusable: "unusable",
+}
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/data/upstreamtest/step.go
+++ b/data/upstreamtest/step.go
@@ -45,10 +45,19 @@
 // last. Unless complete is true, the connection is closed after the last event,
 // without the final chunk.
 func EventStream(seal string, first int, last int, complete bool) Step {
+	var events []int
+	for id := first; id <= last; id++ {
+		events = append(events, id)
+	}
+	return NumberedEventStream(seal, events, complete)
+}
+
+// NumberedEventStream returns a step like EventStream, with the given ids.
+func NumberedEventStream(seal string, eventIDs []int, complete bool) Step {
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 200 OK\r\nOnyxwell-Attempt-Id: {id}\r\nOnyxwell-Server-Seal: " + seal +
 		"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for id := first; id <= last; id++ {
+	for _, id := range eventIDs {
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
 		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(event), event)
 	}
