Emulator: runners number their events in several ways

Now each attempt has one of five numberings: by one, by seven, from 5,000, by irregular steps, and beyond 64 bits; the judge compares the events of the same numbering.

--- a/emulator/client/request.go
+++ b/emulator/client/request.go
@@ -101,7 +101,7 @@
 	text.WriteString(r.head(r.Record.Fingerprint.Method, r.target()))
 	fmt.Fprintf(&text, "Onyxwell-Model: m\r\n%s: 150,20\r\n%s: %s\r\n", upstream.TokenCountHeader, upstream.PromptPrefixHeader, r.promptPrefix)
 	if r.Record.LastEventID > 0 {
-		fmt.Fprintf(&text, "%s: %d\r\n", upstream.LastEventIDHeader, r.Record.LastEventID)
+		fmt.Fprintf(&text, "%s: %s\r\n", upstream.LastEventIDHeader, piece.EventID(r.Record.Attempt, r.Record.LastEventID))
 	}
 	if r.expectContinue && r.body != "" {
 		text.WriteString("Expect: 100-continue\r\n")
--- a/emulator/experiment/regression_test.go
+++ b/emulator/experiment/regression_test.go
@@ -83,3 +83,15 @@
 		t.Fatal(reportText(report))
 	}
 }
+
+// TestRun_idsRiseByAnyStep guards against a router that cuts streams whose ids rise by more
+// than one: without faults, every request but those of strangers is served.
+func TestRun_idsRiseByAnyStep(t *testing.T) {
+	t.Parallel()
+	options := smallOptions(3, runner.FaultRates{})
+	options.ClientTimeout = 200 * time.Second
+	report := runExperiment(t, options)
+	if got := report.Outcomes(); len(report.Violations) > 0 || got["200"]+got["left"]+got["401"] != 400 {
+		t.Fatal(reportText(report))
+	}
+}
--- a/emulator/oracle/checker.go
+++ b/emulator/oracle/checker.go
@@ -48,8 +48,8 @@
 	// Tenant holds the key that the request carries; a Stranger's key is no tenant's.
 	Tenant   string
 	Stranger bool
-	// LastEventID is the id of the last event that the client has, 0 if it has
-	// none.
+	// LastEventID is the number of the last event that the client has, counted from 1,
+	// 0 if it has none. The id of that event is piece.EventID.
 	LastEventID int
 	// MayBeOutOfContact says that all that is wrong with the request is its route, and that its
 	// router may be cut off: that may answer that a newer configuration may have the route.
@@ -72,7 +72,7 @@
 	Rejected bool
 	// Status is what the runner answered, or would have.
 	Status int
-	// LastEventID is the event after which the run began.
+	// LastEventID is the number of the event after which the run began.
 	LastEventID int
 	// DeclaredLength is the Content-Length of a response where that is shorter
 	// than the body, otherwise 0.
--- a/emulator/piece/payload.go
+++ b/emulator/piece/payload.go
@@ -70,5 +70,5 @@
 
 // Event returns an event of a streamed response, as its bytes go over the wire.
 func (s Source) Event(number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, s.Line(number))
+	return fmt.Sprintf("id: %s\ndata: %s\n\n", EventID(s.Attempt, number), s.Line(number))
 }
--- a/emulator/runner/request.go
+++ b/emulator/runner/request.go
@@ -44,13 +44,10 @@
 	return &inboundRequest{http: httpReq, attemptID: attemptID, draw: r.drawFaults(attemptID)}
 }
 
-// lastEventID returns the event after which the client resumes, 0 for the start.
+// lastEventID returns the number of the event after which the client resumes, 0 for the
+// start.
 func (i *inboundRequest) lastEventID() int {
-	number, err := strconv.Atoi(i.http.Header.Get(upstream.LastEventIDHeader))
-	if err != nil {
-		return 0
-	}
-	return number
+	return piece.EventNumber(i.attemptID, i.http.Header.Get(upstream.LastEventIDHeader))
 }
 
 // streams reports whether the request is answered with a stream of events, which
--- a/emulator/runner/runner_test.go
+++ b/emulator/runner/runner_test.go
@@ -92,7 +92,7 @@
 		notRun bool
 	}{
 		{"plain", postRequest("/safe/1", id, "Onyxwell-Target-Server: i-1", "Onyxwell-Expected-Version: 3"), 200, source.Body(), false},
-		{"resumed stream", postRequest("/resumable/1", id, "Last-Event-Id: 1"), 200, events, false},
+		{"resumed stream", postRequest("/resumable/1", id, "Last-Event-Id: "+piece.EventID("a1", 1)), 200, events, false},
 		{"another's", postRequest("/safe/1", id, "Onyxwell-Target-Server: i-2"), 421, "", true},
 		{"another version", postRequest("/safe/1", id, "Onyxwell-Expected-Version: 2"), 421, "", true},
 		{"no attempt", postRequest("/safe/1"), 400, "", true},
