Upstream: a part of a long line is no line of an event

Cause: EventReader read a line that is longer than its buffer in parts and took the last part for a whole line. A data line of exactly the buffer's size ended its event, so that an incomplete event was relayed, and at a break there a part of it would come twice; a part that begins with 'id:' was taken for the event's id, and the stream was cut and the runner suspected.

--- a/data/upstream/eventreader.go
+++ b/data/upstream/eventreader.go
@@ -41,14 +41,7 @@
 func (e *EventReader) Next() ([]byte, error) {
 	e.event, e.fields = e.event[:0], eventFields{}
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.event = append(e.event, line...)
-		if len(e.event) > maxEventBytes {
-			return e.event, errEventTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
+		line, err := e.readLine()
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.event)) > 0 {
 				err = io.ErrUnexpectedEOF
@@ -70,6 +63,22 @@
 	}
 }
 
+// readLine appends the next line to the event and returns it. On an error, the bytes of
+// an incomplete line have been appended.
+func (e *EventReader) readLine() ([]byte, error) {
+	start := len(e.event)
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		e.event = append(e.event, part...)
+		if len(e.event) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return e.event[start:], err
+		}
+	}
+}
+
 // readField reads a line of an event, without its end.
 func (e *EventReader) readField(field []byte) error {
 	e.fields.lines++
--- a/data/upstream/eventreader_test.go
+++ b/data/upstream/eventreader_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// TestEventReader_linesLongerThanBuffer guards against a part of a long line that is taken
+// for a line: a blank one, or one with an id.
+func TestEventReader_linesLongerThanBuffer(t *testing.T) {
+	for _, rest := range []string{"", "id: 1", "id: x"} {
+		longLine := "data: " + strings.Repeat("x", readBufferSize-len("data: ")) + rest
+		text := longLine + "\nid: 7\ndata: a\n\nid: 8\n\n"
+		events, err := readEvents(newReaderAfter("6", text))
+		if !errors.Is(err, io.EOF) || len(events) != 2 || strings.Join(events, "") != text {
+			t.Errorf("after %q: got %d events and error %v, want 2", rest, len(events), err)
+		}
+	}
+}
+
 func TestEventReader_truncatedEvent(t *testing.T) {
 	events, err := readEvents(NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), &EventSequence{}))
 	if len(events) != 1 || !errors.Is(err, io.ErrUnexpectedEOF) {
