Upstream: blank and comment lines between events are no fault

Cause: EventReader took a blank line where an event should begin for wrong framing, cut the stream and had the runner suspected, and took a comment line at the end of a complete stream for a truncated event.

Change: blank lines belong to the event that follows; a comment line between events is relayed at once. What the old check was for, a chunk that is longer than its declared size, leaves a blank line and then the size of the next chunk, which has no colon: that is still an error, and nothing of it is relayed (case 'chunk size between events' in place of 'event without lines', whose reading text/event-stream contradicts; TestRun_badChunkFraming).

TestEventReader_linesBetweenEvents: seven cases, of which six failed before.

--- a/data/upstream/eventreader.go
+++ b/data/upstream/eventreader.go
@@ -23,8 +23,12 @@
 
 // eventFields is what is known of the event that is being read.
 type eventFields struct {
-	lines int
-	id    EventID
+	// lines is the number of lines that are not blank. afterBlank reports whether blank
+	// lines precede them, and named whether any of them is a field.
+	lines      int
+	afterBlank bool
+	named      bool
+	id         EventID
 }
 
 // NewEventReader returns a reader of a run's stream, which continues a sequence. If the
@@ -34,35 +38,49 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize), sequence: sequence}
 }
 
-// Next returns the bytes of the next complete event, valid until the next call.
-// At the end of the stream it returns io.EOF, with the blank bytes after the last
-// event. With any other error the bytes are those of an incomplete or invalid event,
+// Next returns the bytes of the next complete event, valid until the next call. Blank
+// lines between two events belong to the second. After the first event, a comment line
+// between two events is returned on its own, so that it can be forwarded at once.
+// At the end of the stream it returns io.EOF, with the blank and comment lines after the
+// last event. With any other error the bytes are those of an incomplete or invalid event,
 // which must not be forwarded. A truncated event yields io.ErrUnexpectedEOF.
 func (e *EventReader) Next() ([]byte, error) {
 	e.event, e.fields = e.event[:0], eventFields{}
 	for {
 		line, err := e.readLine()
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.event)) > 0 {
+			if errors.Is(err, io.EOF) && e.isTruncated(line) {
 				err = io.ErrUnexpectedEOF
 			}
 			return e.event, err
 		}
 		field := bytes.TrimRight(line, "\r\n")
-		if len(field) > 0 {
+		switch {
+		case len(field) == 0 && e.fields.lines > 0:
+			return e.event, e.endEvent()
+		case len(field) == 0:
+			e.fields.afterBlank = true
+		case isComment(field):
+			if e.fields.lines == 0 && e.sequence.Last().IsSet() {
+				return e.event, nil
+			}
+			e.fields.lines++
+		default:
 			if err := e.readField(field); err != nil {
 				return e.event, err
 			}
-			continue
-		}
-		if e.fields.lines == 0 {
-			// A blank line where an event should begin indicates wrong framing.
-			return e.event, ErrEventOrder
 		}
-		return e.event, e.endEvent()
 	}
 }
 
+// isTruncated reports whether the stream ends within an event. rest is an incomplete
+// last line.
+func (e *EventReader) isTruncated(rest []byte) bool {
+	return e.fields.named || (len(bytes.TrimSpace(rest)) > 0 && !isComment(rest))
+}
+
+func isComment(line []byte) bool { return line[0] == ':' }
+
 // readLine appends the next line to the event and returns it. On an error, the bytes of
 // an incomplete line have been appended.
 func (e *EventReader) readLine() ([]byte, error) {
@@ -81,7 +99,12 @@
 
 // readField reads a line of an event, without its end.
 func (e *EventReader) readField(field []byte) error {
-	e.fields.lines++
+	if !e.fields.named && e.fields.afterBlank && !bytes.Contains(field, []byte(":")) {
+		// A chunk that is longer than its declared size leaves a blank line and the size
+		// of the next chunk between two events.
+		return ErrEventOrder
+	}
+	e.fields.lines, e.fields.named = e.fields.lines+1, true
 	value, isID := bytes.CutPrefix(field, []byte("id:"))
 	if !isID {
 		return nil
