Proxy: a stream that breaks off after data without an id is not resumed

Cause: a resumption continues after the last id. If data without an id had been relayed since, the next runner made it again and the client got it twice (ORDER).

Now such a stream is cut, as one that has no ids at all.

--- a/data/proxy/exchange.go
+++ b/data/proxy/exchange.go
@@ -233,8 +233,8 @@
 // attempt sends the request to a runner and relays its response. It reports
 // whether the exchange is over.
 func (e *exchange) attempt(ctx context.Context, admission *balancer.Admission, runner *snapshot.Runner) (done bool) {
-	if e.headerSent && !e.events.Last().IsSet() {
-		// What was forwarded had no event ids, so no runner can resume after it.
+	if e.headerSent && !e.events.Resumable() {
+		// What was forwarded last had no event id, so no runner can resume after it.
 		e.abort()
 	}
 	startedAt := e.proxy.clock.Now()
--- a/data/upstream/eventreader.go
+++ b/data/upstream/eventreader.go
@@ -28,6 +28,7 @@
 	lines      int
 	afterBlank bool
 	named      bool
+	hasData    bool
 	id         EventID
 }
 
@@ -105,6 +106,9 @@
 		return ErrEventOrder
 	}
 	e.fields.lines, e.fields.named = e.fields.lines+1, true
+	if bytes.HasPrefix(field, []byte("data")) {
+		e.fields.hasData = true
+	}
 	value, isID := bytes.CutPrefix(field, []byte("id:"))
 	if !isID {
 		return nil
@@ -122,5 +126,8 @@
 	if e.fields.id.IsSet() {
 		return e.sequence.appendNumbered(e.fields.id)
 	}
+	if e.fields.hasData {
+		e.sequence.appendUnnumbered()
+	}
 	return nil
 }
--- a/data/upstream/eventsequence.go
+++ b/data/upstream/eventsequence.go
@@ -60,6 +60,8 @@
 // for concurrent use.
 type EventSequence struct {
 	last EventID
+	// unnumbered reports whether data without an id follows the last id.
+	unnumbered bool
 	// step is the difference between the first two ids, and steps the number of
 	// differences equal to it. irregular reports whether there was another one.
 	step      *big.Int
@@ -76,6 +78,10 @@
 // Last returns the id of the last event that had one. It may be unset.
 func (s *EventSequence) Last() EventID { return s.last }
 
+// Resumable reports whether another run can continue after the last id without repeating
+// data.
+func (s *EventSequence) Resumable() bool { return s.last.IsSet() && !s.unnumbered }
+
 // beginRun prepares for the events of a run.
 func (s *EventSequence) beginRun() { s.resumed = s.last.IsSet() }
 
@@ -92,10 +98,13 @@
 		}
 		s.recordStep(step)
 	}
-	s.last, s.resumed = id, false
+	s.last, s.unnumbered, s.resumed = id, false, false
 	return nil
 }
 
+// appendUnnumbered adds data without an id.
+func (s *EventSequence) appendUnnumbered() { s.unnumbered = true }
+
 // exceedsFixedStep reports whether a step is greater than all earlier ones, which were
 // equal. The last event of a stream may be shorter than the others, so that a smaller
 // step is no sign of a gap.
