Router: runners of a zone taken back are asked whether they are warm

Cause: the end of an evacuation only cleared the zone's mark. Whether a runner is cold was learnt from the list alone, which lags by max_lag_ms and the time until it is polled, published and gossiped.

A check that is rejected for lack of a slot, or answered by another runner, proves nothing and is repeated. Every update that ends an evacuation counts, also if this router never saw it begin. All runners of the router's own region are checked, 8 of each service in a zone of another one, whose routers don't use them before.

--- a/data/router/health.go
+++ b/data/router/health.go
@@ -32,13 +32,20 @@
 	runnerID   ids.RunnerID // empty if the response does not contain it
 	warmupLeft time.Duration
 	unhealthy  bool
+	// rejected reports that the runner was full and did not run the check.
+	rejected bool
+}
+
+// provesWarmupOf reports whether warmupLeft is the remaining warm-up time of a runner.
+func (h healthReport) provesWarmupOf(id ids.RunnerID) bool {
+	return h.runnerID == id && !h.unhealthy && !h.rejected
 }
 
 // Decode decodes the response. A runner that rejected the check only because it is full
 // counts as healthy.
 func (h *healthReport) Decode(resp httpcall.RawResponse) error {
-	full := resp.Status == http.StatusServiceUnavailable && resp.Header.Get(response.NotRunHeader) != ""
-	h.unhealthy = resp.Status != http.StatusOK && !full
+	h.rejected = resp.Status == http.StatusServiceUnavailable && resp.Header.Get(response.NotRunHeader) != ""
+	h.unhealthy = resp.Status != http.StatusOK && !h.rejected
 	h.runnerID = ids.RunnerID(resp.Header.Get(upstream.RunnerIDHeader))
 	if ms, err := strconv.ParseFloat(resp.Header.Get(upstream.WarmupHeader), 64); err == nil {
 		h.warmupLeft = settings.Milliseconds(ms)
--- a/data/router/health_test.go
+++ b/data/router/health_test.go
@@ -12,6 +12,7 @@
 	"onyxwell/base/clock"
 	"onyxwell/base/httpcall"
 	"onyxwell/base/ids"
+	"onyxwell/base/settings"
 	"onyxwell/control/daemon"
 	"onyxwell/control/discovery"
 	"onyxwell/control/gossip"
@@ -30,20 +31,36 @@
 // clock. It has no proxy and sends nothing to other daemons.
 func newRouter(t *testing.T, runners ...discovery.Runner) (*Router, *clock.Fake) {
 	t.Helper()
+	r, fakeClock := newEmptyRouter()
+	r.snapshots.Apply(gossip.Item{Key: "spec", Version: 1, Body: []byte(configDocument)})
+	r.publishRunners(t, 1, runners...)
+	return r, fakeClock
+}
+
+// newEmptyRouter returns a router without a configuration and without runners, whose
+// process was restarted.
+func newEmptyRouter() (*Router, *clock.Fake) {
 	fakeClock := clock.NewFake()
 	r := &Router{
-		clock: fakeClock, timing: daemon.Timing{ConnectTimeout: time.Second},
-		stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64),
+		clock: fakeClock, timing: daemon.Timing{ConnectTimeout: time.Second}, settings: &settings.Settings{Region: "north"},
+		stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64), checksDue: make(chan struct{}, 1),
 	}
 	r.daemon = &daemon.Daemon{Membership: membership.NewTable(fakeClock, membership.Member{Address: "self", Role: Role, Region: "north"})}
-	r.snapshots = snapshot.NewStore(snapshot.Options{Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}, TracksVersions: true})
-	r.snapshots.Apply(gossip.Item{Key: "spec", Version: 1, Body: []byte(configDocument)})
+	r.snapshots = snapshot.NewStore(snapshot.Options{
+		Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}, TracksVersions: true,
+		OnConfig: r.updateWarmups, OnRunners: r.updateRunners, OnZoneRestored: r.zoneRestored,
+	})
+	return r, fakeClock
+}
+
+// publishRunners gossips a list of runners to a router.
+func (r *Router) publishRunners(t *testing.T, version ids.Version, runners ...discovery.Runner) {
+	t.Helper()
 	body, err := transport.Marshal(discovery.List{Runners: runners})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.snapshots.Apply(gossip.Item{Key: discovery.ZoneKey("all"), Version: 1, Body: body})
-	return r, fakeClock
+	r.snapshots.Apply(gossip.Item{Key: discovery.ZoneKey("all"), Version: version, Body: body})
 }
 
 func TestReachesAllServices_everyRoutedService(t *testing.T) {
--- a/data/router/router.go
+++ b/data/router/router.go
@@ -52,6 +52,8 @@
 	snapshots *snapshot.Store
 	stats     *runnerstats.Collector
 	slowStart *slowstart.Tracker
+	// checksDue is signaled when runners have become unverified.
+	checksDue chan struct{}
 	lostZones lostZoneTracker
 	readIndex *readindex.Gate
 	proxy     *proxy.Proxy
@@ -80,11 +82,12 @@
 	monitor := &invariant.Monitor{Log: top.Log}
 	r := &Router{
 		clock: top.Clock, settings: top.Settings,
-		timing: daemon.TimingOf(top.Settings), stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64),
+		timing: daemon.TimingOf(top.Settings), stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64), checksDue: make(chan struct{}, 1),
 	}
 	view := daemon.NewView(top)
 	r.snapshots = snapshot.NewStore(snapshot.Options{
-		Clock: r.clock, Log: top.Log, Zones: r.settings.Zones, Region: r.settings.Region, View: view, OnRunners: r.updateSlowStart,
+		Clock: r.clock, Log: top.Log, Zones: r.settings.Zones, Region: r.settings.Region, View: view,
+		OnConfig: r.updateWarmups, OnRunners: r.updateRunners, OnZoneRestored: r.zoneRestored,
 		TracksVersions: r.settings.HasRule(settings.RolloutRule), Monitor: monitor,
 	})
 	var err error
@@ -179,6 +182,7 @@
 		r.daemon.AddService("rollouts", func(ctx context.Context) error { r.versions.Run(ctx); return nil })
 	}
 	r.daemon.AddService("doubts", r.probeSuspects)
+	r.daemon.AddService("verification", r.verifyRunners)
 }
 
 func (r *Router) dialer() httpcall.Dialer {
@@ -213,21 +217,3 @@
 
 // config returns the configuration in use, or nil if there is none yet.
 func (r *Router) config() *config.Config { return r.snapshots.Current().Config }
-
-// updateSlowStart passes a new list of runners to the slow-start tracker. It is called
-// before the list comes into use.
-func (r *Router) updateSlowStart(next *snapshot.Snapshot) {
-	var runners []slowstart.Runner
-	for name, listed := range next.Runners {
-		warmup := time.Duration(0)
-		if next.Config != nil && next.Config.Service(name) != nil {
-			warmup = settings.Seconds(next.Config.Service(name).WarmupSeconds)
-		}
-		for _, runner := range listed {
-			runners = append(runners, slowstart.Runner{
-				ID: runner.ID, Remaining: settings.Milliseconds(float64(runner.WarmupLeftMS)), Warmup: warmup,
-			})
-		}
-	}
-	r.slowStart.Update(runners, settings.Milliseconds(r.settings.Platform.MaxLagMS), r.clock.Now())
-}
--- /dev/null
+++ b/data/router/verification.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"onyxwell/base/httpcall"
+	"onyxwell/base/ids"
+	"onyxwell/base/settings"
+	"onyxwell/control/config"
+	"onyxwell/data/slowstart"
+	"onyxwell/data/snapshot"
+)
+
+const (
+	// maxRemoteChecks is the maximum number of runners of one service in a zone of another
+	// region that are checked when the zone returns. It bounds the number of checks that a
+	// runner gets from all routers.
+	maxRemoteChecks = 8
+	// maxConcurrentChecks is the maximum number of concurrent health checks of unverified
+	// runners.
+	maxConcurrentChecks = 16
+)
+
+// updateRunners passes a new list of runners to the slow-start tracker, before the list
+// comes into use.
+func (r *Router) updateRunners(_ *snapshot.Snapshot, next *snapshot.Snapshot) {
+	lag := settings.Milliseconds(r.settings.Platform.MaxLagMS)
+	r.slowStart.Update(slowStartRunners(next), lag, r.clock.Now())
+}
+
+// zoneRestored is called before a zone whose evacuation has ended is used again. Its runners
+// may have become cold shortly before, which the list of runners shows too late.
+func (r *Router) zoneRestored(zone ids.Zone, next *snapshot.Snapshot) {
+	r.unverify(next, func(runner *snapshot.Runner) bool { return runner.Zone == zone })
+}
+
+// unverify puts the runners that match and may get requests into slow start until they
+// report that they are warm. All of this region are checked, and some of each other zone.
+func (r *Router) unverify(next *snapshot.Snapshot, matches func(runner *snapshot.Runner) bool) {
+	now := r.clock.Now()
+	for _, runners := range next.Runners {
+		local, remote := []ids.RunnerID{}, map[ids.Zone][]ids.RunnerID{}
+		for _, runner := range runners {
+			switch {
+			case !next.Available(runner) || !matches(runner):
+			case runner.Region == r.settings.Region:
+				local = append(local, runner.ID)
+			default:
+				remote[runner.Zone] = append(remote[runner.Zone], runner.ID)
+			}
+		}
+		r.slowStart.Unverify(local, true, now)
+		for _, zone := range remote {
+			rand.Shuffle(len(zone), func(i, j int) { zone[i], zone[j] = zone[j], zone[i] })
+			checked := min(len(zone), maxRemoteChecks)
+			r.slowStart.Unverify(zone[:checked], true, now)
+			r.slowStart.Unverify(zone[checked:], false, now)
+		}
+	}
+	select {
+	case r.checksDue <- struct{}{}:
+	default:
+	}
+}
+
+// verifyRunners checks the health of unverified runners until they report their warm-up
+// time. It returns once ctx is done and all checks have ended.
+func (r *Router) verifyRunners(ctx context.Context) error {
+	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: r.dialer(), IdleTimeout: r.timing.ConnectTimeout, MaxIdlePerHost: 1})
+	interval := r.timing.ConnectTimeout / firstProbeDivisor
+	slots := make(chan struct{}, maxConcurrentChecks)
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	for r.waitForChecks(ctx, interval) {
+		for _, id := range r.slowStart.DueChecks(r.clock.Now(), interval) {
+			slots <- struct{}{}
+			checks.Go(func() {
+				defer func() { <-slots }()
+				r.verifyRunner(ctx, client, id)
+			})
+		}
+	}
+	return nil
+}
+
+// waitForChecks waits until runners have become unverified, at most for the interval. It
+// returns false once ctx is done.
+func (r *Router) waitForChecks(ctx context.Context, interval time.Duration) bool {
+	timeout, cancel := r.clock.WithTimeout(ctx, interval)
+	defer cancel()
+	select {
+	case <-timeout.Done():
+		return ctx.Err() == nil
+	case <-r.checksDue:
+		return true
+	}
+}
+
+// verifyRunner checks the health of an unverified runner. Only a report of the runner
+// itself that it is well proves whether it is warm: one that is rejected for lack of a
+// slot, or comes from another runner at the address, does not.
+func (r *Router) verifyRunner(ctx context.Context, client *http.Client, id ids.RunnerID) {
+	current := r.snapshots.Current()
+	runner := current.Find(id)
+	if runner == nil || !isConfigured(current, runner) {
+		return
+	}
+	askedAt := r.clock.Now()
+	if !hasSlowStart(current.Config.Service(runner.Service)) {
+		r.slowStart.Verify(id, 0, askedAt, askedAt)
+		return
+	}
+	report, err := r.checkHealth(ctx, client, current, runner)
+	if err == nil && report.provesWarmupOf(id) {
+		r.slowStart.Verify(id, report.warmupLeft, askedAt, r.clock.Now())
+	}
+}
+
+// hasSlowStart reports whether requests to a service's runners are limited while they are
+// warming up.
+func hasSlowStart(service *config.Service) bool {
+	return service.WarmupSeconds > 0 && service.WarmupRatePerSecond > 0
+}
+
+// updateWarmups passes the warm-up times of a new configuration to the slow-start tracker.
+func (r *Router) updateWarmups(next *snapshot.Snapshot) {
+	r.slowStart.SetWarmups(slowStartRunners(next))
+}
+
+// slowStartRunners returns the listed runners with their remaining and whole warm-up times.
+func slowStartRunners(next *snapshot.Snapshot) []slowstart.Runner {
+	var runners []slowstart.Runner
+	for name, listed := range next.Runners {
+		warmup := time.Duration(0)
+		if next.Config != nil && next.Config.Service(name) != nil {
+			warmup = settings.Seconds(next.Config.Service(name).WarmupSeconds)
+		}
+		for _, runner := range listed {
+			runners = append(runners, slowstart.Runner{
+				ID: runner.ID, Remaining: settings.Milliseconds(float64(runner.WarmupLeftMS)), Warmup: warmup,
+			})
+		}
+	}
+	return runners
+}
--- a/data/slowstart/slowstart.go
+++ b/data/slowstart/slowstart.go
@@ -1,4 +1,6 @@
-// Package slowstart limits the rate of requests to runners that are warming up.
+// Package slowstart limits the rate of requests to runners that are warming up, and to
+// those that may be: an unverified runner got no requests for a while, so that it may have
+// become cold, and has not reported since that it is warm.
 //
 // Invariant: within any second, all routers together send a runner in slow start at most
 // its rate plus one request per router. Each router spaces its requests by the number of
@@ -27,6 +29,8 @@
 type Tracker struct {
 	mu      sync.Mutex
 	runners map[ids.RunnerID]*runnerState
+	// checked holds the unverified runners that DueChecks returns.
+	checked map[ids.RunnerID]*runnerState
 	// hasList is set once Update was called with a nonempty list of runners.
 	hasList bool
 	random  func() float64
@@ -37,6 +41,12 @@
 	// time at which the slow start ends.
 	startedAt clock.Instant
 	until     clock.Instant
+	// warmup is the duration of a whole warm-up.
+	warmup time.Duration
+	// unverifiedSince is the time since which the runner is unverified, or 0 if it is not.
+	// Its next health check, if any, is due at nextCheck.
+	unverifiedSince clock.Instant
+	nextCheck       clock.Instant
 	// nextAdmission is the time from which the next request is admitted. It is valid
 	// only if scheduled is set.
 	nextAdmission clock.Instant
@@ -46,7 +56,7 @@
 // New returns a Tracker without runners. random returns a number in [0, 1). It spreads
 // the first requests of routers that learn of a runner at the same time.
 func New(random func() float64) *Tracker {
-	return &Tracker{runners: map[ids.RunnerID]*runnerState{}, random: random}
+	return &Tracker{runners: map[ids.RunnerID]*runnerState{}, checked: map[ids.RunnerID]*runnerState{}, random: random}
 }
 
 // Runner is an entry of the list of runners.
@@ -75,6 +85,7 @@
 				state.extend(now.Add(runner.Warmup+lag), now)
 			}
 		}
+		state.warmup = runner.Warmup
 		if runner.Remaining > 0 {
 			state.extend(now.Add(runner.Remaining+lag), now)
 		}
@@ -82,6 +93,7 @@
 	for id := range t.runners {
 		if !listed[id] {
 			delete(t.runners, id)
+			delete(t.checked, id)
 		}
 	}
 	t.hasList = t.hasList || len(runners) > 0
@@ -107,7 +119,15 @@
 	}
 }
 
-func (r *runnerState) active(now clock.Instant) bool { return now.Before(r.until) }
+func (r *runnerState) active(now clock.Instant) bool {
+	return now.Before(r.until) || r.unverified(now)
+}
+
+// unverified reports whether the runner may have become cold while it got no requests. If
+// it did, a whole warm-up later it is warm again.
+func (r *runnerState) unverified(now clock.Instant) bool {
+	return r.unverifiedSince != 0 && now.Before(r.unverifiedSince.Add(r.warmup))
+}
 
 // Active reports whether a runner is in slow start.
 func (t *Tracker) Active(id ids.RunnerID, now clock.Instant) bool {
--- a/data/snapshot/snapshot.go
+++ b/data/snapshot/snapshot.go
@@ -28,7 +28,9 @@
 	// Config is nil until a configuration has been received.
 	Config *config.Config
 	// Runners is nil until a list of runners has been received.
-	Runners   map[ids.Service][]*Runner
+	Runners map[ids.Service][]*Runner
+	// Evacuated holds the zones that were ever evacuated: true for those that are now,
+	// false for those that were restored.
 	Evacuated map[ids.Zone]bool
 	// LostZones holds the zones that do not answer this router's zone.
 	LostZones map[ids.Zone]bool
--- a/data/snapshot/store.go
+++ b/data/snapshot/store.go
@@ -36,9 +36,14 @@
 	Region ids.Region
 	// View tracks the list of runners. If it is nil, NewStore creates one.
 	View *discovery.View
-	// OnRunners is called with each snapshot that has a new list of runners, before the
-	// snapshot becomes current. It may be nil, and it must not call the store.
-	OnRunners func(next *Snapshot)
+	// OnConfig is called with each snapshot that has a new configuration. OnRunners is
+	// called with each that has a new list of runners, and with the one before it.
+	// OnZoneRestored is called with each in which the evacuation of a zone has ended, even
+	// if that was not known to have begun. They are called before the snapshot becomes
+	// current, may be nil, and must not call the store, except for Current.
+	OnConfig       func(next *Snapshot)
+	OnRunners      func(previous *Snapshot, next *Snapshot)
+	OnZoneRestored func(zone ids.Zone, next *Snapshot)
 	// TracksVersions enables Snapshot.Versions, which tells the versions of a service apart
 	// during rollouts and after them.
 	TracksVersions bool
@@ -66,8 +71,14 @@
 
 // NewStore returns a Store with an empty snapshot.
 func NewStore(options Options) *Store {
+	if options.OnConfig == nil {
+		options.OnConfig = func(*Snapshot) {}
+	}
 	if options.OnRunners == nil {
-		options.OnRunners = func(*Snapshot) {}
+		options.OnRunners = func(*Snapshot, *Snapshot) {}
+	}
+	if options.OnZoneRestored == nil {
+		options.OnZoneRestored = func(ids.Zone, *Snapshot) {}
 	}
 	if options.Log == nil {
 		options.Log = scope.NewLogger("error", io.Discard)
@@ -105,7 +116,7 @@
 func (s *Store) applierFor(key string) applier {
 	switch {
 	case key == config.Key:
-		return applyConfig
+		return s.applyConfig
 	case key == autoscaler.RoutingKey:
 		return s.applyPlan
 	case strings.HasPrefix(key, gossip.ZonePrefix):
@@ -120,7 +131,7 @@
 		return func(next *Snapshot, body []byte) bool { return s.applyStableVersion(next, service, body) }
 	}
 	if zone, ok := evacuation.ZoneFromKey(key); ok {
-		return func(next *Snapshot, body []byte) bool { return applyEvacuation(next, zone, body) }
+		return func(next *Snapshot, body []byte) bool { return s.applyEvacuation(next, zone, body) }
 	}
 	return nil
 }
@@ -154,12 +165,13 @@
 	}
 }
 
-func applyConfig(next *Snapshot, body []byte) bool {
+func (s *Store) applyConfig(next *Snapshot, body []byte) bool {
 	parsed, err := config.Parse(body)
 	if err != nil || (next.Config != nil && parsed.Version <= next.Config.Version) {
 		return false
 	}
 	next.Config = parsed
+	s.options.OnConfig(next)
 	return true
 }
 
@@ -206,7 +218,7 @@
 	}
 	s.zones = zones
 	s.updateVersions(next)
-	s.options.OnRunners(next)
+	s.options.OnRunners(s.Current(), next)
 	return true
 }
 
@@ -218,7 +230,7 @@
 	return zone
 }
 
-func applyEvacuation(next *Snapshot, zone ids.Zone, body []byte) bool {
+func (s *Store) applyEvacuation(next *Snapshot, zone ids.Zone, body []byte) bool {
 	state, err := evacuation.Decode(body)
 	if err != nil {
 		return false
@@ -227,6 +239,9 @@
 	maps.Copy(evacuated, next.Evacuated)
 	evacuated[zone] = state.Drained
 	next.Evacuated = evacuated
+	if !state.Drained {
+		s.options.OnZoneRestored(zone, next)
+	}
 	return true
 }
 
--- a/emulator/experiment/dataplane.go
+++ b/emulator/experiment/dataplane.go
@@ -102,7 +102,7 @@
 	d.snapshots.ApplyRunners(list)
 }
 
-func (d *dataPlane) updateSlowStart(next *snapshot.Snapshot) {
+func (d *dataPlane) updateSlowStart(_ *snapshot.Snapshot, next *snapshot.Snapshot) {
 	var entries []slowstart.Runner
 	for _, runners := range next.Runners {
 		for _, runner := range runners {
