Router: after a restart, runners are asked whether they are warm

Cause: on the first list of a process only the listed warm-up counted, and the list lags.

Change: unless the whole deployment starts for the first time, the runners of the router's region, and those of zones that were evacuated at any time, are unverified with the first list.

TestFirstList_runnersAreCheckedAfterRestart failed before (near and restored are not in slow start).

--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -27,9 +27,25 @@
 
 // updateRunners passes a new list of runners to the slow-start tracker, before the list
 // comes into use.
-func (r *Router) updateRunners(_ *snapshot.Snapshot, next *snapshot.Snapshot) {
+func (r *Router) updateRunners(previous *snapshot.Snapshot, next *snapshot.Snapshot) {
 	lag := settings.Milliseconds(r.settings.Platform.MaxLagMS)
 	r.slowStart.Update(slowStartRunners(next), lag, r.clock.Now())
+	if previous.Runners == nil {
+		r.firstList(next)
+	}
+}
+
+// firstList is called with the first list of this process, which may not show yet which
+// runners have become cold. Unless the whole deployment starts for the first time, the
+// runners of this region, and those of zones that were evacuated, are unverified.
+func (r *Router) firstList(next *snapshot.Snapshot) {
+	if r.settings.FirstStart {
+		return
+	}
+	r.unverify(next, func(runner *snapshot.Runner) bool {
+		_, wasEvacuated := next.Evacuated[runner.Zone]
+		return wasEvacuated || runner.Region == r.settings.Region
+	})
 }
 
 // zoneRestored is called before a zone whose evacuation has ended is used again. Its runners
--- a/data/router/verification_test.go
+++ b/data/router/verification_test.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// TestFirstList_runnersAreCheckedAfterRestart guards against a restarted router that takes
+// the runners of its region for warm because the first list, which lags, doesn't show that
+// they became cold.
+func TestFirstList_runnersAreCheckedAfterRestart(t *testing.T) {
+	near, far, restored := startWarmupRunner(t, "near", "n"), startWarmupRunner(t, "far", "s"), startWarmupRunner(t, "restored", "t")
+	near.coldMS.Store(2000)
+	restored.coldMS.Store(2000)
+	r, fakeClock := newEmptyRouter()
+	setEvacuated(t, r, "t", 2, false)
+	r.publishRunners(t, 1, near.Runner, far.Runner, restored.Runner)
+	r.snapshots.Apply(gossip.Item{Key: "spec", Version: 1, Body: []byte(warmupDocument)})
+	for id, want := range map[ids.RunnerID]bool{"near": true, "far": false, "restored": true} {
+		if active := r.slowStart.Active(id, fakeClock.Now()); active != want {
+			t.Errorf("%s: got in slow start %v", id, active)
+		}
+	}
+	near.coldMS.Store(0)
+	checkDueRunners(r)
+	if r.slowStart.Active("near", fakeClock.Now()) || !r.slowStart.Active("restored", fakeClock.Now()) {
+		t.Error("want the warm runner out of slow start and the cold one in it")
+	}
+}
+
 // TestUnverify_checksOfOtherRegionsAreBounded checks that a zone with many runners of another
 // region gets a bounded number of checks from each router, and one of this region all.
 func TestUnverify_checksOfOtherRegionsAreBounded(t *testing.T) {
