Router: a runner that was draining and is ready again is asked whether it is warm

Cause: while it was draining it got no requests, so it may have become cold, which the list shows late. It got its full load with the list that said ready.

TestUpdateRunners_drainingRunnerIsReadyAgain failed before.

--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -26,13 +26,19 @@
 )
 
 // updateRunners passes a new list of runners to the slow-start tracker, before the list
-// comes into use.
+// comes into use. Runners that may get requests again are unverified.
 func (r *Router) updateRunners(previous *snapshot.Snapshot, next *snapshot.Snapshot) {
 	lag := settings.Milliseconds(r.settings.Platform.MaxLagMS)
 	r.slowStart.Update(slowStartRunners(next), lag, r.clock.Now())
 	if previous.Runners == nil {
 		r.firstList(next)
+		return
+	}
+	wasDraining := map[ids.RunnerID]bool{}
+	for _, runner := range allRunners(previous) {
+		wasDraining[runner.ID] = runner.Draining
 	}
+	r.unverify(next, func(runner *snapshot.Runner) bool { return wasDraining[runner.ID] })
 }
 
 // firstList is called with the first list of this process, which may not show yet which
@@ -163,3 +169,12 @@
 	}
 	return runners
 }
+
+// allRunners returns the runners of all services.
+func allRunners(current *snapshot.Snapshot) []*snapshot.Runner {
+	var all []*snapshot.Runner
+	for _, runners := range current.Runners {
+		all = append(all, runners...)
+	}
+	return all
+}
--- a/data/router/verification_test.go
+++ b/data/router/verification_test.go
@@ -186,6 +186,20 @@
 	}
 }
 
+// TestUpdateRunners_drainingRunnerIsReadyAgain guards against the full load on a runner that
+// was draining, got no requests meanwhile, and is ready again.
+func TestUpdateRunners_drainingRunnerIsReadyAgain(t *testing.T) {
+	one, two := startWarmupRunner(t, "one", "n"), startWarmupRunner(t, "two", "n")
+	r, fakeClock := newWarmRouter(t, one, two)
+	draining := one.Runner
+	draining.Draining = true
+	r.publishRunners(t, 2, draining, two.Runner)
+	r.publishRunners(t, 3, one.Runner, two.Runner)
+	if !r.slowStart.Active("one", fakeClock.Now()) || r.slowStart.Active("two", fakeClock.Now()) {
+		t.Error("want exactly the runner that was draining in slow start")
+	}
+}
+
 // TestUnverify_checksOfOtherRegionsAreBounded checks that a zone with many runners of another
 // region gets a bounded number of checks from each router, and one of this region all.
 func TestUnverify_checksOfOtherRegionsAreBounded(t *testing.T) {
