Router: each runner of a zone that was lost is asked whether it is warm

Cause: a zone that was lost is used again once one of its runners answers a probe, and all of its runners were taken as that one: for warm if it is, so that a cold one got its full load, or for cold. After recoveryTimeout the zone was used without any answer.

Change: its runners are unverified when it is used again, the probed one verified by its answer.

TestLostZones_avoidedUntilRunnerAnswers keeps its checks; its runners have ids, and a service with a warm-up.

--- a/data/router/health.go
+++ b/data/router/health.go
@@ -76,7 +76,7 @@
 	failedChecks, reached := 0, false
 	for clock.Wait(ctx, r.clock, r.timing.ConnectTimeout/checksPerConnectTimeout) {
 		now, current := r.clock.Now(), r.snapshots.Current()
-		r.lostZones.update(current.LostZones, now)
+		r.updateLostZones(current, now)
 		for _, zone := range r.lostZones.dueProbes(now, firstInterval) {
 			for _, runner := range sampleRunners(current, zone) {
 				probes.Go(func() { r.probeZone(ctx, client, runner) })
@@ -96,6 +96,14 @@
 	return nil
 }
 
+// updateLostZones takes over which zones are reported as lost. The runners of zones that
+// are used again without a successful probe are unverified.
+func (r *Router) updateLostZones(current *snapshot.Snapshot, now clock.Instant) {
+	for _, zone := range r.lostZones.update(current.LostZones, now) {
+		r.zoneRestored(zone, current)
+	}
+}
+
 // checkHealth sends a health check to a runner. Its service must be configured.
 func (r *Router) checkHealth(ctx context.Context, client *http.Client, current *snapshot.Snapshot, runner *snapshot.Runner) (healthReport, error) {
 	ctx, cancel := r.clock.WithTimeout(ctx, r.timing.ConnectTimeout)
@@ -151,22 +159,20 @@
 }
 
 // probeZone checks the health of a runner in a lost zone. If the runner is healthy, the
-// zone is used again. If it is warming up, all runners of its service in the zone are
-// put into slow start for its remaining warm-up time.
+// zone is used again. All of its runners are unverified, but for this one if it reported
+// whether it is warm.
 func (r *Router) probeZone(ctx context.Context, client *http.Client, runner *snapshot.Runner) {
 	current := r.snapshots.Current()
 	if !isConfigured(current, runner) {
 		return
 	}
 	report, err := r.checkHealth(ctx, client, current, runner)
-	if err != nil || report.unhealthy {
+	if err != nil || report.unhealthy || !r.lostZones.contains(runner.Zone) {
 		return
 	}
-	now := r.clock.Now()
-	for _, peer := range current.Runners[runner.Service] {
-		if peer.Zone == runner.Zone && report.warmupLeft > 0 {
-			r.slowStart.Extend(peer.ID, now.Add(report.warmupLeft), now)
-		}
+	r.zoneRestored(runner.Zone, current)
+	if now := r.clock.Now(); report.provesWarmupOf(runner.ID) {
+		r.slowStart.Verify(runner.ID, report.warmupLeft, now, now)
 	}
 	r.lostZones.remove(runner.Zone)
 }
--- a/data/router/lostzones.go
+++ b/data/router/lostzones.go
@@ -45,8 +45,10 @@
 }
 
 // update sets the zones that are reported as lost. A zone is avoided from its first
-// report on. A zone that was removed is not avoided again while it stays reported.
-func (l *lostZoneTracker) update(reported map[ids.Zone]bool, now clock.Instant) {
+// report on. A zone that was removed is not avoided again while it stays reported. It
+// returns the zones that are not avoided any more, since they have not been reported for
+// recoveryTimeout.
+func (l *lostZoneTracker) update(reported map[ids.Zone]bool, now clock.Instant) []ids.Zone {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.zones == nil {
@@ -57,6 +59,7 @@
 			l.zones[zone] = &lostZone{nextProbe: now}
 		}
 	}
+	var recovered []ids.Zone
 	for zone, lost := range l.zones {
 		switch {
 		case reported[zone]:
@@ -65,9 +68,11 @@
 			lost.recoveredAt, lost.probes, lost.nextProbe = now, 0, now
 		case now.Since(lost.recoveredAt) > recoveryTimeout:
 			delete(l.zones, zone)
+			recovered = append(recovered, zone)
 		}
 	}
 	l.reported = reported
+	return recovered
 }
 
 // dueProbes returns the zones whose next probe is due and schedules the one after it,
--- a/data/router/lostzones_test.go
+++ b/data/router/lostzones_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,7 +14,6 @@
 	"onyxwell/control/gossip"
 	"onyxwell/control/membership/zonesummary"
 	"onyxwell/control/transport"
-	"onyxwell/data/slowstart"
 )
 
 // reportLostZones gossips to a router that exactly these zones are lost.
@@ -28,19 +25,18 @@
 func TestLostZones_avoidedUntilRunnerAnswers(t *testing.T) {
 	var down atomic.Bool
 	down.Store(true)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if down.Load() {
-			panic(http.ErrAbortHandler)
+	start := func(id ids.RunnerID, zone ids.Zone) *warmupRunner {
+		runner := startWarmupRunner(t, id, zone)
+		runner.respond = func(w http.ResponseWriter) {
+			if down.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Onyxwell-Server-Id", string(id))
+			w.Header().Set("Onyxwell-Cold-Ms", "500")
 		}
-		w.Header().Set("Onyxwell-Cold-Ms", "500")
-	}))
-	defer server.Close()
-	address := ids.Address(strings.TrimPrefix(server.URL, "http://"))
-	r, fakeClock := newRouter(t,
-		discovery.Runner{ID: "near", Service: "s", Zone: "n", Address: address},
-		discovery.Runner{ID: "far", Service: "s", Zone: "s", Address: address},
-		discovery.Runner{ID: "peer", Service: "s", Zone: "s", Address: address})
-	r.slowStart.Update([]slowstart.Runner{{ID: "near"}, {ID: "far"}, {ID: "peer"}}, 0, fakeClock.Now())
+		return runner
+	}
+	r, fakeClock := newWarmRouter(t, start("near", "n"), start("far", "s"), start("peer", "s"))
 	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: time.Second, UserTimeout: time.Second}, MaxIdlePerHost: 1})
 	probe := func() {
 		r.lostZones.update(r.snapshots.Current().LostZones, fakeClock.Now())
@@ -106,3 +102,39 @@
 		t.Fatalf("got %v runners probed at each due time, want 1 at each of 3", probed)
 	}
 }
+
+// TestProbeZone_eachRunnerIsAsked guards against a zone that was lost and whose runners are
+// all taken for warm, or cold, because one of them is.
+func TestProbeZone_eachRunnerIsAsked(t *testing.T) {
+	cold, warm := startWarmupRunner(t, "cold", "s"), startWarmupRunner(t, "warm", "s")
+	cold.coldMS.Store(2000)
+	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: time.Second, UserTimeout: time.Second}, MaxIdlePerHost: 1})
+	for _, sampled := range []ids.RunnerID{"cold", "warm"} {
+		r, fakeClock := newWarmRouter(t, cold, warm)
+		reportLostZones(r, 1, "s")
+		r.lostZones.update(r.snapshots.Current().LostZones, fakeClock.Now())
+		r.probeZone(context.Background(), client, r.snapshots.Current().Find(sampled))
+		if r.lostZones.contains("s") || !r.slowStart.Active("cold", fakeClock.Now()) {
+			t.Fatalf("%s is sampled: the zone is avoided, or its cold runner gets the full load", sampled)
+		}
+		if checkDueRunners(r); !r.slowStart.Active("cold", fakeClock.Now()) || r.slowStart.Active("warm", fakeClock.Now()) {
+			t.Errorf("%s is sampled: want the cold runner in slow start, and the warm one not", sampled)
+		}
+	}
+}
+
+// TestLostZones_runnersAreAskedAfterTimeout is the same for a zone that is used again since it
+// is no longer reported, though no probe has succeeded.
+func TestLostZones_runnersAreAskedAfterTimeout(t *testing.T) {
+	runner := startWarmupRunner(t, "one", "s")
+	r, fakeClock := newWarmRouter(t, runner)
+	update := func() { r.updateLostZones(r.snapshots.Current(), fakeClock.Now()) }
+	reportLostZones(r, 1, "s")
+	update()
+	reportLostZones(r, 2)
+	update()
+	fakeClock.Advance(recoveryTimeout + 1)
+	if update(); r.lostZones.contains("s") || !r.slowStart.Active("one", fakeClock.Now()) {
+		t.Error("the zone is avoided, or its runner gets the full load unasked")
+	}
+}
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -54,8 +54,9 @@
 	})
 }
 
-// zoneRestored is called before a zone whose evacuation has ended is used again. Its runners
-// may have become cold shortly before, which the list of runners shows too late.
+// zoneRestored is called before a zone is used again, because its evacuation has ended or
+// because it is no longer lost. Its runners may have become cold shortly before, which the
+// list of runners shows too late.
 func (r *Router) zoneRestored(zone ids.Zone, next *snapshot.Snapshot) {
 	r.unverify(next, func(runner *snapshot.Runner) bool { return runner.Zone == zone })
 }
