Router: a suspected runner that is cleared without a proof of warmth is asked

Cause: a suspicion is cleared by a probe that was rejected for lack of a slot, that has no id, or that was answered 'unhealthy' four times. None tells whether the runner is warm, and it got its full load at once after a time without requests.

TestProbeSuspect_unprovenWarmth failed before in 'full' and 'without id'.

--- a/data/router/health.go
+++ b/data/router/health.go
@@ -119,7 +119,7 @@
 
 // probeSuspect checks the health of a suspected runner and clears the suspicion if it is
 // healthy. A runner that repeatedly reports itself as unhealthy is cleared, too, so that
-// requests show whether it works.
+// requests show whether it works. Unless it reported whether it is warm, it is unverified.
 func (r *Router) probeSuspect(ctx context.Context, client *http.Client, id ids.RunnerID) {
 	current := r.snapshots.Current()
 	runner := current.Find(id)
@@ -138,6 +138,9 @@
 	if report.warmupLeft > 0 {
 		r.slowStart.Extend(id, now.Add(report.warmupLeft), now)
 	}
+	if !report.provesWarmupOf(id) {
+		r.unverify(current, func(other *snapshot.Runner) bool { return other.ID == id })
+	}
 	r.stats.ClearSuspicion(id, now)
 }
 
--- a/data/router/verification_test.go
+++ b/data/router/verification_test.go
@@ -200,6 +200,35 @@
 	}
 }
 
+// TestProbeSuspect_unprovenWarmth guards against the full load on a runner that was suspected,
+// got no requests meanwhile, and is cleared by a response that doesn't tell whether it is warm.
+func TestProbeSuspect_unprovenWarmth(t *testing.T) {
+	cases := []struct {
+		name    string
+		respond func(w http.ResponseWriter)
+		active  bool
+	}{
+		{"warm", nil, false},
+		{"full", func(w http.ResponseWriter) {
+			w.Header().Set("Onyxwell-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, true},
+		{"without id", func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) }, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			runner := startWarmupRunner(t, "one", "n")
+			runner.respond = tc.respond
+			r, fakeClock := newWarmRouter(t, runner)
+			r.stats.Suspect("one", fakeClock.Now())
+			r.probeSuspect(context.Background(), http.DefaultClient, "one")
+			if r.stats.State("one").Suspect || r.slowStart.Active("one", fakeClock.Now()) != tc.active {
+				t.Errorf("got suspected %v, in slow start %v", r.stats.State("one").Suspect, r.slowStart.Active("one", fakeClock.Now()))
+			}
+		})
+	}
+}
+
 // TestUnverify_checksOfOtherRegionsAreBounded checks that a zone with many runners of another
 // region gets a bounded number of checks from each router, and one of this region all.
 func TestUnverify_checksOfOtherRegionsAreBounded(t *testing.T) {
