Router: a runner whose ejection or quarantine has ended is asked whether it is warm

Cause: an ejection ends by this router's clock and a quarantine with a plan; neither asks the runner, which got hardly any requests meanwhile.

Change: each check of the probes' loop unverifies the runners that are no longer avoided since the last one; until then, for less than the time between two checks, they may get their load.

With unverifyRunners taken out, TestUnverifyRunners_released fails.

--- /dev/null
+++ b/data/router/avoided_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"onyxwell/base/clock"
+	"onyxwell/base/ids"
+	"onyxwell/control/planning/autoscaler"
+	"onyxwell/data/snapshot"
+)
+
+// TestAvoidedRunners_released guards against the full load on a runner that was ejected or
+// quarantined, got no requests meanwhile, and is used again without being asked.
+func TestAvoidedRunners_released(t *testing.T) {
+	clk := clock.NewFake()
+	ejected := &snapshot.Snapshot{EjectedUntil: map[ids.RunnerID]clock.Instant{"e": clk.Now().Add(time.Second)}}
+	quarantined := &snapshot.Snapshot{RunnerWeights: map[ids.RunnerID]autoscaler.RunnerWeight{"q": {Quarantined: true}, "w": {Weight: 1}}}
+	steps := []struct {
+		name     string
+		snapshot *snapshot.Snapshot
+		wait     time.Duration
+		released map[ids.RunnerID]bool
+	}{
+		{"none", &snapshot.Snapshot{}, 0, nil},
+		{"ejected", ejected, 0, nil},
+		{"still ejected", ejected, time.Second / 2, nil},
+		{"the ejection ends", ejected, time.Second / 2, map[ids.RunnerID]bool{"e": true}},
+		{"reported once", ejected, 0, nil},
+		{"quarantined", quarantined, 0, nil},
+		{"a plan without quarantine", &snapshot.Snapshot{}, 0, map[ids.RunnerID]bool{"q": true}},
+	}
+	var avoided avoidedRunners
+	for _, step := range steps {
+		clk.Advance(step.wait)
+		if released := avoided.update(step.snapshot, clk.Now()); !maps.Equal(released, step.released) {
+			t.Errorf("%s: got %v", step.name, released)
+		}
+	}
+}
+
+// TestUnverifyRunners_released checks that a released runner is in slow start until it was
+// asked.
+func TestUnverifyRunners_released(t *testing.T) {
+	one, two := startWarmupRunner(t, "one", "n"), startWarmupRunner(t, "two", "n")
+	r, fakeClock := newWarmRouter(t, one, two)
+	r.unverifyRunners(r.snapshots.Current(), map[ids.RunnerID]bool{"one": true})
+	if !r.slowStart.Active("one", fakeClock.Now()) || r.slowStart.Active("two", fakeClock.Now()) {
+		t.Error("want exactly the released runner in slow start")
+	}
+	if checkDueRunners(r); r.slowStart.Active("one", fakeClock.Now()) {
+		t.Error("a warm runner is in slow start after it was asked")
+	}
+}
--- a/data/router/health.go
+++ b/data/router/health.go
@@ -74,9 +74,11 @@
 	var probes sync.WaitGroup
 	defer probes.Wait()
 	failedChecks, reached := 0, false
+	var avoided avoidedRunners
 	for clock.Wait(ctx, r.clock, r.timing.ConnectTimeout/checksPerConnectTimeout) {
 		now, current := r.clock.Now(), r.snapshots.Current()
 		r.updateLostZones(current, now)
+		r.unverifyRunners(current, avoided.update(current, now))
 		for _, zone := range r.lostZones.dueProbes(now, firstInterval) {
 			for _, runner := range sampleRunners(current, zone) {
 				probes.Go(func() { r.probeZone(ctx, client, runner) })
@@ -139,7 +141,7 @@
 		r.slowStart.Extend(id, now.Add(report.warmupLeft), now)
 	}
 	if !report.provesWarmupOf(id) {
-		r.unverify(current, func(other *snapshot.Runner) bool { return other.ID == id })
+		r.unverifyRunners(current, map[ids.RunnerID]bool{id: true})
 	}
 	r.stats.ClearSuspicion(id, now)
 }
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -61,6 +61,13 @@
 	r.unverify(next, func(runner *snapshot.Runner) bool { return runner.Zone == zone })
 }
 
+// unverifyRunners unverifies runners of which it is unknown whether they are warm.
+func (r *Router) unverifyRunners(current *snapshot.Snapshot, runners map[ids.RunnerID]bool) {
+	if len(runners) > 0 {
+		r.unverify(current, func(runner *snapshot.Runner) bool { return runners[runner.ID] })
+	}
+}
+
 // unverify puts the runners that match and may get requests into slow start until they
 // report that they are warm. All of this region are checked, and some of each other zone.
 func (r *Router) unverify(next *snapshot.Snapshot, matches func(runner *snapshot.Runner) bool) {
