Router: after a pause of its process, runners are asked whether they are warm

Cause: a router that wakes from a freeze goes on with the list of before, and the requests that queued up meanwhile reach runners that may have become cold.

Change: the probes' loop ticks; once no tick came for two connect timeouts, the first admission or tick after it unverifies the runners of the router's region. Runners of other regions stay as they are: refusing them would leave nothing to a router whose own zone is evacuated.

--- a/data/router/health.go
+++ b/data/router/health.go
@@ -75,8 +75,10 @@
 	defer probes.Wait()
 	failedChecks, reached := 0, false
 	var avoided avoidedRunners
+	r.slowStart.DetectPauses(pauseConnectTimeouts*r.timing.ConnectTimeout, r.clock.Now())
 	for clock.Wait(ctx, r.clock, r.timing.ConnectTimeout/checksPerConnectTimeout) {
 		now, current := r.clock.Now(), r.snapshots.Current()
+		r.slowStart.Tick(now)
 		r.updateLostZones(current, now)
 		r.unverifyRunners(current, avoided.update(current, now))
 		for _, zone := range r.lostZones.dueProbes(now, firstInterval) {
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -23,13 +23,17 @@
 	// maxConcurrentChecks is the maximum number of concurrent health checks of unverified
 	// runners.
 	maxConcurrentChecks = 16
+	// pauseConnectTimeouts is the number of connect timeouts without a check of the probes'
+	// loop after which this process counts as suspended. A busy machine alone delays the
+	// loop by less.
+	pauseConnectTimeouts = 2
 )
 
 // updateRunners passes a new list of runners to the slow-start tracker, before the list
 // comes into use. Runners that may get requests again are unverified.
 func (r *Router) updateRunners(previous *snapshot.Snapshot, next *snapshot.Snapshot) {
 	lag := settings.Milliseconds(r.settings.Platform.MaxLagMS)
-	r.slowStart.Update(slowStartRunners(next), lag, r.clock.Now())
+	r.slowStart.Update(r.slowStartRunners(next), lag, r.clock.Now())
 	if previous.Runners == nil {
 		r.firstList(next)
 		return
@@ -158,11 +162,11 @@
 
 // updateWarmups passes the warm-up times of a new configuration to the slow-start tracker.
 func (r *Router) updateWarmups(next *snapshot.Snapshot) {
-	r.slowStart.SetWarmups(slowStartRunners(next))
+	r.slowStart.SetWarmups(r.slowStartRunners(next))
 }
 
 // slowStartRunners returns the listed runners with their remaining and whole warm-up times.
-func slowStartRunners(next *snapshot.Snapshot) []slowstart.Runner {
+func (r *Router) slowStartRunners(next *snapshot.Snapshot) []slowstart.Runner {
 	var runners []slowstart.Runner
 	for name, listed := range next.Runners {
 		warmup := time.Duration(0)
@@ -172,6 +176,7 @@
 		for _, runner := range listed {
 			runners = append(runners, slowstart.Runner{
 				ID: runner.ID, Remaining: settings.Milliseconds(float64(runner.WarmupLeftMS)), Warmup: warmup,
+				Local: runner.Region == r.settings.Region,
 			})
 		}
 	}
--- a/data/slowstart/slowstart.go
+++ b/data/slowstart/slowstart.go
@@ -31,6 +31,9 @@
 	runners map[ids.RunnerID]*runnerState
 	// checked holds the unverified runners that DueChecks returns.
 	checked map[ids.RunnerID]*runnerState
+	// maxPause and tickedAt detect that the process was suspended; see DetectPauses.
+	maxPause time.Duration
+	tickedAt clock.Instant
 	// hasList is set once Update was called with a nonempty list of runners.
 	hasList bool
 	random  func() float64
@@ -41,8 +44,9 @@
 	// time at which the slow start ends.
 	startedAt clock.Instant
 	until     clock.Instant
-	// warmup is the duration of a whole warm-up.
+	// warmup is the duration of a whole warm-up, and local is Runner.Local.
 	warmup time.Duration
+	local  bool
 	// unverifiedSince is the time since which the runner is unverified, or 0 if it is not.
 	// Its next health check, if any, is due at nextCheck.
 	unverifiedSince clock.Instant
@@ -66,6 +70,8 @@
 	Remaining time.Duration
 	// Warmup is the duration of a whole warm-up of the runner's service.
 	Warmup time.Duration
+	// Local reports whether the runner is unverified after a pause of this process.
+	Local bool
 }
 
 // Update replaces the list of runners, which may be outdated by up to lag. A runner that
@@ -85,7 +91,7 @@
 				state.extend(now.Add(runner.Warmup+lag), now)
 			}
 		}
-		state.warmup = runner.Warmup
+		state.warmup, state.local = runner.Warmup, runner.Local
 		if runner.Remaining > 0 {
 			state.extend(now.Add(runner.Remaining+lag), now)
 		}
@@ -153,6 +159,7 @@
 func (t *Tracker) admit(id ids.RunnerID, limit Limit, now clock.Instant, consume bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.detectPause(now)
 	state := t.runners[id]
 	if state == nil || limit.RequestsPerSecond <= 0 || !state.active(now) {
 		return true
--- a/data/slowstart/verification.go
+++ b/data/slowstart/verification.go
@@ -43,6 +43,38 @@
 	r.unverifiedSince, r.nextCheck = now, now
 }
 
+// DetectPauses has all local runners unverified when no call of Tick came for longer than
+// maxPause: the process was suspended, so that the list may not show which runners have
+// become cold meanwhile.
+func (t *Tracker) DetectPauses(maxPause time.Duration, now clock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxPause, t.tickedAt = maxPause, now
+}
+
+// Tick records that the process is running.
+func (t *Tracker) Tick(now clock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.detectPause(now)
+	t.tickedAt = now
+}
+
+// detectPause unverifies the local runners if the last call of Tick is too long ago. The
+// caller holds the lock.
+func (t *Tracker) detectPause(now clock.Instant) {
+	if t.maxPause <= 0 || now.Since(t.tickedAt) <= t.maxPause {
+		return
+	}
+	t.tickedAt = now
+	for id, state := range t.runners {
+		if state.local {
+			state.unverify(now)
+			t.checked[id] = state
+		}
+	}
+}
+
 // DueChecks returns the unverified runners whose next health check is due, and schedules
 // another one after the interval. While the warm-up time is not known yet, since there is
 // no configuration, checks end with Verify only.
