Proxy: a runner that answers that it can't resume a stream is not suspected

Cause: any answer to an attempt that resumes a stream, other than a stream, counted as an invalid response and had the runner suspected. A 404 or 409 of its own is no sign that it fails; a 5xx stays one.

--- a/data/proxy/relay.go
+++ b/data/proxy/relay.go
@@ -22,7 +22,10 @@
 	}
 	if e.headerSent {
 		// The attempt was to resume a stream, and this is not one.
-		return upstream.InvalidResponse, false
+		if resp.StatusCode >= http.StatusInternalServerError {
+			return upstream.InvalidResponse, false
+		}
+		return upstream.Unusable, false
 	}
 	return e.relayBuffered(resp)
 }
--- a/data/proxy/stream_test.go
+++ b/data/proxy/stream_test.go
@@ -156,6 +156,20 @@
 	}
 }
 
+// TestStream_refusedResumptionIsNoSuspicion guards against the suspicion of a runner that
+// answers, in place of the rest of a stream, that it can't resume it.
+func TestStream_refusedResumptionIsNoSuspicion(t *testing.T) {
+	for status, suspect := range map[int]bool{404: false, 409: false, 500: true} {
+		p, _, _ := newTestProxyWithPair(t, 10, upstreamtest.EventStream("s-1", 1, 3, false), upstreamtest.Respond(status, "s-2", "no"))
+		if got := p.do("/again/x", "x"); got.err == nil || got.body != eventText(1, 3) {
+			t.Fatalf("%d: %+v", status, got)
+		}
+		if got := p.stats.State("i-2").Suspect; got != suspect {
+			t.Errorf("%d: the second runner is suspected: %v", status, got)
+		}
+	}
+}
+
 // TestStream_gapAtResumptionIsNoSuspicion guards against the suspicion of a runner whose
 // stream was rejected only because its first id is higher than the earlier ids suggest.
 func TestStream_gapAtResumptionIsNoSuspicion(t *testing.T) {
