Router: checks of a zone that does not answer delay no other zone's

Checks of unverified runners shared 16 slots, which checks of a zone that does not answer hold for a connect timeout each: after a restart beside such a zone the warm runners of the router's own zone stayed in slow start meanwhile. Now each zone has its slots, and a runner has one check at a time.

TestVerifyRunners_silentZoneDelaysNoOther fails with shared slots.

--- a/data/router/health_test.go
+++ b/data/router/health_test.go
@@ -47,7 +47,7 @@
 	}
 	r.daemon = &daemon.Daemon{Membership: membership.NewTable(fakeClock, membership.Member{Address: "self", Role: Role, Region: "north"})}
 	r.snapshots = snapshot.NewStore(snapshot.Options{
-		Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "s": "south"}, TracksVersions: true,
+		Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "d": "north", "s": "south"}, TracksVersions: true,
 		OnConfig: r.updateWarmups, OnRunners: r.updateRunners, OnZoneRestored: r.zoneRestored,
 	})
 	return r, fakeClock
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -21,7 +21,7 @@
 	// runner gets from all routers.
 	maxRemoteChecks = 8
 	// maxConcurrentChecks is the maximum number of concurrent health checks of unverified
-	// runners.
+	// runners in each zone, so that a zone that does not answer delays no other.
 	maxConcurrentChecks = 16
 	// pauseConnectTimeouts is the number of connect timeouts without a check of the probes'
 	// loop after which this process counts as suspended. A busy machine alone delays the
@@ -106,21 +106,38 @@
 func (r *Router) verifyRunners(ctx context.Context) error {
 	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: r.dialer(), IdleTimeout: r.timing.ConnectTimeout, MaxIdlePerHost: 1})
 	interval := r.timing.ConnectTimeout / firstProbeDivisor
-	slots := make(chan struct{}, maxConcurrentChecks)
+	slots := newCheckSlots()
 	var checks sync.WaitGroup
 	defer checks.Wait()
 	for r.waitForChecks(ctx, interval) {
 		for _, id := range r.slowStart.DueChecks(r.clock.Now(), interval) {
-			slots <- struct{}{}
-			checks.Go(func() {
-				defer func() { <-slots }()
-				r.verifyRunner(ctx, client, id)
-			})
+			checks.Go(func() { r.verifyInSlot(ctx, client, slots, id) })
 		}
 	}
 	return nil
 }
 
+// verifyInSlot checks an unverified runner once its zone has a free slot, unless a check of
+// the runner has not ended yet.
+func (r *Router) verifyInSlot(ctx context.Context, client *http.Client, slots *checkSlots, id ids.RunnerID) {
+	if !slots.begin(id) {
+		return
+	}
+	defer slots.end(id)
+	current := r.snapshots.Current()
+	runner := current.Find(id)
+	if runner == nil || !isConfigured(current, runner) {
+		return
+	}
+	slot := slots.ofZone(runner.Zone)
+	select {
+	case slot <- struct{}{}:
+		defer func() { <-slot }()
+		r.verifyRunner(ctx, client, current, runner)
+	case <-ctx.Done():
+	}
+}
+
 // waitForChecks waits until runners have become unverified, at most for the interval. It
 // returns false once ctx is done.
 func (r *Router) waitForChecks(ctx context.Context, interval time.Duration) bool {
@@ -137,20 +154,15 @@
 // verifyRunner checks the health of an unverified runner. Only a report of the runner
 // itself that it is well proves whether it is warm: one that is rejected for lack of a
 // slot, or comes from another runner at the address, does not.
-func (r *Router) verifyRunner(ctx context.Context, client *http.Client, id ids.RunnerID) {
-	current := r.snapshots.Current()
-	runner := current.Find(id)
-	if runner == nil || !isConfigured(current, runner) {
-		return
-	}
+func (r *Router) verifyRunner(ctx context.Context, client *http.Client, current *snapshot.Snapshot, runner *snapshot.Runner) {
 	askedAt := r.clock.Now()
 	if !hasSlowStart(current.Config.Service(runner.Service)) {
-		r.slowStart.Verify(id, 0, askedAt, askedAt)
+		r.slowStart.Verify(runner.ID, 0, askedAt, askedAt)
 		return
 	}
 	report, err := r.checkHealth(ctx, client, current, runner)
-	if err == nil && report.provesWarmupOf(id) {
-		r.slowStart.Verify(id, report.warmupLeft, askedAt, r.clock.Now())
+	if err == nil && report.provesWarmupOf(runner.ID) {
+		r.slowStart.Verify(runner.ID, report.warmupLeft, askedAt, r.clock.Now())
 	}
 }
 
--- a/data/router/verification_test.go
+++ b/data/router/verification_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"onyxwell/control/discovery"
 	"onyxwell/control/gossip"
 	"onyxwell/control/transport"
+	"onyxwell/data/snapshot"
 )
 
 // warmupDocument is a configuration whose service s has a warm-up.
@@ -62,8 +64,9 @@
 // checkDueRunners does what verifyRunners does once, one check at a time.
 func checkDueRunners(r *Router) {
 	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: time.Second, UserTimeout: time.Second}, MaxIdlePerHost: 1})
+	slots := newCheckSlots()
 	for _, id := range r.slowStart.DueChecks(r.clock.Now(), time.Second) {
-		r.verifyRunner(context.Background(), client, id)
+		r.verifyInSlot(context.Background(), client, slots, id)
 	}
 }
 
@@ -229,6 +232,33 @@
 	}
 }
 
+// TestVerifyRunners_silentZoneDelaysNoOther guards against checks of a zone that does not
+// answer that keep the warm runners of another zone in slow start.
+func TestVerifyRunners_silentZoneDelaysNoOther(t *testing.T) {
+	silent := make(chan struct{})
+	var runners []*warmupRunner
+	for number := range 2 * maxConcurrentChecks {
+		runner := startWarmupRunner(t, ids.RunnerID(fmt.Sprint("silent", number)), "d")
+		runner.respond = func(http.ResponseWriter) { <-silent }
+		runners = append(runners, runner)
+	}
+	warm := startWarmupRunner(t, "warm", "n")
+	r, fakeClock := newWarmRouter(t, append(runners, warm)...)
+	r.unverify(r.snapshots.Current(), func(*snapshot.Runner) bool { return true })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- r.verifyRunners(ctx) }()
+	for deadline := time.Now().Add(10 * time.Second); r.slowStart.Active("warm", fakeClock.Now()); runtime.Gosched() {
+		if time.Now().After(deadline) {
+			t.Error("the warm runner waits for the silent ones")
+			break
+		}
+	}
+	close(silent)
+	cancel()
+	<-ended
+}
+
 // TestUnverify_checksOfOtherRegionsAreBounded checks that a zone with many runners of another
 // region gets a bounded number of checks from each router, and one of this region all.
 func TestUnverify_checksOfOtherRegionsAreBounded(t *testing.T) {
