--- a/base/invariant/invariant.go
+++ b/base/invariant/invariant.go
@@ -32,7 +32,7 @@
 	DeadlineNotExtended Name = "time-left"
 	// Home: a request goes only to runners in a home region of its route.
 	Home Name = "home"
-	// EventOrder: the ids of the events of a forwarded stream increase by one.
+	// EventOrder: the ids of the events of a forwarded stream rise.
 	EventOrder Name = "event-order"
 	// VersionRises: the configuration in use is never replaced by an older one
 	// during the life of a process.
