Router: the calls that unverify runners are guarded by tests

Found by taking the calls out one by one: without those of the probes' loop (ejections, lost zones, pauses) or the hooks that New sets, all tests passed, so they guarded the parts and not that the parts are used.

The loop's calls are one function, unverifyReturned, and the hooks are set in another, trackRunners; the daemon and the tests use both. Taken out again one by one, each call, and the least number of steps from which on a step counts as fixed, now fails a test. No change of behaviour, but that pauses count from the daemon's creation on.

--- a/data/proxy/stream_test.go
+++ b/data/proxy/stream_test.go
@@ -140,6 +140,7 @@
 		{"by seven, with a shorter last event", []int{7, 14, 21}, []int{24}},
 		{"by seven after one event", []int{7}, []int{14, 21}},
 		{"irregular", []int{1, 5, 6}, []int{20, 21}},
+		{"by one, then by three", []int{1, 2}, []int{5, 8}},
 		{"over 2^52", []int{1 << 52, 1<<52 + 1<<30}, []int{1<<52 + 1<<31}},
 	}
 	for _, tc := range cases {
--- a/data/router/avoided_test.go
+++ b/data/router/avoided_test.go
@@ -7,7 +7,11 @@
 
 	"onyxwell/base/clock"
 	"onyxwell/base/ids"
+	"onyxwell/control/gossip"
+	"onyxwell/control/outlier"
 	"onyxwell/control/planning/autoscaler"
+	"onyxwell/control/transport"
+	"onyxwell/data/slowstart"
 	"onyxwell/data/snapshot"
 )
 
@@ -40,12 +44,18 @@
 	}
 }
 
-// TestUnverifyRunners_released checks that a released runner is in slow start until it was
-// asked.
-func TestUnverifyRunners_released(t *testing.T) {
+// TestUnverifyReturned_ejectionEnds guards against the same where the probes' loop runs.
+func TestUnverifyReturned_ejectionEnds(t *testing.T) {
 	one, two := startWarmupRunner(t, "one", "n"), startWarmupRunner(t, "two", "n")
 	r, fakeClock := newWarmRouter(t, one, two)
-	r.unverifyRunners(r.snapshots.Current(), map[ids.RunnerID]bool{"one": true})
+	body, err := transport.Marshal(outlier.Ejections{Runners: []outlier.Ejection{{Runner: "one", LeftMS: 1000}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.snapshots.Apply(gossip.Item{Key: gossip.ZonePrefix + "n", Version: 1, Body: body})
+	r.unverifyReturned(r.snapshots.Current(), fakeClock.Now())
+	fakeClock.Advance(time.Second)
+	r.unverifyReturned(r.snapshots.Current(), fakeClock.Now())
 	if !r.slowStart.Active("one", fakeClock.Now()) || r.slowStart.Active("two", fakeClock.Now()) {
 		t.Error("want exactly the released runner in slow start")
 	}
@@ -53,3 +63,17 @@
 		t.Error("a warm runner is in slow start after it was asked")
 	}
 }
+
+// TestUnverifyReturned_pause guards against a router that is suspended and goes on with the
+// full load, or that takes its checks for pauses.
+func TestUnverifyReturned_pause(t *testing.T) {
+	r, fakeClock := newWarmRouter(t, startWarmupRunner(t, "one", "n"))
+	limit := slowstart.Limit{RequestsPerSecond: 0.01, Routers: 1}
+	for _, pause := range []time.Duration{time.Second, 2 * time.Second, 2*time.Second + 1} {
+		fakeClock.Advance(pause)
+		if admitted := r.slowStart.CanAdmit("one", limit, fakeClock.Now()); admitted != (pause <= 2*time.Second) {
+			t.Errorf("after %v: got admitted %v", pause, admitted)
+		}
+		r.unverifyReturned(r.snapshots.Current(), fakeClock.Now())
+	}
+}
--- a/data/router/health.go
+++ b/data/router/health.go
@@ -74,13 +74,9 @@
 	var probes sync.WaitGroup
 	defer probes.Wait()
 	failedChecks, reached := 0, false
-	var avoided avoidedRunners
-	r.slowStart.DetectPauses(pauseConnectTimeouts*r.timing.ConnectTimeout, r.clock.Now())
 	for clock.Wait(ctx, r.clock, r.timing.ConnectTimeout/checksPerConnectTimeout) {
 		now, current := r.clock.Now(), r.snapshots.Current()
-		r.slowStart.Tick(now)
-		r.updateLostZones(current, now)
-		r.unverifyRunners(current, avoided.update(current, now))
+		r.unverifyReturned(current, now)
 		for _, zone := range r.lostZones.dueProbes(now, firstInterval) {
 			for _, runner := range sampleRunners(current, zone) {
 				probes.Go(func() { r.probeZone(ctx, client, runner) })
@@ -100,14 +96,6 @@
 	return nil
 }
 
-// updateLostZones takes over which zones are reported as lost. The runners of zones that
-// are used again without a successful probe are unverified.
-func (r *Router) updateLostZones(current *snapshot.Snapshot, now clock.Instant) {
-	for _, zone := range r.lostZones.update(current.LostZones, now) {
-		r.zoneRestored(zone, current)
-	}
-}
-
 // checkHealth sends a health check to a runner. Its service must be configured.
 func (r *Router) checkHealth(ctx context.Context, client *http.Client, current *snapshot.Snapshot, runner *snapshot.Runner) (healthReport, error) {
 	ctx, cancel := r.clock.WithTimeout(ctx, r.timing.ConnectTimeout)
--- a/data/router/health_test.go
+++ b/data/router/health_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -43,12 +42,11 @@
 	fakeClock := clock.NewFake()
 	r := &Router{
 		clock: fakeClock, timing: daemon.Timing{ConnectTimeout: time.Second}, settings: &settings.Settings{Region: "north"},
-		stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64), checksDue: make(chan struct{}, 1),
+		stats: runnerstats.New(), checksDue: make(chan struct{}, 1),
 	}
 	r.daemon = &daemon.Daemon{Membership: membership.NewTable(fakeClock, membership.Member{Address: "self", Role: Role, Region: "north"})}
-	r.snapshots = snapshot.NewStore(snapshot.Options{
+	r.trackRunners(snapshot.Options{
 		Clock: fakeClock, Zones: map[ids.Zone]ids.Region{"n": "north", "d": "north", "s": "south"}, TracksVersions: true,
-		OnConfig: r.updateWarmups, OnRunners: r.updateRunners, OnZoneRestored: r.zoneRestored,
 	})
 	return r, fakeClock
 }
--- a/data/router/lostzones_test.go
+++ b/data/router/lostzones_test.go
@@ -128,13 +128,16 @@
 func TestLostZones_runnersAreAskedAfterTimeout(t *testing.T) {
 	runner := startWarmupRunner(t, "one", "s")
 	r, fakeClock := newWarmRouter(t, runner)
-	update := func() { r.updateLostZones(r.snapshots.Current(), fakeClock.Now()) }
+	update := func() { r.unverifyReturned(r.snapshots.Current(), fakeClock.Now()) }
 	reportLostZones(r, 1, "s")
 	update()
 	reportLostZones(r, 2)
 	update()
-	fakeClock.Advance(recoveryTimeout + 1)
-	if update(); r.lostZones.contains("s") || !r.slowStart.Active("one", fakeClock.Now()) {
+	for range recoveryTimeout/time.Second + 1 {
+		fakeClock.Advance(time.Second)
+		update()
+	}
+	if r.lostZones.contains("s") || !r.slowStart.Active("one", fakeClock.Now()) {
 		t.Error("the zone is avoided, or its runner gets the full load unasked")
 	}
 }
--- a/data/router/router.go
+++ b/data/router/router.go
@@ -55,6 +55,8 @@
 	// checksDue is signaled when runners have become unverified.
 	checksDue chan struct{}
 	lostZones lostZoneTracker
+	// avoided is used by the probes' loop only.
+	avoided   avoidedRunners
 	readIndex *readindex.Gate
 	proxy     *proxy.Proxy
 	limiter   *ratelimit.Limiter
@@ -82,12 +84,11 @@
 	monitor := &invariant.Monitor{Log: top.Log}
 	r := &Router{
 		clock: top.Clock, settings: top.Settings,
-		timing: daemon.TimingOf(top.Settings), stats: runnerstats.New(), slowStart: slowstart.New(rand.Float64), checksDue: make(chan struct{}, 1),
+		timing: daemon.TimingOf(top.Settings), stats: runnerstats.New(), checksDue: make(chan struct{}, 1),
 	}
 	view := daemon.NewView(top)
-	r.snapshots = snapshot.NewStore(snapshot.Options{
+	r.trackRunners(snapshot.Options{
 		Clock: r.clock, Log: top.Log, Zones: r.settings.Zones, Region: r.settings.Region, View: view,
-		OnConfig: r.updateWarmups, OnRunners: r.updateRunners, OnZoneRestored: r.zoneRestored,
 		TracksVersions: r.settings.HasRule(settings.RolloutRule), Monitor: monitor,
 	})
 	var err error
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"onyxwell/base/clock"
 	"onyxwell/base/httpcall"
 	"onyxwell/base/ids"
 	"onyxwell/base/settings"
@@ -29,6 +30,27 @@
 	pauseConnectTimeouts = 2
 )
 
+// trackRunners creates the snapshot store and the slow-start tracker, which learns from the
+// store which runners may get requests again.
+func (r *Router) trackRunners(options snapshot.Options) {
+	r.slowStart = slowstart.New(rand.Float64)
+	r.slowStart.DetectPauses(pauseConnectTimeouts*r.timing.ConnectTimeout, r.clock.Now())
+	options.OnConfig, options.OnRunners, options.OnZoneRestored = r.updateWarmups, r.updateRunners, r.zoneRestored
+	r.snapshots = snapshot.NewStore(options)
+}
+
+// unverifyReturned is called with each check of the probes' loop. It unverifies the runners
+// that may get requests again without a change of the list: those of zones that are no
+// longer lost, those whose ejection or quarantine has ended, and, after a pause of this
+// process, all of the region.
+func (r *Router) unverifyReturned(current *snapshot.Snapshot, now clock.Instant) {
+	r.slowStart.Tick(now)
+	for _, zone := range r.lostZones.update(current.LostZones, now) {
+		r.zoneRestored(zone, current)
+	}
+	r.unverifyRunners(current, r.avoided.update(current, now))
+}
+
 // updateRunners passes a new list of runners to the slow-start tracker, before the list
 // comes into use. Runners that may get requests again are unverified.
 func (r *Router) updateRunners(previous *snapshot.Snapshot, next *snapshot.Snapshot) {
