Router: a runner that a late response lets back is asked whether it is warm

Cause: a response, or the end of a stream, clears a suspicion and ends a silence without a probe. A runner that was dark meanwhile got no new requests, may be back cold, and got its full load with the first late response.

Change: runnerstats tells for how long a runner was suspected or silent; after over a second, by which a list lags anyway, the proxy unverifies it. A zone that is no longer reported as lost is unverified before it is used, and not right after.

TestProxy_runnerLetBackByResponse failed before in 'silent', 'suspected' and 'suspected while its stream goes on', each seen with its part taken out.

--- a/data/proxy/attempt.go
+++ b/data/proxy/attempt.go
@@ -72,7 +72,8 @@
 	a.timeToFirstByte = now.Since(a.startedAt)
 	a.slow = now.Since(e.arrivedAt) > e.route.LatencyTarget()/slowResponseDivisor
 	tokens := e.balancerRequest.PartTokens
-	e.proxy.stats.ResponseBegan(a.runner.ID, a.number, tokens, now)
+	excluded := e.proxy.stats.ResponseBegan(a.runner.ID, a.number, tokens, now)
+	e.unverifyReturned(a.runner.ID, excluded, now)
 	if tokens > 0 && !a.resumes {
 		e.proxy.stats.ObserveFirstEvent(a.admission.Service(), e.route.Name, tokens, now.Since(a.startedAt))
 	}
@@ -99,10 +100,23 @@
 	}
 	late := e.clientGone || e.req.Context().Err() != nil || !now.Before(e.deadline)
 	ended.RunnerFailed = !ended.Completed && outcome != upstream.Unusable && runnerFailed(result, late, ended, e.route.LatencyTarget())
-	stats.RequestEnded(a.runner.ID, ended, now)
+	excluded := stats.RequestEnded(a.runner.ID, ended, now)
+	e.unverifyReturned(a.runner.ID, excluded, now)
 	e.observeVersion(a, result, ended, now)
 }
 
+// maxVerifiedExclusion is the time without requests up to which a runner is taken for what
+// it was before: a list of runners shows no sooner that it has become cold.
+const maxVerifiedExclusion = time.Second
+
+// unverifyReturned puts a runner that a response lets back into use into slow start until it
+// reports that it is warm, if it got no requests for long because it was suspected or silent.
+func (e *exchange) unverifyReturned(id ids.RunnerID, excluded time.Duration, now clock.Instant) {
+	if excluded > maxVerifiedExclusion {
+		e.proxy.slowStart.Unverify([]ids.RunnerID{id}, true, now)
+	}
+}
+
 // observeVersion reports the success or failure of an attempt to the canary gate, which
 // compares runner versions. Attempts that were not executed or that ended because of the
 // client or the deadline are not reported.
--- a/data/proxy/failure_test.go
+++ b/data/proxy/failure_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"onyxwell/base/clock"
+	"onyxwell/data/slowstart"
 	"onyxwell/data/upstreamtest"
 )
 
@@ -159,3 +160,50 @@
 	discard(clock.NewMonotonic(), &http.Response{Body: http.NoBody})
 	discard(clock.NewMonotonic(), nil)
 }
+
+// TestProxy_runnerLetBackByResponse guards against the full load on a runner that got no
+// requests for long, because it was silent or suspected, and is let back by a response to an
+// earlier request, which doesn't tell whether it is warm.
+func TestProxy_runnerLetBackByResponse(t *testing.T) {
+	cases := []struct {
+		name       string
+		path       string
+		suspect    bool
+		pause      time.Duration
+		unverified bool
+	}{
+		{"silent", "/safe/x", false, maxVerifiedExclusion + 1, true},
+		{"suspected", "/safe/x", true, maxVerifiedExclusion + 1, true},
+		{"suspected while its stream goes on", "/stream/x", true, maxVerifiedExclusion + 1, true},
+		{"for a short time", "/safe/x", true, maxVerifiedExclusion, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var p *testProxy
+			pause := func() {
+				if tc.suspect {
+					p.stats.Suspect("i-1", p.clock.Now())
+				}
+				p.clock.Advance(tc.pause)
+			}
+			step := upstreamtest.Before(pause, upstreamtest.Respond(200, "s", "x"))
+			if tc.path == "/stream/x" {
+				step = func(req upstreamtest.Request, writer io.Writer) bool {
+					upstreamtest.Raw(sealedResponseHead+"Transfer-Encoding: chunked\r\n\r\n15\r\n"+eventText(1, 1)+"\r\n", true)(req, writer)
+					for p.stats.State("i-1").LastSeen == 0 {
+						runtime.Gosched()
+					}
+					return upstreamtest.Before(pause, upstreamtest.Raw("0\r\n\r\n", true))(req, writer)
+				}
+			}
+			p = newTestProxy(t, 10, upstreamtest.Start(t, step))
+			p.slowStart.Update([]slowstart.Runner{{ID: "i-1", Warmup: 3 * time.Second}}, 0, p.clock.Now())
+			if got := p.do(tc.path, "x"); got.err != nil || got.status != 200 {
+				t.Fatalf("%+v", got)
+			}
+			if unverified := p.slowStart.Active("i-1", p.clock.Now()); unverified != tc.unverified || p.stats.State("i-1").Suspect {
+				t.Errorf("got unverified %v, suspected %v", unverified, p.stats.State("i-1").Suspect)
+			}
+		})
+	}
+}
--- a/data/proxy/harness_test.go
+++ b/data/proxy/harness_test.go
@@ -50,6 +50,7 @@
 	snapshots   *snapshot.Store
 	updates     *gossip.Store
 	stats       *runnerstats.Collector
+	slowStart   *slowstart.Tracker
 	proxy       *Proxy
 	server      *httptest.Server
 	log         *logtest.Buffer
@@ -73,6 +74,7 @@
 	p.updates = gossip.NewStore(p.snapshots.Apply)
 	one := func() int { return 1 }
 	slowStart := slowstart.New(func() float64 { return 0 })
+	p.slowStart = slowStart
 	lb := balancer.New(balancer.Options{
 		Clock: fakeClock, Snapshots: p.snapshots, Stats: p.stats, SlowStart: slowStart, Region: "north", RouterCount: one,
 		SlowStartRouters: func(ids.Zone) int { return 1 },
--- a/data/router/lostzones.go
+++ b/data/router/lostzones.go
@@ -46,7 +46,7 @@
 
 // update sets the zones that are reported as lost. A zone is avoided from its first
 // report on. A zone that was removed is not avoided again while it stays reported. It
-// returns the zones that are not avoided any more, since they have not been reported for
+// returns the zones that are to be removed, since they have not been reported for
 // recoveryTimeout.
 func (l *lostZoneTracker) update(reported map[ids.Zone]bool, now clock.Instant) []ids.Zone {
 	l.mu.Lock()
@@ -67,7 +67,6 @@
 		case lost.recoveredAt == 0:
 			lost.recoveredAt, lost.probes, lost.nextProbe = now, 0, now
 		case now.Since(lost.recoveredAt) > recoveryTimeout:
-			delete(l.zones, zone)
 			recovered = append(recovered, zone)
 		}
 	}
--- a/data/router/lostzones_test.go
+++ b/data/router/lostzones_test.go
@@ -38,8 +38,9 @@
 	}
 	r, fakeClock := newWarmRouter(t, start("near", "n"), start("far", "s"), start("peer", "s"))
 	client := httpcall.NewClient(httpcall.ClientOptions{Dialer: httpcall.Dialer{Timeout: time.Second, UserTimeout: time.Second}, MaxIdlePerHost: 1})
+	r.slowStart.DetectPauses(0, fakeClock.Now())
 	probe := func() {
-		r.lostZones.update(r.snapshots.Current().LostZones, fakeClock.Now())
+		r.unverifyReturned(r.snapshots.Current(), fakeClock.Now())
 		for _, zone := range r.lostZones.dueProbes(fakeClock.Now(), time.Second) {
 			for _, runner := range sampleRunners(r.snapshots.Current(), zone) {
 				r.probeZone(context.Background(), client, runner)
--- a/data/router/verification.go
+++ b/data/router/verification.go
@@ -47,6 +47,7 @@
 	r.slowStart.Tick(now)
 	for _, zone := range r.lostZones.update(current.LostZones, now) {
 		r.zoneRestored(zone, current)
+		r.lostZones.remove(zone)
 	}
 	r.unverifyRunners(current, r.avoided.update(current, now))
 }
--- a/data/runnerstats/collector.go
+++ b/data/runnerstats/collector.go
@@ -153,13 +153,15 @@
 }
 
 // ResponseBegan records that the head of a response arrived, and clears a suspicion of
-// the runner. number and tokens are those of the SentRequest.
-func (c *Collector) ResponseBegan(id ids.RunnerID, number uint64, tokens float64, now clock.Instant) {
+// the runner. number and tokens are those of the SentRequest. It returns for how long the
+// runner was suspected or silent until now.
+func (c *Collector) ResponseBegan(id ids.RunnerID, number uint64, tokens float64, now clock.Instant) (excluded time.Duration) {
 	c.update(id, func(r *runner) {
 		r.UnansweredTokens = max(0, r.UnansweredTokens-tokens)
-		r.markAlive(now)
+		excluded = r.markAlive(now)
 		delete(r.pending, number)
 	})
+	return excluded
 }
 
 // EndedRequest describes how a request at a runner ended.
@@ -178,8 +180,9 @@
 }
 
 // RequestEnded records the end of a request. A completed request clears a suspicion of
-// the runner, a failure of the runner raises one.
-func (c *Collector) RequestEnded(id ids.RunnerID, end EndedRequest, now clock.Instant) {
+// the runner, a failure of the runner raises one. It returns for how long the runner was
+// suspected or silent until a completed request.
+func (c *Collector) RequestEnded(id ids.RunnerID, end EndedRequest, now clock.Instant) (excluded time.Duration) {
 	c.update(id, func(r *runner) {
 		r.InFlight = max(0, r.InFlight-1)
 		countedAsFailed := r.pending[end.Number].overdue
@@ -190,7 +193,7 @@
 		if end.Completed {
 			r.totals.finished++
 			r.totals.latencyMS += float64(end.Duration.Milliseconds())
-			r.markAlive(now)
+			excluded = r.markAlive(now)
 		}
 		if end.RunnerFailed {
 			if !countedAsFailed {
@@ -199,4 +202,5 @@
 			r.suspect(now)
 		}
 	})
+	return excluded
 }
--- a/data/runnerstats/pending.go
+++ b/data/runnerstats/pending.go
@@ -25,15 +25,19 @@
 // no request is pending.
 func (c *Collector) SilentFor(id ids.RunnerID, now clock.Instant) time.Duration {
 	silence := time.Duration(0)
-	c.update(id, func(r *runner) {
-		for _, req := range r.pending {
-			since := req.sentAt
-			if since.Before(r.LastSeen) {
-				since = r.LastSeen
-			}
-			silence = max(silence, now.Since(since))
+	c.update(id, func(r *runner) { silence = r.silentFor(now) })
+	return silence
+}
+
+func (r *runner) silentFor(now clock.Instant) time.Duration {
+	silence := time.Duration(0)
+	for _, req := range r.pending {
+		since := req.sentAt
+		if since.Before(r.LastSeen) {
+			since = r.LastSeen
 		}
-	})
+		silence = max(silence, now.Since(since))
+	}
 	return silence
 }
 
--- a/data/runnerstats/suspicion.go
+++ b/data/runnerstats/suspicion.go
@@ -26,6 +26,8 @@
 
 // probeState is the state of a runner's suspicion and its probes.
 type probeState struct {
+	// suspectedAt is the time at which the current suspicion was raised.
+	suspectedAt clock.Instant
 	// probes is the number of probes of the current suspicion, and unhealthyReplies
 	// the number of those that reported the runner as unhealthy. nextProbe is the time
 	// at which the next probe is due.
@@ -66,7 +68,7 @@
 		return
 	}
 	p := &r.probing
-	r.Suspect, p.probes, p.unhealthyReplies, p.nextProbe = true, 0, 0, now
+	r.Suspect, p.suspectedAt, p.probes, p.unhealthyReplies, p.nextProbe = true, now, 0, 0, now
 	if !p.clearedWithin(relapseWindow, now) {
 		p.relapses = 0
 		return
@@ -96,12 +98,16 @@
 	c.update(id, func(r *runner) { r.markAlive(now) })
 }
 
-// markAlive records a sign of life and clears a suspicion.
-func (r *runner) markAlive(now clock.Instant) {
+// markAlive records a sign of life and clears a suspicion. It returns for how long the
+// runner was suspected or silent, and therefore got no requests.
+func (r *runner) markAlive(now clock.Instant) (excluded time.Duration) {
+	excluded = r.silentFor(now)
 	if r.Suspect {
+		excluded = max(excluded, now.Since(r.probing.suspectedAt))
 		r.probing.clearedAt = now
 	}
 	r.Suspect, r.LastSeen = false, now
+	return excluded
 }
 
 // StopProbing clears the suspicion of a runner that is no longer listed, so that it is
